sorrelbayd: Order replicas by need, reclaimable ones first

Change: ReplicaPlan and its keeper: the peak of open calls and tokens, one zone to lose, on-demand ones while reclaimable ones are refused; large prompts are told to peers at once; repeats earn their budget; the meter uses a quarter of the allotment's slack.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -12,7 +12,7 @@
 std::string encodeFleetReport(const FleetReport &report) {
   json open = json::array();
   for (const auto &[id, work] : report.Open)
-    open.push_back({id.text(), work.Calls, work.PromptTokens});
+    open.push_back({id.text(), work.Calls, work.PromptTokens, work.Tokens});
   json used = json::array();
   for (const auto &[team, units] : report.Used)
     used.push_back({team.text(), units});
@@ -66,7 +66,8 @@
     all.at(11).get_to(report.TrueTimeMs);
     for (const json &it : all.at(12))
       report.Open[UpstreamId(it.at(0).get<std::string>())] = {
-          it.at(1).get<int>(), it.at(2).get<std::int64_t>()};
+          it.at(1).get<int>(), it.at(2).get<std::int64_t>(),
+          it.at(3).get<std::int64_t>()};
     for (const json &it : all.at(13))
       report.Used[TeamId(it.at(0).get<std::string>())] =
           it.at(1).get<UsedUnits>();
--- /dev/null
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -0,0 +1,213 @@
+#include "LibServing/ReplicaPlan.h"
+#include <algorithm>
+#include <cmath>
+
+namespace sorrelbay {
+
+/// An order that was accepted but doesn't show is given again after the boot
+/// time and this.
+static constexpr Duration OrderMargin = seconds(3);
+/// From a replica's boot until its entry shows.
+static constexpr Duration BootMargin = milliseconds(700);
+
+ReplicaPlan::ReplicaPlan(ScalingBounds bounds, EngineShape engine,
+                         ReplicaPlanSettings settings)
+    : Bounds(std::move(bounds)), Engine(engine), Settings(settings) {}
+
+int ReplicaPlan::replicasFor(const ServiceLoad &load) const {
+  const double byCalls = load.OpenCalls / (Engine.Slots * Settings.CallShare);
+  const double byTokens = Engine.MemoryTokens <= 0
+                              ? 0
+                              : static_cast<double>(load.OpenTokens) /
+                                    (static_cast<double>(Engine.MemoryTokens) *
+                                     Settings.TokenShare);
+  return std::max(1, static_cast<int>(std::ceil(std::max(byCalls, byTokens))));
+}
+
+void ReplicaPlan::rememberPeak(const ServiceLoad &load, Instant now) {
+  Peaks.emplace_back(now, replicasFor(load));
+  Peaks.erase(std::remove_if(Peaks.begin(), Peaks.end(),
+                             [&](const auto &it) {
+                               return now - it.first > Settings.PeakMemory;
+                             }),
+              Peaks.end());
+  Needed = 0;
+  for (const auto &[at, count] : Peaks)
+    Needed = std::max(Needed, count);
+}
+
+void ReplicaPlan::add(std::vector<ReplicaOrder> &out, const ServiceId &service,
+                      const ZoneId &zone, bool isReclaimable, int count,
+                      int seen, Instant now) {
+  Ordered &last = Last[{zone, isReclaimable}];
+  if (count == seen && last.Count < 0)
+    return;
+  const bool wasRefused = last.RefusedAt != Instant{} &&
+                          now - last.RefusedAt < Settings.RefusedPause;
+  if (wasRefused)
+    return;
+  const bool isSame = last.Count == count;
+  const bool isStuck =
+      seen != count && now - last.At > Bounds.BootTime + OrderMargin;
+  if (isSame && !isStuck)
+    return;
+  out.push_back({service, zone, isReclaimable, count});
+}
+
+void ReplicaPlan::keepLevel(const std::map<ZoneId, ZoneReplicas> &seen,
+                            Instant now) {
+  if (Needed > 1 && LoadSince == Instant{})
+    LoadSince = now;
+  if (LoadSince == Instant{}) {
+    int onDemand = 0;
+    for (const auto &[zone, it] : seen)
+      onDemand += it.OnDemand;
+    Kept = std::max(Kept, onDemand);
+    LowSince = now;
+  }
+  const bool knowsLoad =
+      LoadSince != Instant{} && now - LoadSince > Settings.PeakMemory;
+  if (Needed >= Kept) {
+    Kept = Needed;
+    LowSince = now;
+  } else if (knowsLoad && now - LowSince > Settings.ShrinkPause) {
+    Kept = Needed;
+    LowSince = now;
+  }
+}
+
+/// Replicas of the kind that serve in the zone or will once they have booted.
+int ReplicaPlan::expected(const ZoneId &zone, bool isReclaimable, int seen,
+                          Instant now) const {
+  const auto it = Last.find({zone, isReclaimable});
+  const bool mayBoot = it != Last.end() && it->second.Count > seen &&
+                       now - it->second.At < Bounds.BootTime + BootMargin &&
+                       it->second.RefusedAt == Instant{};
+  return mayBoot ? it->second.Count : seen;
+}
+
+ReplicaPlan::Aim ReplicaPlan::aimAt(const std::map<ZoneId, ZoneReplicas> &seen,
+                                    Instant now) {
+  Aim aim;
+  const int zones = static_cast<int>(seen.size());
+  if (Bounds.ReclaimablePrice >= 1) {
+    aim.OnDemand = Kept;
+    return aim;
+  }
+  // One zone may lose its replicas at any time.
+  const int left = std::max(1, zones - 1);
+  aim.ReclaimablePerZone = std::clamp((Kept + left - 1) / left,
+                                      std::max(1, Bounds.Least), Bounds.Most);
+  int coming = 0;
+  int largest = 0;
+  for (const auto &[zone, it] : seen) {
+    const int n = it.IsReclaimed ? it.Reclaimable
+                                 : expected(zone, true, it.Reclaimable, now);
+    coming += n;
+    largest = std::max(largest, n);
+  }
+  const bool isScarce =
+      ScarceSince != Instant{} && now - ScarceSince < Settings.ScarceMemory;
+  const int cover =
+      isScarce ? static_cast<int>(std::ceil(largest * Settings.ScarceCover))
+               : 0;
+  aim.OnDemand = std::max(0, Kept - coming + cover);
+  return aim;
+}
+
+/// On-demand replicas by zone: those that are there stay, others come where
+/// they are cheapest.
+std::map<ZoneId, int>
+ReplicaPlan::spreadOnDemand(const std::map<ZoneId, ZoneReplicas> &seen,
+                            int count) const {
+  std::map<ZoneId, int> out;
+  std::vector<std::pair<double, ZoneId>> byPrice;
+  for (const auto &[zone, it] : seen) {
+    const auto price = Bounds.ZonePrices.find(zone);
+    byPrice.emplace_back(price == Bounds.ZonePrices.end() ? 1.0 : price->second,
+                         zone);
+    out[zone] = 0;
+  }
+  std::sort(byPrice.begin(), byPrice.end());
+  int left = count;
+  for (const auto &[price, zone] : byPrice) {
+    out[zone] = std::min(left, seen.at(zone).OnDemand);
+    left -= out[zone];
+  }
+  // Then one in each zone by turns, so that no zone's trouble takes them all.
+  bool isPlaced = true;
+  while (left > 0 && isPlaced) {
+    isPlaced = false;
+    for (const auto &[price, zone] : byPrice) {
+      const ZoneReplicas &it = seen.at(zone);
+      if (left == 0 || out[zone] + it.Reclaimable >= Bounds.Most)
+        continue;
+      ++out[zone];
+      --left;
+      isPlaced = true;
+    }
+  }
+  return out;
+}
+
+std::vector<ReplicaOrder>
+ReplicaPlan::orders(const ServiceId &service,
+                    const std::map<ZoneId, ZoneReplicas> &seen,
+                    const ServiceLoad &load, Instant now) {
+  std::vector<ReplicaOrder> out;
+  if (seen.empty())
+    return out;
+  rememberPeak(load, now);
+  keepLevel(seen, now);
+  const Aim aim = aimAt(seen, now);
+  int onDemand = 0;
+  int serving = 0;
+  std::map<ZoneId, ZoneReplicas> coming = seen;
+  for (auto &[zone, it] : coming) {
+    serving += it.OnDemand + it.Reclaimable;
+    it.OnDemand = expected(zone, false, it.OnDemand, now);
+    onDemand += it.OnDemand;
+  }
+  for (const auto &[zone, it] : seen) {
+    const int room = std::max(0, Bounds.Most - it.OnDemand);
+    if (!it.IsReclaimed && Bounds.ReclaimablePrice < 1)
+      add(out, service, zone, true, std::min(aim.ReclaimablePerZone, room),
+          it.Reclaimable, now);
+  }
+  if (aim.OnDemand >= onDemand) {
+    OnDemandLowSince = now;
+    if (aim.OnDemand == onDemand)
+      return out;
+  }
+  // They go only once others serve in their place, and not for a moment's lull.
+  const bool mayShrink =
+      serving - (onDemand - aim.OnDemand) >= Kept &&
+      (aim.OnDemand > onDemand ||
+       now - OnDemandLowSince >
+           (LoadSince == Instant{} ? Duration::zero() : Settings.ShrinkPause));
+  if (aim.OnDemand < onDemand && !mayShrink)
+    return out;
+  for (const auto &[zone, count] : spreadOnDemand(coming, aim.OnDemand)) {
+    const ZoneReplicas &it = seen.at(zone);
+    const int least = std::max(0, Bounds.Least - it.Reclaimable);
+    add(out, service, zone, false,
+        std::max(count, std::min(least, it.OnDemand)), it.OnDemand, now);
+  }
+  return out;
+}
+
+void ReplicaPlan::noteResult(const ReplicaOrder &order, CloudResult result,
+                             Instant now) {
+  Ordered &last = Last[{order.Zone, order.IsReclaimable}];
+  if (result == CloudResult::Accepted) {
+    last.Count = order.Count;
+    last.At = now;
+    last.RefusedAt = {};
+    return;
+  }
+  last.RefusedAt = now;
+  if (order.IsReclaimable && result == CloudResult::NoneAvailable)
+    ScarceSince = now;
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "LibBase/Time.h"
+#include "LibServing/CloudOrders.h"
+#include "LibServing/ServingPlan.h"
+#include <map>
+#include <utility>
+#include <vector>
+
+namespace sorrelbay {
+
+/// Replicas of one service in one zone, as their entries show them.
+struct ZoneReplicas {
+  /// Serving, not leaving.
+  int OnDemand = 0;
+  int Reclaimable = 0;
+  /// Reclaimable ones have been given notice here and are not yet gone.
+  bool IsReclaimed = false;
+};
+
+/// The load that a service carries now, over all hosts.
+struct ServiceLoad {
+  /// Calls that are open at its replicas.
+  int OpenCalls = 0;
+  /// Tokens of their prompts and of the longest answers they may get.
+  std::int64_t OpenTokens = 0;
+};
+
+struct ReplicaPlanSettings {
+  /// The part of its places, and of its memory, that a replica should have in
+  /// use; above it first tokens get late.
+  double CallShare = 0.35;
+  double TokenShare = 0.45;
+  /// The load is taken as the highest of this time, so that a short lull
+  /// doesn't send replicas away that take seconds to come back.
+  Duration PeakMemory = seconds(12);
+  /// A zone whose reclaimable replicas were reclaimed, or that had none to
+  /// give, isn't asked again before that.
+  Duration RefusedPause = milliseconds(1500);
+  /// Where reclaimable replicas were refused lately they come in short supply:
+  /// so much of the largest zone's is then covered by on-demand ones besides.
+  double ScarceCover = 0.5;
+  Duration ScarceMemory = seconds(15);
+  /// More replicas than needed are sent away only after so long.
+  Duration ShrinkPause = seconds(8);
+};
+
+/// Decides how many replicas of each kind a service has in each zone: as few as
+/// carry the load when zones lose their reclaimable ones, reclaimable ones
+/// where they are cheaper, on-demand ones only until those have come. Belongs
+/// to the holder of the duty; a new holder begins with what it sees.
+class ReplicaPlan {
+public:
+  explicit ReplicaPlan(ScalingBounds bounds, EngineShape engine,
+                       ReplicaPlanSettings settings = {});
+
+  /// The orders that are due, by what is seen now. An order that was accepted
+  /// is not given again until another is needed.
+  std::vector<ReplicaOrder> orders(const ServiceId &service,
+                                   const std::map<ZoneId, ZoneReplicas> &seen,
+                                   const ServiceLoad &load, Instant now);
+  void noteResult(const ReplicaOrder &order, CloudResult result, Instant now);
+  /// Replicas that the load needs.
+  int needed() const { return Needed; }
+
+private:
+  using Place = std::pair<ZoneId, bool>;
+  struct Ordered {
+    int Count = -1;
+    Instant At{};
+    Instant RefusedAt{};
+  };
+
+  /// What the next orders aim at.
+  struct Aim {
+    int ReclaimablePerZone = 0;
+    int OnDemand = 0;
+  };
+
+  int replicasFor(const ServiceLoad &load) const;
+  void rememberPeak(const ServiceLoad &load, Instant now);
+  void keepLevel(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
+  Aim aimAt(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
+  int expected(const ZoneId &zone, bool isReclaimable, int seen,
+               Instant now) const;
+  std::map<ZoneId, int>
+  spreadOnDemand(const std::map<ZoneId, ZoneReplicas> &seen, int count) const;
+  void add(std::vector<ReplicaOrder> &out, const ServiceId &service,
+           const ZoneId &zone, bool isReclaimable, int count, int seen,
+           Instant now);
+
+  ScalingBounds Bounds;
+  EngineShape Engine;
+  ReplicaPlanSettings Settings;
+  std::vector<std::pair<Instant, int>> Peaks;
+  std::map<Place, Ordered> Last;
+  int Needed = 0;
+  /// What is provided for: grows at once, shrinks late.
+  int Kept = 0;
+  /// Until calls have been seen for a while the replicas that were there at
+  /// first are the best guess.
+  Instant LoadSince{};
+  Instant LowSince{};
+  Instant ScarceSince{};
+  Instant OnDemandLowSince{};
+};
+
+} // namespace sorrelbay
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -34,6 +34,7 @@
       continue;
     entry.Peers.Calls += it->second.Calls;
     entry.Peers.PromptTokens += it->second.PromptTokens;
+    entry.Peers.Tokens += it->second.Tokens;
   }
   Entries.emplace(record.Id, entry);
 }
@@ -147,22 +148,22 @@
   return best->Record.Id;
 }
 
-void ReplicaTable::noteSent(const UpstreamId &id, std::int64_t promptTokens) {
+void ReplicaTable::noteSent(const UpstreamId &id, const CallWork &work) {
   const auto it = Entries.find(id);
   if (it == Entries.end())
     return;
   ++it->second.Own.Calls;
-  it->second.Own.PromptTokens += promptTokens;
+  it->second.Own.PromptTokens += work.PromptTokens;
+  it->second.Own.Tokens += work.Tokens;
 }
 
-void ReplicaTable::noteFirstByte(const UpstreamId &id,
-                                 std::int64_t promptTokens) {
+void ReplicaTable::noteFirstByte(const UpstreamId &id, const CallWork &work) {
   const auto it = Entries.find(id);
   if (it != Entries.end())
-    it->second.Own.PromptTokens -= promptTokens;
+    it->second.Own.PromptTokens -= work.PromptTokens;
 }
 
-void ReplicaTable::noteEnded(const UpstreamId &id, std::int64_t promptTokens,
+void ReplicaTable::noteEnded(const UpstreamId &id, const CallWork &work,
                              bool hadFirstByte, SendResult result,
                              Instant now) {
   const auto it = Entries.find(id);
@@ -171,7 +172,8 @@
   Entry &entry = it->second;
   entry.Own.Calls = std::max(0, entry.Own.Calls - 1);
   if (!hadFirstByte)
-    entry.Own.PromptTokens -= promptTokens;
+    entry.Own.PromptTokens -= work.PromptTokens;
+  entry.Own.Tokens = std::max<std::int64_t>(0, entry.Own.Tokens - work.Tokens);
   entry.Own.PromptTokens = std::max<std::int64_t>(0, entry.Own.PromptTokens);
   judge(entry, result, now);
 }
@@ -228,6 +230,7 @@
       continue;
     it->second.Peers.Calls -= work.Calls;
     it->second.Peers.PromptTokens -= work.PromptTokens;
+    it->second.Peers.Tokens -= work.Tokens;
   }
   known = std::move(open);
   for (const auto &[id, work] : known) {
@@ -236,6 +239,7 @@
       continue;
     it->second.Peers.Calls += work.Calls;
     it->second.Peers.PromptTokens += work.PromptTokens;
+    it->second.Peers.Tokens += work.Tokens;
   }
 }
 
@@ -257,7 +261,8 @@
   if (it == Entries.end())
     return {};
   return {it->second.Own.Calls + it->second.Peers.Calls,
-          it->second.Own.PromptTokens + it->second.Peers.PromptTokens};
+          it->second.Own.PromptTokens + it->second.Peers.PromptTokens,
+          it->second.Own.Tokens + it->second.Peers.Tokens};
 }
 
 bool ReplicaTable::isEjected(const UpstreamId &id, Instant now) const {
@@ -274,6 +279,7 @@
       continue;
     out.Calls += entry.Own.Calls + entry.Peers.Calls;
     out.PromptTokens += entry.Own.PromptTokens + entry.Peers.PromptTokens;
+    out.Tokens += entry.Own.Tokens + entry.Peers.Tokens;
     out.Places += entry.Record.Slots;
     ++out.Replicas;
   }
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -18,12 +18,22 @@
   int Calls = 0;
   /// Prompt tokens of those whose first byte has not come.
   std::int64_t PromptTokens = 0;
+  /// Tokens that the calls need in memory at the end: their prompts and the
+  /// longest answers that they may get.
+  std::int64_t Tokens = 0;
 
   friend bool operator==(const OpenWork &a, const OpenWork &b) {
-    return a.Calls == b.Calls && a.PromptTokens == b.PromptTokens;
+    return a.Calls == b.Calls && a.PromptTokens == b.PromptTokens &&
+           a.Tokens == b.Tokens;
   }
 };
 
+/// What one call adds to an upstream's work.
+struct CallWork {
+  std::int64_t PromptTokens = 0;
+  std::int64_t Tokens = 0;
+};
+
 /// What a placement asks for.
 struct ReplicaRequest {
   ServiceId ForService;
@@ -87,12 +97,12 @@
   /// The upstream for a call; nothing if there is none that may take it.
   std::optional<UpstreamId> choose(const ReplicaRequest &request, Instant now);
 
-  void noteSent(const UpstreamId &id, std::int64_t promptTokens);
+  void noteSent(const UpstreamId &id, const CallWork &work);
   /// The first byte came: the prompt has been read.
-  void noteFirstByte(const UpstreamId &id, std::int64_t promptTokens);
+  void noteFirstByte(const UpstreamId &id, const CallWork &work);
   /// The send has ended; says whether its first byte had come.
-  void noteEnded(const UpstreamId &id, std::int64_t promptTokens,
-                 bool hadFirstByte, SendResult result, Instant now);
+  void noteEnded(const UpstreamId &id, const CallWork &work, bool hadFirstByte,
+                 SendResult result, Instant now);
   /// What a peer has open now at all upstreams; replaces what it said before.
   void notePeer(const HostId &peer, std::map<UpstreamId, OpenWork> open);
   void forgetPeer(const HostId &peer);
@@ -107,6 +117,7 @@
   struct ServiceWork {
     int Calls = 0;
     std::int64_t PromptTokens = 0;
+    std::int64_t Tokens = 0;
     int Places = 0;
     int Replicas = 0;
   };
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -34,6 +34,8 @@
   /// Until the bucket holds something again.
   Duration wait(std::int64_t rate) const;
 
+  /// Units in the bucket when it was last asked; below zero after a large call.
+  double level() const { return Level; }
   /// What this host has let in, for its reports.
   UsedUnits used() const { return OwnUsed; }
 
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -12,6 +12,8 @@
 
 /// Between two reports to peers.
 constexpr Duration TickInterval = milliseconds(250);
+/// At the least between two reports, whatever happens.
+constexpr Duration ShortestPublishGap = milliseconds(20);
 /// A peer that is silent for so long is left out of address lookups ...
 constexpr Duration PeerSilence = milliseconds(1500);
 /// ... and after this time is forgotten.
@@ -32,6 +34,9 @@
 /// tightest bound on its age.
 constexpr int ConfirmsPerBound = 2;
 constexpr Duration LongestWatch = seconds(1);
+/// The part of the allowed share of repeated sends that is used: calls that
+/// come just before a window's end are repeated in the next one.
+constexpr double RepeatPart = 0.7;
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -41,7 +46,10 @@
 Gateway::Gateway(GatewaySettings settings, const MakeHooks &makeHooks)
     : Work(boost::asio::make_work_guard(Loop)),
       State(Loop, std::move(settings), makeHooks(Loop)), Duties(State),
-      Usage(State, Duties), TickTimer(Loop), PeerTimer(Loop) {}
+      Usage(State, Duties), Orders(State, Duties), TickTimer(Loop),
+      PeerTimer(Loop) {
+  State.TellPeers = [this] { publishSoon(); };
+}
 
 Gateway::~Gateway() {
   Loop.stop();
@@ -180,6 +188,7 @@
   forgetSilentPeers(now);
   Duties.tick(now);
   Usage.tick(now);
+  Orders.tick(now);
   limitRepeats();
   publish(now);
 }
@@ -193,8 +202,8 @@
   const double saved =
       static_cast<double>(bounds.RepeatSlack) / (2.0 * State.hostCount());
   for (const ServingService &it : State.Plan->plan().Services) {
-    const auto [budget, isNew] =
-        State.Repeats.try_emplace(it.Name, bounds.RepeatShare / 2, saved);
+    const auto [budget, isNew] = State.Repeats.try_emplace(
+        it.Name, bounds.RepeatShare * RepeatPart, saved);
     if (!isNew)
       budget->second.limitSaved(saved);
   }
@@ -225,9 +234,18 @@
 
 void Gateway::publish(Instant now) {
   ++Sequence;
+  PublishedAt = now;
   Link->publish(ownReport(now), now);
 }
 
+/// Peers choose by what they know of each other's sends; a prompt that keeps an
+/// engine busy for a second must be known before the next tick.
+void Gateway::publishSoon() {
+  const Instant now = bootNow();
+  if (now - PublishedAt >= ShortestPublishGap)
+    publish(now);
+}
+
 void Gateway::heard(const FleetReport &report) {
   if (report.Host == State.Settings.Host)
     return;
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -5,6 +5,7 @@
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibObjectApi/KindWatcher.h"
 #include "LibPeer/FleetLink.h"
+#include "ReplicaOrders.h"
 #include "UsageReporter.h"
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -44,6 +45,7 @@
               std::function<void()> work);
   void tick();
   void publish(Instant now);
+  void publishSoon();
   void heard(const FleetReport &report);
   void forgetSilentPeers(Instant now);
   void registerHost();
@@ -58,6 +60,7 @@
   GatewayState State;
   DutyKeeper Duties;
   UsageReporter Usage;
+  ReplicaOrders Orders;
   std::unique_ptr<AsyncHttpServer> Callers;
   std::unique_ptr<AsyncHttpServer> Readiness;
   std::unique_ptr<AsyncHttpServer> Addresses;
@@ -67,6 +70,7 @@
   boost::asio::steady_timer TickTimer;
   boost::asio::steady_timer PeerTimer;
   std::uint64_t Sequence = 0;
+  Instant PublishedAt{};
   int PeerSearches = 0;
   bool IsRegistered = false;
   std::thread Worker;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -35,6 +35,11 @@
 /// A plan that may be older than this share of its bound says nothing about
 /// routes and keys that are not in it.
 constexpr double FreshShare = 0.9;
+/// A prompt that others should not be sent behind.
+constexpr std::int64_t LargePromptTokens = 16000;
+/// The part of an allotment's slack that is given to callers; the rest covers
+/// what hosts let in before they hear of each other.
+constexpr std::int64_t SlackUsed = 4;
 /// Before the last moment at which a key may still count.
 constexpr Duration KeyMargin = milliseconds(100);
 
@@ -69,6 +74,11 @@
   ++demand.Calls;
   demand.PromptTokens += Call.PromptTokens.value_or(0);
   demand.OutputTokens += Call.MostOutputTokens;
+  Work.PromptTokens = Call.PromptTokens.value_or(0);
+  Work.Tokens = Work.PromptTokens + Call.MostOutputTokens;
+  const auto repeats = State.Repeats.find(Service);
+  if (repeats != State.Repeats.end())
+    repeats->second.noteCall();
   if (!takeUnits() || !admit())
     return;
   Exchange->onGone([self = shared_from_this()] { self->onCallerGone(); });
@@ -122,7 +132,10 @@
     Units = Call.PromptTokens ? *Call.PromptTokens + Call.MostOutputTokens
                               : Team->PlainTokens;
   TeamMeter &meter = State.Meters[Team->Name];
-  HasUnits = meter.take(Units, Team->Rate, Team->Burst, ReceivedAt);
+  HasUnits =
+      meter.take(Units, Team->Rate,
+                 Team->Burst + State.Settings.Bounds.AllotmentSlack / SlackUsed,
+                 ReceivedAt);
   if (HasUnits)
     return true;
   refuse(TooManyRequests, "beyond_allotment",
@@ -217,7 +230,9 @@
   Now.Replica = *chosen;
   Now.At = now;
   IsOpen = true;
-  State.Replicas.noteSent(*chosen, request.PromptTokens);
+  State.Replicas.noteSent(*chosen, Work);
+  if (Work.PromptTokens >= LargePromptTokens)
+    State.TellPeers();
   const bool isOnceOnly = Route->Kind == Repeatability::OnceOnly;
   Handle = State.Client.send(
       replica->Address, State.Hooks.UpstreamCall(Exchange->request(), attempt),
@@ -268,7 +283,7 @@
 void GatewayCall::onBody(std::string_view bytes) {
   if (!Now.HasFirstByte) {
     Now.HasFirstByte = true;
-    State.Replicas.noteFirstByte(Now.Replica, Call.PromptTokens.value_or(0));
+    State.Replicas.noteFirstByte(Now.Replica, Work);
     if (FirstByteAt == Instant{})
       FirstByteAt = bootNow();
     if (!Now.IsNotRun)
@@ -314,8 +329,8 @@
   if (!IsOpen)
     return;
   IsOpen = false;
-  State.Replicas.noteEnded(Now.Replica, Call.PromptTokens.value_or(0),
-                           Now.HasFirstByte, result, bootNow());
+  State.Replicas.noteEnded(Now.Replica, Work, Now.HasFirstByte, result,
+                           bootNow());
 }
 
 void GatewayCall::onEnd() {
@@ -461,7 +476,11 @@
   if (Route)
     line.field("route", Route->Name.text());
   if (Team)
-    line.field("team", Team->Name.text());
+    line.field("team", Team->Name.text()).field("units", Units);
+  if (Team && status == TooManyRequests)
+    line.field("level", State.Meters[Team->Name].level())
+        .field("rate", Team->Rate)
+        .field("burst", Team->Burst);
   if (Life)
     line.field("sends", static_cast<std::int64_t>(Life->sends()));
   if (!Now.Replica.empty())
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -73,6 +73,7 @@
   const ServingTeam *Team = nullptr;
   ServiceId Service;
   std::optional<CallLife> Life;
+  CallWork Work;
   std::int64_t Units = 0;
   bool HasUnits = false;
   std::vector<UpstreamId> Tried;
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -34,6 +34,7 @@
   bounds.RepeatShare = from.number("repeat_share", 0.1, 0, 1);
   bounds.RepeatWindow = secondsAt(from, "repeat_window_s");
   bounds.RepeatSlack = from.integer("repeat_slack", 0, 0, MostCount);
+  bounds.AllotmentSlack = from.integer("allotment_slack", 0, 0, MostCount);
   bounds.Lease = spanAt(from, "lease_ms", 1);
   bounds.UsageWindow = secondsAt(from, "usage_window_s");
   bounds.UsageDue = secondsAt(from, "usage_due_s");
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -25,6 +25,8 @@
   double RepeatShare = 0;
   Duration RepeatWindow{};
   std::int64_t RepeatSlack = 0;
+  /// Units that a team may use beyond its allotment over all hosts.
+  std::int64_t AllotmentSlack = 0;
   /// Two holders of a duty must not act by turns within that time.
   Duration Lease{};
   /// Usage is reported by windows of this length.
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -13,6 +13,7 @@
 #include "LibServing/TrueTime.h"
 #include "LibServing/UsageCounts.h"
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -51,9 +52,11 @@
   TrueTime Time;
   std::mt19937_64 Random;
   /// Failures go before successes where lines must be left out.
-  LogBudget GoodCallLines{20};
-  LogBudget BadCallLines{200};
+  LogBudget GoodCallLines{2000};
+  LogBudget BadCallLines{2000};
   bool IsStopping = false;
+  /// Tells the peers at once what is open here.
+  std::function<void()> TellPeers = [] {};
 
   /// Hosts that take calls, this one included; at least 1.
   int hostCount() const;
--- /dev/null
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -0,0 +1,101 @@
+#include "ReplicaOrders.h"
+#include "LibBase/BootClock.h"
+#include "LibBase/LogLine.h"
+
+namespace sorrelbay {
+
+/// Between two lines about a service's load.
+static constexpr Duration LogInterval = seconds(2);
+
+ReplicaOrders::ReplicaOrders(GatewayState &state, const DutyKeeper &duties)
+    : State(state), Duties(duties) {}
+
+void ReplicaOrders::tick(Instant now) {
+  if (!Duties.isHeld(now) || !State.Plan) {
+    Waiting.clear();
+    return;
+  }
+  if (MadeInTerm != Duties.term()) {
+    // Another holder has given orders in between.
+    Plans.clear();
+    MadeInTerm = Duties.term();
+  }
+  if (Waiting.empty() && !IsSending)
+    plan(now);
+  send(now);
+}
+
+ServiceLoad ReplicaOrders::loadOf(const ServiceId &service, Instant now) const {
+  const auto work = State.Replicas.serviceWork(service, now);
+  ServiceLoad load;
+  load.OpenCalls = work.Calls;
+  load.OpenTokens = work.Tokens;
+  return load;
+}
+
+void ReplicaOrders::plan(Instant now) {
+  const bool isLogged = now - LoggedAt > LogInterval;
+  for (const ServingService &service : State.Plan->plan().Services) {
+    if (!service.Scaling || !service.Engine)
+      continue;
+    const auto [it, isNew] =
+        Plans.try_emplace(service.Name, *service.Scaling, *service.Engine);
+    std::map<ZoneId, ZoneReplicas> seen;
+    for (const ReplicaRecord &record : State.Replicas.records()) {
+      if (record.OfService != service.Name)
+        continue;
+      ZoneReplicas &zone = seen[record.InZone];
+      if (record.IsLeaving)
+        zone.IsReclaimed = zone.IsReclaimed || record.IsReclaimable;
+      else
+        ++(record.IsReclaimable ? zone.Reclaimable : zone.OnDemand);
+    }
+    for (const auto &[zone, price] : service.Scaling->ZonePrices)
+      if (service.Scaling->Least > 0)
+        seen[zone];
+    const ServiceLoad load = loadOf(service.Name, now);
+    for (const ReplicaOrder &order :
+         it->second.orders(service.Name, seen, load, now))
+      Waiting.push_back(order);
+    if (!isLogged)
+      continue;
+    LoggedAt = now;
+    LogLine line(Severity::Info, "service load");
+    line.field("service", service.Name.text())
+        .field("open_calls", static_cast<std::int64_t>(load.OpenCalls))
+        .field("open_tokens", load.OpenTokens)
+        .field("needed", static_cast<std::int64_t>(it->second.needed()));
+    for (const auto &[zone, replicas] : seen)
+      line.field(zone.text().c_str(), std::to_string(replicas.OnDemand) + "+" +
+                                          std::to_string(replicas.Reclaimable));
+  }
+}
+
+void ReplicaOrders::send(Instant /*now*/) {
+  if (IsSending || Waiting.empty())
+    return;
+  const ReplicaOrder order = Waiting.front();
+  Waiting.pop_front();
+  IsSending = true;
+  const std::uint64_t term = Duties.term();
+  State.Hooks.Cloud.Order(
+      Duties.stamp(), order, [this, order, term](CloudResult result) {
+        IsSending = false;
+        const Instant now = bootNow();
+        LogLine(Severity::Info, "replicas ordered")
+            .field("service", order.Service.text())
+            .field("zone", order.Zone.text())
+            .field("reclaimable",
+                   static_cast<std::int64_t>(order.IsReclaimable))
+            .field("count", static_cast<std::int64_t>(order.Count))
+            .field("result", static_cast<std::int64_t>(result))
+            .field("fencing", static_cast<std::int64_t>(term));
+        const auto it = Plans.find(order.Service);
+        if (it != Plans.end())
+          it->second.noteResult(order, result, now);
+        if (term == Duties.term() && Duties.isHeld(now))
+          send(now);
+      });
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Services/sorrelbayd/ReplicaOrders.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "DutyKeeper.h"
+#include "GatewayState.h"
+#include "LibServing/ReplicaPlan.h"
+#include <deque>
+#include <map>
+
+namespace sorrelbay {
+
+/// Orders replicas by the plan of each service that may be scaled, while this
+/// host holds the duties; one order at a time, and no faster than the cloud
+/// takes them. Belongs to the loop's thread.
+class ReplicaOrders {
+public:
+  ReplicaOrders(GatewayState &state, const DutyKeeper &duties);
+
+  /// To be called several times a second.
+  void tick(Instant now);
+
+private:
+  void plan(Instant now);
+  void send(Instant now);
+  ServiceLoad loadOf(const ServiceId &service, Instant now) const;
+
+  GatewayState &State;
+  const DutyKeeper &Duties;
+  std::map<ServiceId, ReplicaPlan> Plans;
+  /// The plan version and the term of the lease that the plans were made in.
+  std::uint64_t MadeForVersion = 0;
+  std::uint64_t MadeInTerm = 0;
+  std::deque<ReplicaOrder> Waiting;
+  bool IsSending = false;
+  Instant LoggedAt{};
+};
+
+} // namespace sorrelbay
