--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -52,8 +52,8 @@
   TrueTime Time;
   std::mt19937_64 Random;
   /// Failures go before successes where lines must be left out.
-  LogBudget GoodCallLines{2000};
-  LogBudget BadCallLines{2000};
+  LogBudget GoodCallLines{20};
+  LogBudget BadCallLines{200};
   bool IsStopping = false;
   /// Tells the peers at once what is open here.
   std::function<void()> TellPeers = [] {};
