--- a/Meta/sorrelbay.sh
+++ b/Meta/sorrelbay.sh
@@ -47,6 +47,7 @@
 lint() {
   check_format
   build
+  Meta/check-platform-names.sh
   Meta/tidy.sh "$BUILD"
 }
 
--- a/Meta/tidy.sh
+++ b/Meta/tidy.sh
@@ -11,7 +11,7 @@
 ninja -C "$build" -t deps | awk -v root="$PWD/" -v build="$build" '
   /^[^ ].*: #deps/ { printf "%s%s", (n++ ? "\n" : ""), $1; next }
   NF { path = $1; sub(/^\.\.\//, "", path); sub("^" root, "", path)
-       if (path ~ /^(Libraries|Services|Utilities|Tests)\//) printf " %s", path }
+       if (path ~ /^(Libraries|Services|Utilities|Tests|platform)\//) printf " %s", path }
   END { print "" }' >"$depends"
 
 check_one() {
--- a/Services/sorrelbayd/DutyKeeper.cpp
+++ b/Services/sorrelbayd/DutyKeeper.cpp
@@ -42,7 +42,7 @@
   }
   if (IsWaiting)
     return;
-  if (!WasHeld && (State.IsStopping || peerHolds(now)))
+  if (!WasHeld && (State.isStopping() || peerHolds(now)))
     return;
   switch (Lease.step(now)) {
   case LeaseStep::None:
@@ -52,7 +52,7 @@
   case LeaseStep::Write:
     // A host that stops lets the lease run out instead of handing it over:
     // the next holder then never acts within the old one's lease.
-    if (!State.IsStopping)
+    if (!State.isStopping())
       write(now);
     return;
   }
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -2,6 +2,7 @@
 #include "GatewayCall.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
+#include "LibServing/StopPolicy.h"
 #include <boost/asio/post.hpp>
 #include <future>
 #include <nlohmann/json.hpp>
@@ -28,8 +29,6 @@
 /// Connections without a request are closed after that while the host stops;
 /// callers need the time to hear of the stop by their lookups.
 constexpr Duration QuietWhileStopping = milliseconds(1200);
-/// Left of the grace for the process's own end.
-constexpr Duration GraceMargin = milliseconds(700);
 /// A view of the store is confirmed at least so often, as a share of the
 /// tightest bound on its age.
 constexpr int ConfirmsPerBound = 2;
@@ -218,7 +217,7 @@
   report.PeerAddress = Link->address();
   report.CallerAddress = Callers->address();
   report.IsReady = isReady(now);
-  report.IsLeaving = State.IsStopping;
+  report.IsLeaving = State.isStopping();
   report.HoldsDuties = Duties.isHeld(now);
   report.PlanVersion = State.Plan ? State.Plan->plan().Version : 0;
   report.TrueTimeMs = toEpochMilliseconds(State.Time.own(now));
@@ -292,7 +291,7 @@
 }
 
 bool Gateway::isReady(Instant now) const {
-  if (State.IsStopping || !State.Plan)
+  if (State.isStopping() || !State.Plan)
     return false;
   const bool hasReplicas = State.ReplicasConfirmedAt != Instant{};
   const GatewayBounds &bounds = State.Settings.Bounds;
@@ -316,7 +315,7 @@
   // A caller with a doubtful address is better off than one with none.
   if (addresses.empty())
     addresses = silent;
-  if (addresses.empty() && !State.IsStopping)
+  if (addresses.empty() && !State.isStopping())
     addresses.push_back(Callers->address());
   const Duration life =
       std::min(UsualAddressLife, State.Settings.Bounds.AddressTimeToLive);
@@ -348,7 +347,7 @@
 }
 
 void Gateway::findPeers() {
-  if (State.IsStopping)
+  if (State.isStopping())
     return;
   if (!IsRegistered)
     registerHost();
@@ -401,7 +400,7 @@
   LogLine(Severity::Info, "stopping");
   std::promise<void> left;
   boost::asio::post(Loop, [this, &left] {
-    State.IsStopping = true;
+    State.StoppingSince = bootNow();
     publish(bootNow());
     Callers->beginClosing(QuietWhileStopping);
     State.Hooks.Store.Remove(StoreKind::Hosts, State.Settings.Host.text(),
@@ -409,7 +408,8 @@
     left.set_value();
   });
   left.get_future().wait();
-  const Instant until = begun + State.Settings.Bounds.Grace - GraceMargin;
+  const Duration grace = State.Settings.Bounds.Grace;
+  const Instant until = begun + grace - stopMargin(grace);
   const Duration least = UsualAddressLife;
   while (bootNow() < until) {
     std::this_thread::sleep_for(TickInterval);
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -2,6 +2,7 @@
 #include "LibBase/BootClock.h"
 #include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
+#include "LibServing/StopPolicy.h"
 #include <algorithm>
 
 namespace sorrelbay {
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 
 namespace sorrelbay {
@@ -54,7 +55,9 @@
   /// Failures go before successes where lines must be left out.
   LogBudget GoodCallLines{20};
   LogBudget BadCallLines{200};
-  bool IsStopping = false;
+  /// When the stop was asked for; nothing while the host serves.
+  std::optional<Instant> StoppingSince;
+  bool isStopping() const { return StoppingSince.has_value(); }
   /// Tells the peers at once what is open here.
   std::function<void()> TellPeers = [] {};
 
--- /dev/null
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -0,0 +1,134 @@
+#include "LibServing/ReplicaPlan.h"
+#include <boost/test/unit_test.hpp>
+#include <deque>
+
+using namespace sorrelbay;
+
+namespace {
+
+/// A cloud that gives what is ordered after the boot time, unless reclaimable
+/// replicas are not to be had.
+struct Cloud {
+  Cloud() {
+    Bounds.Least = 1;
+    Bounds.Most = 6;
+    Bounds.BootTime = seconds(4);
+    Bounds.ReclaimablePrice = 0.2;
+    Shape.Slots = 48;
+    Shape.MemoryTokens = 444000;
+    for (const char *zone : {"a", "b", "c", "d"})
+      Seen[ZoneId(zone)];
+  }
+
+  void step(ReplicaPlan &plan, const ServiceLoad &load) {
+    Now += milliseconds(250);
+    while (!Coming.empty() && Coming.front().first <= Now) {
+      apply(Coming.front().second);
+      Coming.pop_front();
+    }
+    for (const ReplicaOrder &it :
+         plan.orders(ServiceId("model"), Seen, load, Now)) {
+      if (it.IsReclaimable && IsDry) {
+        plan.noteResult(it, CloudResult::NoneAvailable, Now);
+        continue;
+      }
+      plan.noteResult(it, CloudResult::Accepted, Now);
+      const int has = countOf(it);
+      if (it.Count < has)
+        apply(it);
+      else
+        Coming.emplace_back(Now + Bounds.BootTime, it);
+    }
+  }
+
+  void run(ReplicaPlan &plan, const ServiceLoad &load, Duration span) {
+    const Instant end = Now + span;
+    while (Now < end)
+      step(plan, load);
+  }
+
+  int countOf(const ReplicaOrder &it) {
+    return it.IsReclaimable ? Seen[it.Zone].Reclaimable
+                            : Seen[it.Zone].OnDemand;
+  }
+
+  void apply(const ReplicaOrder &it) {
+    (it.IsReclaimable ? Seen[it.Zone].Reclaimable : Seen[it.Zone].OnDemand) =
+        it.Count;
+  }
+
+  int total(bool isReclaimable) const {
+    int n = 0;
+    for (const auto &[zone, it] : Seen)
+      n += isReclaimable ? it.Reclaimable : it.OnDemand;
+    return n;
+  }
+
+  ScalingBounds Bounds;
+  EngineShape Shape;
+  std::map<ZoneId, ZoneReplicas> Seen;
+  std::deque<std::pair<Instant, ReplicaOrder>> Coming;
+  Instant Now{seconds(1000)};
+  bool IsDry = false;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replica_plan)
+
+BOOST_AUTO_TEST_CASE(reclaimable_replicas_take_the_place_of_dearer_ones) {
+  Cloud cloud;
+  for (auto &[zone, it] : cloud.Seen)
+    it.OnDemand = 2;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {60, 300000}, seconds(40));
+  BOOST_TEST(cloud.total(false) == 0);
+  BOOST_TEST(cloud.total(true) >= plan.needed());
+  // Any one zone may be lost.
+  for (const auto &[zone, it] : cloud.Seen)
+    BOOST_TEST(cloud.total(true) - it.Reclaimable >= plan.needed());
+}
+
+// Zone after zone is reclaimed and no reclaimable replica is to be had
+// anywhere. Waiting for them left nobody to answer for twenty seconds.
+BOOST_AUTO_TEST_CASE(on_demand_replicas_come_while_others_are_not_to_be_had) {
+  Cloud cloud;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  const ServiceLoad load{80, 500000};
+  cloud.run(plan, load, seconds(30));
+  BOOST_TEST(cloud.total(false) == 0);
+  cloud.IsDry = true;
+  for (auto &[zone, it] : cloud.Seen)
+    it.Reclaimable = 0;
+  cloud.run(plan, load, seconds(10));
+  BOOST_TEST(cloud.total(false) >= plan.needed());
+  cloud.IsDry = false;
+  cloud.run(plan, load, seconds(60));
+  BOOST_TEST(cloud.total(false) == 0);
+  BOOST_TEST(cloud.total(true) >= plan.needed());
+}
+
+// A plan that took its own orders for the level that it found ordered more with
+// each round.
+BOOST_AUTO_TEST_CASE(a_plan_does_not_grow_by_its_own_orders) {
+  Cloud cloud;
+  for (auto &[zone, it] : cloud.Seen)
+    it.OnDemand = 2;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {}, seconds(30));
+  BOOST_TEST(cloud.total(true) == 12);
+}
+
+BOOST_AUTO_TEST_CASE(the_limits_of_a_zone_hold_for_both_kinds_together) {
+  Cloud cloud;
+  for (auto &[zone, it] : cloud.Seen)
+    it.OnDemand = 4;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  for (int n = 0; n < 200; ++n) {
+    cloud.step(plan, {2000, 9000000});
+    for (const auto &[zone, it] : cloud.Seen)
+      BOOST_TEST(it.OnDemand + it.Reclaimable <= cloud.Bounds.Most);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibServing/TestReplicaTable.cpp
@@ -0,0 +1,135 @@
+#include "LibServing/ReplicaTable.h"
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace sorrelbay;
+
+namespace {
+
+const Instant Now{seconds(1000)};
+
+ReplicaRecord replica(const std::string &id, const std::string &zone = "a") {
+  ReplicaRecord out;
+  out.Id = UpstreamId(id);
+  out.OfService = ServiceId("model");
+  out.InZone = ZoneId(zone);
+  out.Address = "10.0.0.1:80";
+  out.Slots = 48;
+  return out;
+}
+
+ReplicaRequest request(const std::string &conversation) {
+  ReplicaRequest out;
+  out.ForService = ServiceId("model");
+  out.OwnZone = ZoneId("a");
+  if (!conversation.empty())
+    out.Prompt = {{"shared", 500}, {conversation, 1000}, {"own", 100}};
+  return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replica_table)
+
+// Two hosts that each choose a home for a conversation by themselves must
+// choose the same one, or its prompt is read twice.
+BOOST_AUTO_TEST_CASE(all_hosts_choose_the_same_home) {
+  ReplicaTable one;
+  ReplicaTable other;
+  for (int n = 0; n < 9; ++n) {
+    one.note(replica("r" + std::to_string(n)), Now);
+    other.note(replica("r" + std::to_string(8 - n)), Now);
+  }
+  std::map<std::string, int> homes;
+  for (int n = 0; n < 200; ++n) {
+    const auto it = request("c" + std::to_string(n));
+    const auto home = one.choose(it, Now);
+    BOOST_REQUIRE(home);
+    BOOST_TEST((home == other.choose(it, Now)));
+    ++homes[home->text()];
+  }
+  BOOST_TEST(homes.size() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(a_home_with_much_more_to_do_passes_its_calls_on) {
+  ReplicaTable table;
+  for (int n = 0; n < 3; ++n)
+    table.note(replica("r" + std::to_string(n)), Now);
+  const auto home = table.choose(request("c"), Now);
+  table.noteSent(*home, {60000, 60500});
+  const auto next = table.choose(request("c"), Now);
+  BOOST_REQUIRE(next);
+  BOOST_TEST((*next != *home));
+  table.noteFirstByte(*home, {60000, 60500});
+  BOOST_TEST((table.choose(request("c"), Now) == home));
+}
+
+BOOST_AUTO_TEST_CASE(leaving_and_tried_upstreams_get_nothing) {
+  ReplicaTable table;
+  table.note(replica("r0"), Now);
+  ReplicaRecord leaving = replica("r1");
+  leaving.IsLeaving = true;
+  table.note(leaving, Now);
+  auto it = request("");
+  BOOST_TEST(table.choose(it, Now)->text() == "r0");
+  it.Tried = {UpstreamId("r0")};
+  BOOST_TEST(!table.choose(it, Now));
+  table.remove(UpstreamId("r0"));
+  it.Tried.clear();
+  BOOST_TEST(!table.choose(it, Now));
+}
+
+// One replica fails most of its calls while its status check is good. Users see
+// one failure in so many, for as long as it gets its part of the calls.
+BOOST_AUTO_TEST_CASE(an_upstream_that_fails_is_passed_over_and_comes_back) {
+  ReplicaTable table;
+  for (int n = 0; n < 4; ++n)
+    table.note(replica("r" + std::to_string(n)), Now);
+  const UpstreamId bad("r2");
+  Instant now = Now;
+  for (int n = 0; n < 10 && !table.isEjected(bad, now); ++n) {
+    table.noteSent(bad, {});
+    table.noteEnded(bad, {}, false, SendResult::Broken, now);
+    now += milliseconds(10);
+  }
+  BOOST_TEST(table.isEjected(bad, now));
+  for (int n = 0; n < 50; ++n)
+    BOOST_TEST((*table.choose(request("x" + std::to_string(n)), now) != bad));
+  now += seconds(20);
+  bool isBack = false;
+  for (int n = 0; n < 200 && !isBack; ++n)
+    isBack = *table.choose(request("y" + std::to_string(n)), now) == bad;
+  BOOST_TEST(isBack);
+}
+
+// All replicas of a desk answer one call in seven with a failure of their own;
+// that is how the desk is, and no reason to stop using it.
+BOOST_AUTO_TEST_CASE(failures_that_all_have_eject_none) {
+  ReplicaTable table;
+  for (int n = 0; n < 4; ++n)
+    table.note(replica("r" + std::to_string(n)), Now);
+  for (int n = 0; n < 400; ++n) {
+    const UpstreamId id("r" + std::to_string(n % 4));
+    table.noteSent(id, {});
+    const bool isBad = (n / 4) % 7 == 0;
+    table.noteEnded(id, {}, true,
+                    isBad ? SendResult::Failed : SendResult::Answered, Now);
+  }
+  for (int n = 0; n < 4; ++n)
+    BOOST_TEST(!table.isEjected(UpstreamId("r" + std::to_string(n)), Now));
+}
+
+BOOST_AUTO_TEST_CASE(what_peers_have_open_counts_until_they_say_otherwise) {
+  ReplicaTable table;
+  table.note(replica("r0"), Now);
+  const HostId peer("p");
+  table.notePeer(
+      peer, {{UpstreamId("r0"), {3, 700, 900}}, {UpstreamId("r1"), {1, 5, 6}}});
+  BOOST_TEST((table.workAt(UpstreamId("r0")) == OpenWork{3, 700, 900}));
+  table.note(replica("r1"), Now);
+  BOOST_TEST((table.workAt(UpstreamId("r1")) == OpenWork{1, 5, 6}));
+  table.notePeer(peer, {});
+  BOOST_TEST((table.workAt(UpstreamId("r0")) == OpenWork{}));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -0,0 +1,62 @@
+#include "LibServing/EventSplitter.h"
+#include "LibServing/TrueTime.h"
+#include "LibServing/UsageCounts.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+BOOST_AUTO_TEST_SUITE(event_splitter)
+
+// An engine dies in the middle of an event. Passed on at once, the caller would
+// get that event's beginning and then, from the next engine, the whole event.
+BOOST_AUTO_TEST_CASE(only_whole_events_are_passed_on) {
+  const std::string stream = "id: 1\ndata: a\n\nid:2\ndata: b\n\nid: 3\ndata";
+  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
+    EventSplitter events;
+    std::string out = events.feed(stream.substr(0, cut));
+    out += events.feed(stream.substr(cut));
+    BOOST_TEST(out == "id: 1\ndata: a\n\nid:2\ndata: b\n\n");
+    BOOST_TEST(events.lastId() == "2");
+    BOOST_TEST(events.holdsPart());
+    BOOST_TEST(events.takePart() == "id: 3\ndata");
+    BOOST_TEST(!events.holdsPart());
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(true_time)
+
+// One host's wall clock was two seconds off when its process started; its usage
+// windows would end early and bill the wrong ones.
+BOOST_AUTO_TEST_CASE(a_host_whose_clock_is_off_is_outvoted) {
+  const Instant boot{seconds(50)};
+  TrueTime time(Instant(seconds(1002)), boot);
+  BOOST_TEST((time.at(boot) == Instant(seconds(1002))));
+  time.notePeer(HostId("a"), Instant(seconds(1000)), boot);
+  time.notePeer(HostId("b"), Instant(seconds(1000)), boot);
+  BOOST_TEST((time.at(boot + seconds(5)) == Instant(seconds(1005))));
+  BOOST_TEST((time.own(boot) == Instant(seconds(1002))));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(usage_counts)
+
+BOOST_AUTO_TEST_CASE(counts_are_summed_over_processes_and_never_fall) {
+  UsageCounts usage(IncarnationId("self"), seconds(5));
+  const TeamId team("t");
+  const Instant at{seconds(12)};
+  const WindowNumber window = usage.windowAt(at);
+  BOOST_TEST(window == 2);
+  BOOST_TEST((usage.endOf(window) == Instant(seconds(15))));
+  usage.noteBegun(team, at);
+  usage.noteReport(IncarnationId("peer"), window, {{team, 5}});
+  usage.noteReport(IncarnationId("peer"), window, {{team, 3}});
+  // The process that was killed did serve its calls.
+  usage.noteReport(IncarnationId("peer again"), window, {{team, 1}});
+  BOOST_TEST(usage.sum(window)[team] == 7);
+  BOOST_TEST(usage.own()[window][team] == 1);
+  usage.forgetBefore(window + 1);
+  BOOST_TEST(usage.sum(window).empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/platform/TestTranslation.cpp
@@ -0,0 +1,134 @@
+#include "platform/CallHeaders.h"
+#include "platform/StoreObjects.h"
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+using namespace sorrelbay;
+using namespace sorrelbay::platform;
+
+namespace {
+
+const char *const Config = R"({"Version":7,"Routes":[
+{"Name":"r1","Host":"h.example","PathPrefix":"/a/","RouteKind":"streaming","TimeoutMs":10000,"LatencyGoalMs":800,
+ "Priority":1,"Split":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"MaxAttempts":1,"Public":false,
+ "Sticky":true,"Resumable":false,"ItlTargetMs":400},
+{"Name":"r2","Host":"h.example","PathPrefix":"/b/","RouteKind":"streaming","Service":"s1","MaxAttempts":2,"Resumable":true},
+{"Name":"r3","Host":"h.example","PathPrefix":"/c/","RouteKind":"idempotent","Service":"s2"},
+{"Name":"r4","Host":"h.example","PathPrefix":"/d/","RouteKind":"non_idempotent","Service":"s2","Public":true}],
+"Services":[{"Name":"s1","MaxConns":300,"Engine":{"Slots":48,"KvCapacity":444000,"Moves":true,"HandleTtlS":5.0},
+ "Scaling":{"Min":1,"Max":6,"BootS":4.0,"SpotPrice":0.22,"ZonePrices":{"z1":1.0,"z2":0.8}}},{"Name":"s2","MaxConns":100}],
+"Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
+"Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"Unit":"tokens","PlainTokens":200,"RatePerS":100,"Burst":50}],
+"Unknown":{"New":1}})";
+
+HttpRequest request() {
+  HttpRequest out;
+  out.Method = "POST";
+  out.Path = "/a/1";
+  out.Body = "body";
+  out.Headers = {{"Host", "h.example"},
+                 {"attempt-id", "id1"},
+                 {"Deadline-Ms", "1500"},
+                 {"Api-Key", "k1"},
+                 {"Tenant", "somebody else"},
+                 {"Token-Usage", "1460,80"},
+                 {"Prefix-Hash", "5c:800, 91:410,e4:250"},
+                 {"Connection", "keep-alive"},
+                 {"Kv-From", "10.0.0.1:1/x"},
+                 {"X-Other", "kept"}};
+  return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(translation)
+
+BOOST_AUTO_TEST_CASE(a_configuration_becomes_a_plan) {
+  const ServingPlan plan = planFrom(nlohmann::json::parse(Config));
+  BOOST_TEST(plan.Version == 7U);
+  BOOST_REQUIRE(plan.Routes.size() == 4U);
+  BOOST_TEST(plan.Routes[0].IsStream);
+  BOOST_TEST((plan.Routes[0].Kind == Repeatability::OnceOnly));
+  BOOST_TEST(plan.Routes[0].Split.size() == 2U);
+  BOOST_TEST((plan.Routes[1].Kind == Repeatability::Idempotent));
+  BOOST_TEST((plan.Routes[2].Kind == Repeatability::Idempotent));
+  BOOST_TEST((plan.Routes[3].Kind == Repeatability::OnceOnly));
+  BOOST_TEST(plan.Routes[3].IsPublic);
+  BOOST_TEST(plan.Services[0].Engine->Slots == 48);
+  BOOST_TEST(plan.Services[0].Scaling->ZonePrices.at(ZoneId("z2")) == 0.8);
+  BOOST_TEST(!plan.Services[1].Engine);
+  BOOST_TEST(plan.Teams[0].CountsTokens);
+  BOOST_TEST(plan.Teams[0].Keys.size() == 2U);
+  BOOST_TEST((plan.Limits.IdleTimeout == seconds(15)));
+}
+
+// An entry may come from another writer. Taken for a replica with made-up
+// fields, it would get calls; taken for a fault of the whole view, all others
+// would be lost with it.
+BOOST_AUTO_TEST_CASE(entries_that_can_not_be_read_name_no_upstream) {
+  const std::pair<const char *, const char *> changes[] = {
+      {"Service", "7"},     {"Service", "null"}, {"Address", "[]"},
+      {"State", "\"odd\""}, {"Zone", "{}"},      {"Slots", "\"x\""},
+      {"Spot", "3"}};
+  const auto good = nlohmann::json::parse(
+      R"({"Service":"s","Address":"10.0.0.1:8","Zone":"z","Version":"v1","Slots":48,"State":"ready","Seq":4})");
+  BOOST_TEST(replicaFrom("i", good).Slots == 48);
+  for (const auto &[key, value] : changes) {
+    auto bad = good;
+    bad[key] = nlohmann::json::parse(value);
+    BOOST_CHECK_THROW(replicaFrom("i", bad), ObjectMalformed);
+  }
+  BOOST_CHECK_THROW(replicaFrom("i", nlohmann::json("text")), ObjectMalformed);
+  BOOST_CHECK_THROW(planFrom(nlohmann::json::array()), ObjectMalformed);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_says_what_it_is) {
+  const ServingCall call = callFrom(request());
+  BOOST_TEST(call.Id == "id1");
+  BOOST_TEST(call.Key == "k1");
+  BOOST_TEST((call.Patience == Duration(milliseconds(1500))));
+  BOOST_TEST(*call.PromptTokens == 1460);
+  BOOST_TEST(call.MostOutputTokens == 80);
+  BOOST_REQUIRE(call.Prompt.size() == 3U);
+  BOOST_TEST(call.Prompt[1].Id == "91");
+  BOOST_TEST(call.Prompt[2].Tokens == 250);
+}
+
+// A caller writes another team's name, or another call's memory, into its
+// request. Passed on, it would be billed to that team or read its prompt.
+BOOST_AUTO_TEST_CASE(an_upstream_gets_the_systems_headers_not_the_callers) {
+  UpstreamTry attempt;
+  attempt.Replica = UpstreamId("i-1");
+  attempt.Patience = milliseconds(1200);
+  attempt.Team = TeamId("t1");
+  attempt.Priority = 12;
+  const HttpCall call = upstreamCall(request(), attempt);
+  const auto value = [&](const char *name) {
+    return headerValue(call.Headers, name);
+  };
+  BOOST_TEST(value("Tenant") == "t1");
+  BOOST_TEST(value("Deadline-Ms") == "1200");
+  BOOST_TEST(value("Expect-Instance") == "i-1");
+  BOOST_TEST(value("Request-Priority") == "9");
+  BOOST_TEST(value("Attempt-Id") == "id1");
+  BOOST_TEST(value("X-Other") == "kept");
+  BOOST_TEST(!hasHeader(call.Headers, "Api-Key"));
+  BOOST_TEST(!hasHeader(call.Headers, "Kv-From"));
+  BOOST_TEST(!hasHeader(call.Headers, "Connection"));
+  BOOST_TEST(call.Body == "body");
+}
+
+BOOST_AUTO_TEST_CASE(only_an_upstream_that_says_so_did_not_run_a_call) {
+  const std::pair<HttpReplyHead, bool> cases[] = {
+      {{503, {{"Not-Executed", "1"}}, {}}, true},
+      {{421, {{"Instance-Id", "x"}}, {}}, true},
+      {{503, {}, {}}, false},
+      {{429, {}, {}}, false},
+      {{500, {}, {}}, false}};
+  for (const auto &[head, isNotRun] : cases)
+    BOOST_TEST(verdictFrom(head).IsNotRun == isNotRun);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
