sorrelbayd: Refuse late calls while stopping for good; test the gateway with a store in memory

Change: the policy is asked; tests of the gateway with a store in memory and a scripted upstream (plans that never go back, keys that fail closed, leaving upstreams, lost and crossed answers, refusals with a promise). A plan is stale only when a watch is overdue: with 0.9 of 2 s, half of the refusals of unknown routes were 503.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -75,14 +75,13 @@
 
   std::shared_ptr<Shared> All;
   std::string Address;
-  tcp::socket Socket;
+  Tcp::socket Socket;
   asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
   std::optional<ReplyParser> Parser;
   std::array<char, BodyBlockBytes> Block{};
   HttpCallHooks Hooks;
   std::string Request;
-  std::size_t ReadAtStart = 0;
   SteadyInstant UsedAt{};
   /// How long the other side says that it keeps the connection.
   Duration OtherKeeps = hours(1);
@@ -172,7 +171,7 @@
     if (!ec && !self->IsConnected)
       self->fail(HttpFailure::NotSent);
   });
-  tcp::endpoint endpoint;
+  Tcp::endpoint endpoint;
   try {
     endpoint = endpointOf(Address);
   } catch (const std::exception &) {
@@ -352,7 +351,7 @@
 /// the next call is sent: a call that is lost with its connection may have run.
 void Channel::watchIdle() {
   Socket.async_wait(
-      tcp::socket::wait_read, [self = shared_from_this()](ErrorCode ec) {
+      Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode ec) {
         if (ec || self->IsActive || self->IsClosed)
           return;
         ++self->All->Counts.ExtraBytes;
@@ -370,7 +369,7 @@
     return nullptr;
   auto &idle = it->second;
   while (!idle.empty()) {
-    const ChannelPointer channel = idle.back();
+    ChannelPointer channel = idle.back();
     const auto age = std::chrono::steady_clock::now() - channel->usedAt();
     if (channel->isUsable() && freshness && age > *freshness)
       return nullptr;
--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -27,7 +27,7 @@
   void accept();
 
   asio::io_context &Loop;
-  tcp::acceptor Acceptor;
+  Tcp::acceptor Acceptor;
   asio::steady_timer RetryTimer;
   AsyncHttpServerHooks Hooks;
   std::set<std::shared_ptr<Connection>> Connections;
@@ -45,7 +45,7 @@
 /// itself alive through the operations that are pending.
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
-  Connection(std::shared_ptr<Shared> all, tcp::socket socket)
+  Connection(std::shared_ptr<Shared> all, Tcp::socket socket)
       : All(std::move(all)), Socket(std::move(socket)), Timer(All->Loop) {}
 
   void readNext();
@@ -53,7 +53,7 @@
   void close();
 
   // Called by the exchange.
-  void respond(int status, const HttpHeaders &headers, std::string body);
+  void respond(int status, const HttpHeaders &headers, const std::string &body);
   void begin(int status, const HttpHeaders &headers,
              std::optional<std::uint64_t> length);
   void write(std::string_view bytes);
@@ -79,7 +79,7 @@
   bool endsAfterAnswer() const { return !KeepsAlive || All->IsClosing; }
 
   std::shared_ptr<Shared> All;
-  tcp::socket Socket;
+  Tcp::socket Socket;
   asio::steady_timer Timer;
   boost::beast::flat_buffer Buffer;
   std::optional<RequestParser> Parser;
@@ -117,7 +117,7 @@
     if (!On)
       return;
     const auto on = release();
-    on->respond(status, headers, std::move(body));
+    on->respond(status, headers, body);
   }
   void begin(int status, const HttpHeaders &headers,
              std::optional<std::uint64_t> length) override {
@@ -243,9 +243,9 @@
   startTimer(Limits.ReadTimeout);
   const auto expect = Parser->get().find(http::field::expect);
   if (expect != Parser->get().end()) {
-    static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
+    static const std::string goOn = "HTTP/1.1 100 Continue\r\n\r\n";
     ErrorCode ignored;
-    asio::write(Socket, asio::buffer(Continue), ignored);
+    asio::write(Socket, asio::buffer(goOn), ignored);
   }
   http::async_read(Socket, Buffer, *Parser,
                    [self = shared_from_this()](ErrorCode ec, std::size_t) {
@@ -294,7 +294,7 @@
   if (IsWatching || Buffer.size() != 0)
     return;
   IsWatching = true;
-  Socket.async_wait(tcp::socket::wait_read,
+  Socket.async_wait(Tcp::socket::wait_read,
                     [self = shared_from_this()](ErrorCode ec) {
                       self->IsWatching = false;
                       if (!ec && self->HasRequest)
@@ -354,7 +354,7 @@
 }
 
 void Connection::respond(int status, const HttpHeaders &headers,
-                         std::string body) {
+                         const std::string &body) {
   if (IsClosed)
     return;
   http::response<http::empty_body> message;
@@ -439,7 +439,7 @@
   // the answer on its way; so only our side is closed, and the client's rest is
   // read until it closes too.
   ErrorCode ignored;
-  Socket.shutdown(tcp::socket::shutdown_send, ignored);
+  Socket.shutdown(Tcp::socket::shutdown_send, ignored);
   startTimer(RefusalTimeout);
   Buffer.consume(Buffer.size());
   Socket.async_read_some(
@@ -451,7 +451,7 @@
 
 void AsyncHttpServer::Shared::accept() {
   Acceptor.async_accept(
-      [self = shared_from_this()](ErrorCode ec, tcp::socket socket) {
+      [self = shared_from_this()](ErrorCode ec, Tcp::socket socket) {
         if (ec == asio::error::operation_aborted)
           return;
         if (ec) {
@@ -476,7 +476,7 @@
                                  AsyncHttpServerHooks hooks)
     : All(std::make_shared<Shared>(loop, std::move(hooks))) {
   try {
-    const tcp::endpoint endpoint = endpointOf(listen);
+    const Tcp::endpoint endpoint = endpointOf(listen);
     All->Acceptor.open(endpoint.protocol());
     All->Acceptor.set_option(asio::socket_base::reuse_address(true));
     All->Acceptor.bind(endpoint);
@@ -496,7 +496,7 @@
 }
 
 std::string AsyncHttpServer::address() const {
-  const tcp::endpoint endpoint = All->Acceptor.local_endpoint();
+  const Tcp::endpoint endpoint = All->Acceptor.local_endpoint();
   return endpoint.address().to_string() + ":" + std::to_string(endpoint.port());
 }
 
--- a/Libraries/LibHttp/BeastCommon.cpp
+++ b/Libraries/LibHttp/BeastCommon.cpp
@@ -9,7 +9,7 @@
 static constexpr int ProbeGapSeconds = 1;
 static constexpr int ProbeCount = 2;
 
-tcp::endpoint endpointOf(const std::string &address) {
+Tcp::endpoint endpointOf(const std::string &address) {
   const std::size_t colon = address.rfind(':');
   if (colon == std::string::npos)
     throw std::invalid_argument("no port in " + address);
@@ -20,11 +20,11 @@
           static_cast<std::uint16_t>(port)};
 }
 
-static void set(tcp::socket &socket, int level, int name, int value) {
+static void set(Tcp::socket &socket, int level, int name, int value) {
   ::setsockopt(socket.native_handle(), level, name, &value, sizeof(value));
 }
 
-void prepareSocket(tcp::socket &socket) {
+void prepareSocket(Tcp::socket &socket) {
   set(socket, IPPROTO_TCP, TCP_NODELAY, 1);
   set(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, SilenceLimitMs);
   set(socket, SOL_SOCKET, SO_KEEPALIVE, 1);
--- a/Libraries/LibHttp/BeastCommon.h
+++ b/Libraries/LibHttp/BeastCommon.h
@@ -10,16 +10,16 @@
 
 namespace asio = boost::asio;
 namespace http = boost::beast::http;
-using tcp = asio::ip::tcp;
+using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
 /// "ip:port" as an endpoint. Throws std::exception when it isn't one.
-tcp::endpoint endpointOf(const std::string &address);
+Tcp::endpoint endpointOf(const std::string &address);
 
 /// Small answers must not wait for more, and a peer that has gone silent must
 /// be noticed: unacknowledged bytes and unanswered probes end the connection
 /// after two seconds, where it would otherwise hang for minutes.
-void prepareSocket(tcp::socket &socket);
+void prepareSocket(Tcp::socket &socket);
 
 /// Copies all header fields of a message that was read.
 template <typename Fields> HttpHeaders headersOf(const Fields &fields) {
--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -67,10 +67,8 @@
   }
   const bool knowsLoad =
       LoadSince != Instant{} && now - LoadSince > Settings.PeakMemory;
-  if (Needed >= Kept) {
-    Kept = Needed;
-    LowSince = now;
-  } else if (knowsLoad && now - LowSince > Settings.ShrinkPause) {
+  const bool mayShrink = knowsLoad && now - LowSince > Settings.ShrinkPause;
+  if (Needed >= Kept || mayShrink) {
     Kept = Needed;
     LowSince = now;
   }
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -36,6 +36,8 @@
 /// The part of the allowed share of repeated sends that is used: calls that
 /// come just before a window's end are repeated in the next one.
 constexpr double RepeatPart = 0.7;
+/// By which a watch may return late.
+constexpr Duration WatchDelay = milliseconds(400);
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -104,6 +106,7 @@
       std::min(State.Settings.Bounds.PlanInForce, State.Settings.Bounds.Drain);
   settings.Patience =
       std::min<Duration>(LongestWatch, bound / ConfirmsPerBound);
+  State.PlanFreshFor = settings.Patience * 2 + WatchDelay;
   KindWatcherHooks plans;
   plans.OnObject = [this](const KeptObject &object) { takePlan(object); };
   plans.OnRemoved = [](const std::string &) {};
@@ -397,7 +400,8 @@
 
 void Gateway::stop() {
   const Instant begun = bootNow();
-  LogLine(Severity::Info, "stopping");
+  LogLine(Severity::Info, "stopping")
+      .field("grace_ms", toMilliseconds(State.Settings.Bounds.Grace));
   std::promise<void> left;
   boost::asio::post(Loop, [this, &left] {
     State.StoppingSince = bootNow();
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -35,6 +35,8 @@
   /// A planned stop: gets out of the address lookups, serves what still comes,
   /// and returns when callers have gone or the grace is over.
   void stop();
+  /// Where callers connect, with the port that was chosen.
+  std::string callerAddress() const { return Callers->address(); }
 
 private:
   void listen();
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -33,9 +33,6 @@
 /// A call that may be repeated is taken away from a silent upstream after so
 /// many times its latency target.
 constexpr int SilenceTargets = 3;
-/// A plan that may be older than this share of its bound says nothing about
-/// routes and keys that are not in it.
-constexpr double FreshShare = 0.9;
 /// A prompt that others should not be sent behind.
 constexpr std::int64_t LargePromptTokens = 16000;
 /// The part of an allotment's slack that is given to callers; the rest covers
@@ -91,9 +88,7 @@
   Route = Plan->routeOf(Call.HostName, Call.Path);
   if (Route)
     return true;
-  const Duration fresh =
-      fromSeconds(toSeconds(State.Settings.Bounds.PlanInForce) * FreshShare);
-  if (State.planAge(ReceivedAt) > fresh)
+  if (State.planAge(ReceivedAt) > State.PlanFreshFor)
     refuse(Unavailable, "no_route_and_plan_stale",
            spreadRetry(milliseconds(300)));
   else
@@ -115,9 +110,7 @@
   Team = Plan->teamOf(Call.Key);
   if (Team)
     return true;
-  const Duration fresh =
-      fromSeconds(toSeconds(bounds.PlanInForce) * FreshShare);
-  if (age > fresh)
+  if (age > State.PlanFreshFor)
     refuse(Unavailable, "no_key_and_plan_stale",
            spreadRetry(milliseconds(300)));
   else
@@ -145,7 +138,17 @@
   return false;
 }
 
-bool GatewayCall::admit() { return true; }
+bool GatewayCall::admit() {
+  if (!State.StoppingSince)
+    return true;
+  const Duration patience = Life->deadline() - ReceivedAt;
+  if (takesWhileStopping(ReceivedAt - *State.StoppingSince,
+                         State.Settings.Bounds.Grace, patience))
+    return true;
+  // Another host takes it at once; this one's address is gone from the lookups.
+  refuse(Unavailable, "stopping", milliseconds(1));
+  return false;
+}
 
 void GatewayCall::armTimer() {
   Instant at = Life->deadline();
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -9,7 +9,7 @@
 
 /// "ip:port", both present.
 static std::string addressAt(TomlReader &from, const char *key) {
-  const std::string text = from.requiredText(key);
+  std::string text = from.requiredText(key);
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0 || colon + 1 == text.size())
     from.addFault(key, "must be ip:port");
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -43,6 +43,9 @@
   std::shared_ptr<const PlanIndex> Plan;
   /// When the call began that last confirmed the plan.
   Instant PlanConfirmedAt{};
+  /// A plan that was confirmed longer ago says nothing about routes and keys
+  /// that are not in it: a watch should have brought news, and did not return.
+  Duration PlanFreshFor = seconds(2);
   Instant ReplicasConfirmedAt{};
   ReplicaTable Replicas;
   std::map<TeamId, TeamMeter> Meters;
--- a/Services/sorrelbayd/ReplicaOrders.h
+++ b/Services/sorrelbayd/ReplicaOrders.h
@@ -26,8 +26,7 @@
   GatewayState &State;
   const DutyKeeper &Duties;
   std::map<ServiceId, ReplicaPlan> Plans;
-  /// The plan version and the term of the lease that the plans were made in.
-  std::uint64_t MadeForVersion = 0;
+  /// The term of the lease that the plans were made in.
   std::uint64_t MadeInTerm = 0;
   std::deque<ReplicaOrder> Waiting;
   bool IsSending = false;
--- /dev/null
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -0,0 +1,324 @@
+#include "GatewayWorld.h"
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+
+namespace sorrelbay {
+
+namespace {
+
+/// How often an idle watch looks for changes.
+constexpr Duration WatchStep = milliseconds(10);
+constexpr int MostTries = 400;
+
+template <typename Value>
+void answer(boost::asio::io_context &loop, const StoreCallback<Value> &done,
+            const StoreResult<Value> &result) {
+  boost::asio::post(loop, [done, result] { done(result); });
+}
+
+/// "version;key" as a plan with one route.
+ServingPlan planOf(const KeptObject &object) {
+  const std::size_t at = object.Body.find(';');
+  if (at == std::string::npos)
+    throw Error("not a plan");
+  ServingPlan plan;
+  plan.Version = std::stoull(object.Body.substr(0, at));
+  ServingRoute route;
+  route.Name = RouteId("a");
+  route.HostName = "test.example";
+  route.PathPrefix = "/a/";
+  route.Split = {{ServiceId("desk"), 1}};
+  route.Timeout = seconds(3);
+  plan.Routes = {route};
+  ServingTeam team;
+  team.Name = TeamId("team");
+  team.Keys = {object.Body.substr(at + 1)};
+  plan.Teams = {team};
+  plan.Services.push_back({ServiceId("desk"), 100, {}, {}});
+  return plan;
+}
+
+ReplicaRecord replicaOf(const KeptObject &object) {
+  ReplicaRecord record;
+  record.Id = UpstreamId(object.Name);
+  record.OfService = ServiceId("desk");
+  record.InZone = ZoneId("z");
+  const std::size_t at = object.Body.find(' ');
+  if (at == std::string::npos)
+    throw Error("not a replica");
+  record.Address = object.Body.substr(0, at);
+  record.IsLeaving = object.Body.substr(at + 1) == "leaving";
+  return record;
+}
+
+ServingCall callOf(const HttpRequest &request) {
+  ServingCall call;
+  call.Id = headerValue(request.Headers, "X-Call");
+  call.HostName = headerValue(request.Headers, "Host");
+  call.Path = request.Path;
+  call.Method = request.Method;
+  call.Key = headerValue(request.Headers, "X-Key");
+  return call;
+}
+
+GatewaySettings settingsFor(Duration keyRemoval, Duration grace) {
+  GatewaySettings settings;
+  settings.Host = HostId("host");
+  settings.Zone = ZoneId("z");
+  settings.CallerListen = "127.0.0.1:0";
+  settings.ReadinessListen = "127.0.0.1:0";
+  settings.AddressListen = "127.0.0.1:0";
+  settings.PeerListen = "127.0.0.1:0";
+  settings.Heartbeat = seconds(1);
+  GatewayBounds &bounds = settings.Bounds;
+  bounds.Drain = seconds(2);
+  bounds.Grace = grace;
+  bounds.PlanInForce = seconds(2);
+  bounds.KeyRemoval = keyRemoval;
+  bounds.RepeatWindow = seconds(10);
+  bounds.Lease = seconds(3);
+  bounds.UsageWindow = seconds(5);
+  bounds.UsageDue = seconds(10);
+  bounds.TrialEnd = seconds(5);
+  bounds.AddressTimeToLive = seconds(5);
+  return settings;
+}
+
+} // namespace
+
+void FakeStore::put(StoreKind kind, const std::string &name,
+                    const std::string &body) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Kinds[kind][name] = {name, body, "", ++Revision};
+  Removed[kind].erase(name);
+}
+
+void FakeStore::remove(StoreKind kind, const std::string &name) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Kinds[kind].erase(name);
+  Removed[kind][name] = ++Revision;
+}
+
+void FakeStore::forgetHistory() {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  HistoryFrom = ++Revision;
+}
+
+std::string FakeStore::bodyOf(StoreKind kind, const std::string &name) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  const auto it = Kinds[kind].find(name);
+  return it == Kinds[kind].end() ? "" : it->second.Body;
+}
+
+KindChanges FakeStore::changesAfter(StoreKind kind, std::uint64_t after) {
+  KindChanges out;
+  out.AsOf = Revision;
+  for (const auto &[name, it] : Kinds[kind])
+    if (it.Revision > after)
+      out.Changes.push_back({it, false});
+  for (const auto &[name, revision] : Removed[kind])
+    if (revision > after)
+      out.Changes.push_back({{name, "", "", revision}, true});
+  return out;
+}
+
+void FakeStore::write(StoreKind kind, const KeptObject &object, bool isNew,
+                      const StoreCallback<KeptObject> &done) {
+  StoreResult<KeptObject> result;
+  const std::lock_guard<std::mutex> lock(Mutex);
+  Objects &objects = Kinds[kind];
+  const auto it = objects.find(object.Name);
+  const bool isThere = it != objects.end();
+  const bool conflicts = isNew ? isThere
+                               : isThere && object.Revision != 0 &&
+                                     it->second.Revision != object.Revision;
+  if (conflicts || (!isNew && !isThere)) {
+    result.Failure = conflicts ? StoreFailure::Conflict : StoreFailure::Missing;
+  } else {
+    KeptObject kept = object;
+    kept.Revision = ++Revision;
+    objects[object.Name] = kept;
+    result.Got = kept;
+  }
+  done(result);
+}
+
+KindStore FakeStore::hooks(boost::asio::io_context &loop) {
+  KindStore out;
+  out.List = [this, &loop](StoreKind kind,
+                           const StoreCallback<KindListing> &done) {
+    StoreResult<KindListing> result;
+    const std::lock_guard<std::mutex> lock(Mutex);
+    if (!IsUnreachable) {
+      result.Got.emplace();
+      for (const auto &[name, it] : Kinds[kind])
+        result.Got->Objects.push_back(it);
+      result.Got->AsOf = Revision;
+    }
+    answer(loop, done, result);
+  };
+  out.Watch = [this, &loop](StoreKind kind, std::uint64_t after,
+                            Duration patience,
+                            const StoreCallback<KindChanges> &done) {
+    const auto timer = std::make_shared<boost::asio::steady_timer>(loop);
+    const auto look = std::make_shared<std::function<void(Duration)>>();
+    *look = [this, kind, after, done, timer,
+             weak = std::weak_ptr(look)](Duration left) {
+      StoreResult<KindChanges> result;
+      {
+        const std::lock_guard<std::mutex> lock(Mutex);
+        if (after < HistoryFrom)
+          result.Failure = StoreFailure::HistoryGone;
+        else if (!IsUnreachable)
+          result.Got = changesAfter(kind, after);
+      }
+      if (!result.Got || !result.Got->Changes.empty() ||
+          left <= Duration::zero())
+        return done(result);
+      timer->expires_after(WatchStep);
+      timer->async_wait(
+          [left, again = weak.lock()](boost::system::error_code ec) {
+            if (!ec)
+              (*again)(left - WatchStep);
+          });
+    };
+    boost::asio::post(loop, [look, patience] { (*look)(patience); });
+  };
+  out.Read = [this, &loop](StoreKind kind, const std::string &name,
+                           const StoreCallback<KeptObject> &done) {
+    StoreResult<KeptObject> result;
+    const std::lock_guard<std::mutex> lock(Mutex);
+    const auto it = Kinds[kind].find(name);
+    if (!IsUnreachable && it != Kinds[kind].end())
+      result.Got = it->second;
+    else if (!IsUnreachable)
+      result.Failure = StoreFailure::Missing;
+    answer(loop, done, result);
+  };
+  const auto writer = [this, &loop](bool isNew) {
+    return [this, &loop, isNew](StoreKind kind, const KeptObject &object,
+                                const StoreCallback<KeptObject> &done) {
+      if (IsUnreachable)
+        return answer(loop, done, StoreResult<KeptObject>{});
+      write(kind, object, isNew, [&](const StoreResult<KeptObject> &result) {
+        answer(loop, done, result);
+      });
+    };
+  };
+  out.Create = writer(true);
+  out.Replace = writer(false);
+  out.ReplaceStatus = writer(false);
+  out.Remove = [this, &loop](StoreKind kind, const std::string &name,
+                             const StoreCallback<KeptObject> &done) {
+    remove(kind, name);
+    answer(loop, done, StoreResult<KeptObject>{KeptObject{}, {}});
+  };
+  return out;
+}
+
+GatewayHooks GatewayWorld::hooks(boost::asio::io_context &loop) {
+  GatewayHooks out;
+  out.ReadCall = callOf;
+  out.UpstreamCall = [](const HttpRequest &request, const UpstreamTry &it) {
+    HttpCall call;
+    call.Method = request.Method;
+    call.Path = request.Path;
+    call.Body = request.Body;
+    call.Headers = {{"X-Call", headerValue(request.Headers, "X-Call")},
+                    {"X-Team", it.Team.text()}};
+    return call;
+  };
+  out.ReadVerdict = [](const HttpReplyHead &head) {
+    UpstreamVerdict verdict;
+    verdict.Id = headerValue(head.Headers, "X-Call");
+    verdict.IsNotRun = hasHeader(head.Headers, "X-Not-Run");
+    return verdict;
+  };
+  out.AnswerHeaders = [](const HttpHeaders &) { return HttpHeaders{}; };
+  out.OwnAnswerHeaders = [](const ServingCall &,
+                            std::optional<Duration> after) {
+    return after
+               ? HttpHeaders{{"Retry-After", std::to_string(toSeconds(*after))}}
+               : HttpHeaders{};
+  };
+  out.AsksReadiness = [](const HttpRequest &) { return true; };
+  out.AsksAddresses = [](const HttpRequest &) { return true; };
+  out.AddressesBody = [](const std::vector<std::string> &, Duration) {
+    return std::string("[]");
+  };
+  out.ReadPlan = planOf;
+  out.ReadReplica = replicaOf;
+  out.Store = Store.hooks(loop);
+  out.Cloud.ReportUsage = [&loop](const DutyStamp &, WindowNumber,
+                                  const TeamCounts &,
+                                  const CloudCallback &done) {
+    boost::asio::post(loop, [done] { done(CloudResult::Accepted); });
+  };
+  out.Cloud.Order = [&loop](const DutyStamp &, const ReplicaOrder &,
+                            const CloudCallback &done) {
+    boost::asio::post(loop, [done] { done(CloudResult::Accepted); });
+  };
+  return out;
+}
+
+GatewayWorld::GatewayWorld(Duration keyRemoval, Duration grace) {
+  Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+    it->respond(200, {{"X-Call", headerValue(it->request().Headers, "X-Call")}},
+                "ok for " + headerValue(it->request().Headers, "X-Team"));
+  };
+  UpstreamServer = std::make_unique<AsyncHttpServer>(
+      UpstreamLoop, "127.0.0.1:0",
+      AsyncHttpServerHooks{[] { return HttpLimits{}; },
+                           [this](std::shared_ptr<HttpExchange> it) {
+                             ++UpstreamCalls;
+                             Upstream(std::move(it));
+                           }});
+  UpstreamWorker = std::thread([this] { UpstreamLoop.run(); });
+  Store.put(StoreKind::Plan, "main", "1;key");
+  addReplica("r1");
+  Served = std::make_unique<Gateway>(
+      settingsFor(keyRemoval, grace),
+      [this](boost::asio::io_context &loop) { return hooks(loop); });
+  Served->start();
+  CallerAddress = Served->callerAddress();
+}
+
+GatewayWorld::~GatewayWorld() {
+  Served.reset();
+  UpstreamLoop.stop();
+  UpstreamWorker.join();
+}
+
+void GatewayWorld::addReplica(const std::string &id, bool isLeaving) {
+  Store.put(StoreKind::Replicas, id,
+            UpstreamServer->address() + (isLeaving ? " leaving" : " ready"));
+}
+
+HttpReply GatewayWorld::call(const std::string &key, const std::string &path) {
+  static std::atomic<int> lastId{0};
+  HttpCall call;
+  call.Method = "POST";
+  call.Path = path;
+  call.Body = "please";
+  call.Headers = {{"Host", "test.example"},
+                  {"X-Call", "id" + std::to_string(++lastId)},
+                  {"X-Key", key}};
+  return sendOnce(CallerAddress, call);
+}
+
+HttpReply GatewayWorld::callUntil(int status, const std::string &key,
+                                  const std::string &path) {
+  HttpReply reply;
+  for (int n = 0; n < MostTries; ++n) {
+    reply = call(key, path);
+    if (reply.Status == status)
+      return reply;
+    std::this_thread::sleep_for(milliseconds(25));
+  }
+  BOOST_REQUIRE_MESSAGE(false, "never answered " << status << ", at last "
+                                                 << reply.Status);
+  return reply;
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Tests/sorrelbayd/GatewayWorld.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "Gateway.h"
+#include "LibHttp/AsyncHttpServer.h"
+#include "LibHttp/HttpClient.h"
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+
+namespace sorrelbay {
+
+/// A store in memory that answers on the gateway's loop. Its objects may be
+/// changed from the test's thread; it can be made unreachable.
+class FakeStore {
+public:
+  KindStore hooks(boost::asio::io_context &loop);
+  void put(StoreKind kind, const std::string &name, const std::string &body);
+  void remove(StoreKind kind, const std::string &name);
+  void setUnreachable(bool isUnreachable) { IsUnreachable = isUnreachable; }
+  /// Watches are no longer answered from history: the watcher must list.
+  void forgetHistory();
+  std::string bodyOf(StoreKind kind, const std::string &name);
+
+private:
+  using Objects = std::map<std::string, KeptObject>;
+
+  KindChanges changesAfter(StoreKind kind, std::uint64_t after);
+  void write(StoreKind kind, const KeptObject &object, bool isNew,
+             const StoreCallback<KeptObject> &done);
+
+  std::mutex Mutex;
+  std::map<StoreKind, Objects> Kinds;
+  std::map<StoreKind, std::map<std::string, std::uint64_t>> Removed;
+  std::uint64_t Revision = 1;
+  std::uint64_t HistoryFrom = 0;
+  std::atomic<bool> IsUnreachable{false};
+};
+
+/// A gateway with a store in memory and one upstream that the test scripts, all
+/// in this process. Plans are written "version;key": one route "/a/" to the
+/// service "desk", open to the key.
+class GatewayWorld {
+public:
+  using Answer = std::function<void(std::shared_ptr<HttpExchange>)>;
+
+  explicit GatewayWorld(Duration keyRemoval = seconds(60),
+                        Duration grace = seconds(2));
+  ~GatewayWorld();
+  GatewayWorld(const GatewayWorld &) = delete;
+  GatewayWorld &operator=(const GatewayWorld &) = delete;
+
+  /// Sends a call with that key; the route's timeout is three
+  /// seconds.
+  HttpReply call(const std::string &key, const std::string &path = "/a/1");
+  /// Calls until it is answered with that status. Fails the test if it never
+  /// is.
+  HttpReply callUntil(int status, const std::string &key,
+                      const std::string &path = "/a/1");
+  void addReplica(const std::string &id, bool isLeaving = false);
+
+  FakeStore Store;
+  /// What the upstream does; at first it answers 200 "ok".
+  Answer Upstream;
+  std::atomic<int> UpstreamCalls{0};
+  std::unique_ptr<Gateway> Served;
+  std::string CallerAddress;
+
+private:
+  GatewayHooks hooks(boost::asio::io_context &loop);
+
+  boost::asio::io_context UpstreamLoop;
+  std::unique_ptr<AsyncHttpServer> UpstreamServer;
+  std::thread UpstreamWorker;
+};
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -0,0 +1,126 @@
+#include "GatewayWorld.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+BOOST_AUTO_TEST_SUITE(gateway)
+
+BOOST_AUTO_TEST_CASE(a_call_goes_to_its_upstream_with_its_team) {
+  GatewayWorld world;
+  BOOST_TEST(world.callUntil(200, "key").Body == "ok for team");
+  BOOST_TEST(world.call("other").Status == 401);
+  BOOST_TEST(world.call("key", "/b/1").Status == 404);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_plan_comes_into_force_and_an_old_one_never_again) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  world.Store.put(StoreKind::Plan, "main", "3;second");
+  world.callUntil(200, "second");
+  BOOST_TEST(world.call("key").Status == 401);
+  world.Store.put(StoreKind::Plan, "main", "2;key");
+  world.Store.put(StoreKind::Plan, "other", "what nobody can read");
+  world.Store.put(StoreKind::Plan, "main", "bytes");
+  world.Store.forgetHistory();
+  world.Store.put(StoreKind::Plan, "main", "4;second");
+  world.callUntil(200, "second");
+  BOOST_TEST(world.call("key").Status == 401);
+}
+
+// A key is taken away while a host can't reach the store. It would serve the
+// key's holder for ever, unless it stops by itself when its view is too old.
+BOOST_AUTO_TEST_CASE(keys_are_refused_when_the_view_of_them_is_too_old) {
+  GatewayWorld world(milliseconds(1500));
+  world.callUntil(200, "key");
+  world.Store.setUnreachable(true);
+  world.Store.put(StoreKind::Plan, "main", "2;another");
+  const HttpReply reply = world.callUntil(503, "key");
+  BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
+  world.Store.setUnreachable(false);
+  world.callUntil(200, "another");
+  BOOST_TEST(world.call("key").Status == 401);
+}
+
+BOOST_AUTO_TEST_CASE(a_leaving_upstream_gets_nothing_and_the_call_is_refused) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  world.addReplica("r1", true);
+  const HttpReply reply = world.callUntil(503, "key");
+  BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
+  const int before = world.UpstreamCalls;
+  world.call("key");
+  BOOST_TEST(world.UpstreamCalls == before);
+  world.addReplica("r2");
+  world.callUntil(200, "key");
+}
+
+// A desk's answer is lost on its way. The booking may have been made: told
+// "not run", its caller would book again.
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_not_called_not_run) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  world.addReplica("r2");
+  world.Upstream = [](const std::shared_ptr<HttpExchange> &it) { it->abort(); };
+  const int before = world.UpstreamCalls;
+  BOOST_TEST(world.call("key").Status == 502);
+  BOOST_TEST(world.UpstreamCalls == before + 1);
+}
+
+// Two answers cross on a connection to an upstream: the answer to an earlier
+// call comes first. Passed on, a caller would get another caller's booking.
+BOOST_AUTO_TEST_CASE(an_answer_to_another_call_is_never_passed_on) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  world.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+    it->respond(200, {{"X-Call", "somebody else's"}}, "not yours");
+  };
+  BOOST_TEST(world.call("key").Status >= 500);
+}
+
+BOOST_AUTO_TEST_CASE(a_call_that_did_not_run_is_refused_with_a_promise) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  world.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+    it->respond(503,
+                {{"X-Call", headerValue(it->request().Headers, "X-Call")},
+                 {"X-Not-Run", "1"}},
+                "");
+  };
+  const HttpReply reply = world.call("key");
+  BOOST_TEST(reply.Status == 503);
+  BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
+}
+
+// A host is told to stop; callers that still have its address go on sending
+// long calls, which would be cut with the process (the operators' incident
+// inc-df1e).
+BOOST_AUTO_TEST_CASE(a_stopping_host_refuses_what_it_can_not_finish) {
+  GatewayWorld world(seconds(60), seconds(6));
+  world.callUntil(200, "key");
+  // Keeps one caller on the host, so that it doesn't end at once.
+  std::shared_ptr<HttpExchange> open;
+  world.Upstream = [&open](std::shared_ptr<HttpExchange> it) {
+    if (!open)
+      open = std::move(it);
+    else
+      it->respond(
+          200, {{"X-Call", headerValue(it->request().Headers, "X-Call")}}, "");
+  };
+  std::thread caller([&] {
+    try {
+      world.call("key");
+    } catch (const Error &) {
+      // The process may end first.
+    }
+  });
+  while (world.UpstreamCalls < 2)
+    std::this_thread::sleep_for(milliseconds(5));
+  std::thread stopping([&] { world.Served->stop(); });
+  const HttpReply reply = world.callUntil(503, "key");
+  BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
+  stopping.join();
+  world.Served.reset();
+  caller.join();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
