LibServing: Let a new holder of the duty keep the replicas that it finds

Ruled out: a peak told by peers (a holder after a kill of all has none to ask). Change: the first sight of replicas sets the level, less what is kept for a zone's loss. The new case fails without it (4 of 15).

--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -58,10 +58,21 @@
                             Instant now) {
   if (Needed > 1 && LoadSince == Instant{})
     LoadSince = now;
+  int onDemand = 0;
+  int reclaimable = 0;
+  for (const auto &[zone, it] : seen) {
+    onDemand += it.OnDemand;
+    reclaimable += it.Reclaimable;
+  }
+  // What an earlier holder has ordered, without what it kept for the loss of a
+  // zone; later the reclaimable ones are this plan's own.
+  if (!HasSeen && onDemand + reclaimable > 0) {
+    HasSeen = true;
+    const int zones = static_cast<int>(seen.size());
+    Kept = (onDemand + reclaimable) * std::max(1, zones - 1) / zones;
+    LowSince = now;
+  }
   if (LoadSince == Instant{}) {
-    int onDemand = 0;
-    for (const auto &[zone, it] : seen)
-      onDemand += it.OnDemand;
     Kept = std::max(Kept, onDemand);
     LowSince = now;
   }
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -99,6 +99,7 @@
   int Kept = 0;
   /// Until calls have been seen for a while the replicas that were there at
   /// first are the best guess.
+  bool HasSeen = false;
   Instant LoadSince{};
   Instant LowSince{};
   Instant ScarceSince{};
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -119,6 +119,18 @@
   BOOST_TEST(cloud.total(true) == 12);
 }
 
+// The holder of the duty is killed while the load is low for a moment. Its
+// successor knew no peak and sent three of four replicas away; the next wave of
+// calls found four where sixteen had been (scale-2 of Caltagirone).
+BOOST_AUTO_TEST_CASE(a_new_holder_keeps_what_it_finds) {
+  Cloud cloud;
+  for (auto &[zone, it] : cloud.Seen)
+    it.Reclaimable = 4;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {20, 100000}, seconds(10));
+  BOOST_TEST(cloud.total(true) >= 15);
+}
+
 BOOST_AUTO_TEST_CASE(the_limits_of_a_zone_hold_for_both_kinds_together) {
   Cloud cloud;
   for (auto &[zone, it] : cloud.Seen)
