--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -24,6 +24,10 @@
   return std::max(1, static_cast<int>(std::ceil(std::max(byCalls, byTokens))));
 }
 
+int ReplicaPlan::assured() const {
+  return static_cast<int>(std::ceil(Kept * Settings.OnDemandShare));
+}
+
 void ReplicaPlan::rememberPeak(const ServiceLoad &load, Instant now) {
   Peaks.emplace_back(now, replicasFor(load));
   Peaks.erase(std::remove_if(Peaks.begin(), Peaks.end(),
@@ -120,7 +124,7 @@
   const int cover =
       isScarce ? static_cast<int>(std::ceil(largest * Settings.ScarceCover))
                : 0;
-  aim.OnDemand = std::max(0, Kept - coming + cover);
+  aim.OnDemand = std::max(0, assured() - coming + cover);
   return aim;
 }
 
@@ -190,7 +194,7 @@
   }
   // They go only once others serve in their place, and not for a moment's lull.
   const bool mayShrink =
-      serving - (onDemand - aim.OnDemand) >= Kept &&
+      serving - (onDemand - aim.OnDemand) >= assured() &&
       (aim.OnDemand > onDemand ||
        now - OnDemandLowSince >
            (LoadSince == Instant{} ? Duration::zero() : Settings.ShrinkPause));
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -29,8 +29,12 @@
 struct ReplicaPlanSettings {
   /// The part of its places, and of its memory, that a replica should have in
   /// use; above it first tokens get late.
-  double CallShare = 0.35;
-  double TokenShare = 0.45;
+  double CallShare = 0.28;
+  double TokenShare = 0.36;
+  /// On-demand replicas stand in for reclaimable ones up to this part of what
+  /// is provided for: they cost several times as much, and a fuller replica is
+  /// late for few.
+  double OnDemandShare = 0.65;
   /// The load is taken as the highest of this time, so that a short lull
   /// doesn't send replicas away that take seconds to come back.
   Duration PeakMemory = seconds(12);
@@ -62,6 +66,8 @@
   void noteResult(const ReplicaOrder &order, CloudResult result, Instant now);
   /// Replicas that the load needs.
   int needed() const { return Needed; }
+  /// Replicas that are made sure of with on-demand ones.
+  int assured() const;
 
 private:
   using Place = std::pair<ZoneId, bool>;
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -101,7 +101,8 @@
   for (auto &[zone, it] : cloud.Seen)
     it.Reclaimable = 0;
   cloud.run(plan, load, seconds(10));
-  BOOST_TEST(cloud.total(false) >= plan.needed());
+  BOOST_TEST(plan.assured() * 3 >= plan.needed() * 1.9);
+  BOOST_TEST(cloud.total(false) >= plan.assured());
   cloud.IsDry = false;
   cloud.run(plan, load, seconds(60));
   BOOST_TEST(cloud.total(false) == 0);
