LibServing: Send nothing away while reclaimable replicas are scarce

Change: no shrinking while refusals are fresh; while replicas are missing the level grows by a third at most. The new case nothing_is_sent_away_while_replicas_are_scarce fails without it.

--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -28,8 +28,20 @@
   return static_cast<int>(std::ceil(Kept * Settings.OnDemandShare));
 }
 
-void ReplicaPlan::rememberPeak(const ServiceLoad &load, Instant now) {
-  Peaks.emplace_back(now, replicasFor(load));
+bool ReplicaPlan::isScarce(Instant now) const {
+  return ScarceSince != Instant{} && now - ScarceSince < Settings.ScarceMemory;
+}
+
+void ReplicaPlan::rememberPeak(const ServiceLoad &load, int serving,
+                               Instant now) {
+  int wanted = replicasFor(load);
+  // Calls pile up where replicas are missing; their number then speaks of what
+  // is missing, not of what will be needed once it is there.
+  const bool isShort = Kept > 0 && serving < Kept;
+  if (isShort)
+    wanted = std::min(
+        wanted, static_cast<int>(std::ceil(Kept * Settings.GrowthWhileShort)));
+  Peaks.emplace_back(now, wanted);
   Peaks.erase(std::remove_if(Peaks.begin(), Peaks.end(),
                              [&](const auto &it) {
                                return now - it.first > Settings.PeakMemory;
@@ -82,7 +94,8 @@
   }
   const bool knowsLoad =
       LoadSince != Instant{} && now - LoadSince > Settings.PeakMemory;
-  const bool mayShrink = knowsLoad && now - LowSince > Settings.ShrinkPause;
+  const bool mayShrink =
+      knowsLoad && !isScarce(now) && now - LowSince > Settings.ShrinkPause;
   if (Needed >= Kept || mayShrink) {
     Kept = Needed;
     LowSince = now;
@@ -119,11 +132,10 @@
     coming += n;
     largest = std::max(largest, n);
   }
-  const bool isScarce =
-      ScarceSince != Instant{} && now - ScarceSince < Settings.ScarceMemory;
   const int cover =
-      isScarce ? static_cast<int>(std::ceil(largest * Settings.ScarceCover))
-               : 0;
+      isScarce(now)
+          ? static_cast<int>(std::ceil(largest * Settings.ScarceCover))
+          : 0;
   aim.OnDemand = std::max(0, assured() - coming + cover);
   return aim;
 }
@@ -170,21 +182,25 @@
   std::vector<ReplicaOrder> out;
   if (seen.empty())
     return out;
-  rememberPeak(load, now);
+  int serving = 0;
+  for (const auto &[zone, it] : seen)
+    serving += it.OnDemand + it.Reclaimable;
+  rememberPeak(load, serving, now);
   keepLevel(seen, now);
   const Aim aim = aimAt(seen, now);
   int onDemand = 0;
-  int serving = 0;
   std::map<ZoneId, ZoneReplicas> coming = seen;
   for (auto &[zone, it] : coming) {
-    serving += it.OnDemand + it.Reclaimable;
     it.OnDemand = expected(zone, false, it.OnDemand, now);
     onDemand += it.OnDemand;
   }
   for (const auto &[zone, it] : seen) {
     const int room = std::max(0, Bounds.Most - it.OnDemand);
+    // One that is sent away now may not be had again.
+    const int least = isScarce(now) ? it.Reclaimable : 0;
     if (!it.IsReclaimed && Bounds.ReclaimablePrice < 1)
-      add(out, service, zone, true, std::min(aim.ReclaimablePerZone, room),
+      add(out, service, zone, true,
+          std::min(std::max(least, aim.ReclaimablePerZone), room),
           it.Reclaimable, now);
   }
   if (aim.OnDemand >= onDemand) {
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -38,6 +38,9 @@
   /// The load is taken as the highest of this time, so that a short lull
   /// doesn't send replicas away that take seconds to come back.
   Duration PeakMemory = seconds(12);
+  /// While replicas are missing the load counts for this much more than is
+  /// provided for, at the most.
+  double GrowthWhileShort = 1.34;
   /// A zone whose reclaimable replicas were reclaimed, or that had none to
   /// give, isn't asked again before that.
   Duration RefusedPause = milliseconds(1500);
@@ -84,7 +87,8 @@
   };
 
   int replicasFor(const ServiceLoad &load) const;
-  void rememberPeak(const ServiceLoad &load, Instant now);
+  bool isScarce(Instant now) const;
+  void rememberPeak(const ServiceLoad &load, int serving, Instant now);
   void keepLevel(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   Aim aimAt(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   int expected(const ZoneId &zone, bool isReclaimable, int seen,
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -120,6 +120,20 @@
   BOOST_TEST(cloud.total(true) == 12);
 }
 
+// Zones are reclaimed one after the other while the load is a little lower than
+// before. Reclaimable replicas that were sent away in the zones that were left
+// could not be had again, and calls piled up (quiet-1 of Tablon Sur).
+BOOST_AUTO_TEST_CASE(nothing_is_sent_away_while_replicas_are_scarce) {
+  Cloud cloud;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {110, 700000}, seconds(40));
+  const int perZone = cloud.Seen[ZoneId("a")].Reclaimable;
+  cloud.IsDry = true;
+  cloud.Seen[ZoneId("d")].Reclaimable = 0;
+  cloud.run(plan, {20, 100000}, seconds(30));
+  BOOST_TEST(cloud.Seen[ZoneId("a")].Reclaimable == perZone);
+}
+
 // The holder of the duty is killed while the load is low for a moment. Its
 // successor knew no peak and sent three of four replicas away; the next wave of
 // calls found four where sixteen had been (scale-2 of Caltagirone).
