--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -28,7 +28,7 @@
     }
     for (const ReplicaOrder &it :
          plan.orders(ServiceId("model"), Seen, load, Now)) {
-      if (it.IsReclaimable && IsDry) {
+      if (it.IsReclaimable && IsDry && it.Count > countOf(it)) {
         plan.noteResult(it, CloudResult::NoneAvailable, Now);
         continue;
       }
