sorrelbayd: Move services to versions by the store's orders

Cause: orders to move a service (EXPOSURE) were not read; replicas of a new version got calls like any others. Ruled out: a second judge beside Rollout and CanaryJudge, which drive the own interface's moves; shares told by the holder only (a host that is cut off from it would not take a version back). Change: GatewayMoves plays Rollout by evidence that the fleet reports carry; nothing of a new version is used before its move has begun, nor after it was taken back; the holder of the duties writes the status; replicas aren't ordered while a service moves. Before: no test; after: a_bad_version_is_taken_back_and_gets_few_calls and a_good_version_gets_all_calls_in_time.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -7,7 +7,7 @@
 using nlohmann::json;
 
 /// Changed whenever hosts of two versions would misread each other.
-static constexpr int FormatNumber = 1;
+static constexpr int FormatNumber = 2;
 
 std::string encodeFleetReport(const FleetReport &report) {
   json open = json::array();
@@ -42,7 +42,8 @@
                     open,
                     used,
                     usage,
-                    demand};
+                    demand,
+                    report.Moves};
   const auto bytes = json::to_cbor(all);
   return {bytes.begin(), bytes.end()};
 }
@@ -81,6 +82,7 @@
       report.Demand[ServiceId(it.at(0).get<std::string>())] = {
           it.at(1).get<std::int64_t>(), it.at(2).get<std::int64_t>(),
           it.at(3).get<std::int64_t>(), it.at(4).get<std::int64_t>()};
+    all.at(16).get_to(report.Moves);
     return report;
   } catch (const json::exception &error) {
     throw PeerMessageRefused(std::string("not a report: ") + error.what());
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -38,6 +38,9 @@
   std::map<TeamId, UsedUnits> Used;
   std::map<WindowNumber, TeamCounts> Usage;
   std::map<ServiceId, ServiceDemand> Demand;
+  /// What the host knows of moves, as RolloutCodec writes it; empty without
+  /// one.
+  std::string Moves;
 };
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -61,10 +61,20 @@
       }));
 }
 
+static bool isOfVersion(const ReplicaRecord &record,
+                        const ReplicaRequest &request) {
+  const VersionChoice &version = request.Version;
+  if (!version.Never.empty() && record.OfVersion == version.Never)
+    return false;
+  return version.First.empty() || record.OfVersion == version.First;
+}
+
 bool ReplicaTable::mayTake(const Entry &entry, const ReplicaRequest &request,
                            Instant now) const {
   if (entry.Record.OfService != request.ForService || entry.Record.IsLeaving)
     return false;
+  if (!isOfVersion(entry.Record, request))
+    return false;
   if (now < entry.EjectedUntil || entry.IsProbed)
     return false;
   return std::find(request.Tried.begin(), request.Tried.end(),
@@ -90,6 +100,16 @@
 
 std::optional<UpstreamId> ReplicaTable::choose(const ReplicaRequest &request,
                                                Instant now) {
+  const auto chosen = chooseOf(request, now);
+  if (chosen || request.Version.First.empty())
+    return chosen;
+  ReplicaRequest ofAny = request;
+  ofAny.Version.First = VersionId();
+  return chooseOf(ofAny, now);
+}
+
+std::optional<UpstreamId> ReplicaTable::chooseOf(const ReplicaRequest &request,
+                                                 Instant now) {
   std::vector<Entry *> able;
   for (auto &[id, entry] : Entries)
     if (mayTake(entry, request, now))
@@ -101,7 +121,8 @@
           std::find(request.Tried.begin(), request.Tried.end(), id) !=
           request.Tried.end();
       if (entry.Record.OfService == request.ForService &&
-          !entry.Record.IsLeaving && !wasTried)
+          !entry.Record.IsLeaving && !wasTried &&
+          isOfVersion(entry.Record, request))
         able.push_back(&entry);
     }
   }
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -34,6 +34,18 @@
   std::int64_t Tokens = 0;
 };
 
+/// Which of a service's versions a call goes to.
+struct VersionChoice {
+  /// Goes there if an upstream of it can be had; empty for any.
+  VersionId First;
+  /// Not even if there is no other.
+  VersionId Never;
+
+  friend bool operator==(const VersionChoice &a, const VersionChoice &b) {
+    return a.First == b.First && a.Never == b.Never;
+  }
+};
+
 /// What a placement asks for.
 struct ReplicaRequest {
   ServiceId ForService;
@@ -41,6 +53,7 @@
   /// The prompt's parts; the last but one is what a conversation shares.
   std::vector<PromptPart> Prompt;
   std::int64_t PromptTokens = 0;
+  VersionChoice Version;
   /// Upstreams that this call has been sent to.
   std::vector<UpstreamId> Tried;
   /// Decides between equals.
@@ -137,6 +150,8 @@
     bool IsProbed = false;
   };
 
+  std::optional<UpstreamId> chooseOf(const ReplicaRequest &request,
+                                     Instant now);
   bool mayTake(const Entry &entry, const ReplicaRequest &request,
                Instant now) const;
   double loadOf(const Entry &entry) const;
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -38,6 +38,9 @@
 constexpr double RepeatPart = 0.7;
 /// By which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
+/// How long a watch for moves waits; orders are rare and no view's age hangs on
+/// it.
+constexpr Duration MoveWatch = seconds(5);
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -47,9 +50,21 @@
 Gateway::Gateway(GatewaySettings settings, const MakeHooks &makeHooks)
     : Work(boost::asio::make_work_guard(Loop)),
       State(Loop, std::move(settings), makeHooks(Loop)), Duties(State),
-      Usage(State, Duties), Orders(State, Duties), TickTimer(Loop),
-      PeerTimer(Loop) {
+      Usage(State, Duties), Orders(State, Duties), Moves(State, Duties),
+      TickTimer(Loop), PeerTimer(Loop) {
   State.TellPeers = [this] { publishSoon(); };
+  State.VersionFor = [this](const ServiceId &service, const std::string &callId,
+                            bool isRepeatable) {
+    return Moves.versionFor(service, callId, isRepeatable, bootNow());
+  };
+  State.RecordOutcome = [this](const ServiceId &service,
+                               const VersionId &version, const RouteId &route,
+                               UpstreamOutcome outcome) {
+    Moves.record(service, version, route, outcome);
+  };
+  State.IsMoving = [this](const ServiceId &service) {
+    return Moves.isMoving(service);
+  };
 }
 
 Gateway::~Gateway() {
@@ -124,8 +139,17 @@
   };
   Replicas = std::make_unique<KindWatcher>(
       Loop, State.Hooks.Store, StoreKind::Replicas, settings, replicas);
+  KindWatcherHooks moves;
+  moves.OnObject = [this](const KeptObject &object) { Moves.take(object); };
+  moves.OnRemoved = [this](const std::string &name) { Moves.remove(name); };
+  moves.OnConfirmed = [](Instant) {};
+  KindWatcherSettings rare = settings;
+  rare.Patience = MoveWatch;
+  MoveOrders = std::make_unique<KindWatcher>(Loop, State.Hooks.Store,
+                                             StoreKind::Moves, rare, moves);
   Plans->start();
   Replicas->start();
+  MoveOrders->start();
 }
 
 void Gateway::takePlan(const KeptObject &object) {
@@ -191,6 +215,7 @@
   Duties.tick(now);
   Usage.tick(now);
   Orders.tick(now);
+  Moves.tick(now);
   limitRepeats();
   publish(now);
 }
@@ -231,6 +256,7 @@
   while (report.Usage.size() > 3)
     report.Usage.erase(report.Usage.begin());
   report.Demand = State.Demand;
+  report.Moves = Moves.news();
   return report;
 }
 
@@ -269,6 +295,7 @@
   State.Replicas.notePeer(report.Host, report.Open);
   for (const auto &[team, used] : report.Used)
     State.Meters[team].notePeer(report.Host, report.Incarnation, used, now);
+  Moves.hear(report.Moves, now);
   for (const auto &[window, counts] : report.Usage)
     State.Usage.noteReport(report.Incarnation, window, counts);
   State.Time.notePeer(report.Host, fromEpochMilliseconds(report.TrueTimeMs),
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "DutyKeeper.h"
+#include "GatewayMoves.h"
 #include "GatewayState.h"
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibObjectApi/KindWatcher.h"
@@ -63,12 +64,14 @@
   DutyKeeper Duties;
   UsageReporter Usage;
   ReplicaOrders Orders;
+  GatewayMoves Moves;
   std::unique_ptr<AsyncHttpServer> Callers;
   std::unique_ptr<AsyncHttpServer> Readiness;
   std::unique_ptr<AsyncHttpServer> Addresses;
   std::unique_ptr<FleetLink> Link;
   std::unique_ptr<KindWatcher> Plans;
   std::unique_ptr<KindWatcher> Replicas;
+  std::unique_ptr<KindWatcher> MoveOrders;
   boost::asio::steady_timer TickTimer;
   boost::asio::steady_timer PeerTimer;
   std::uint64_t Sequence = 0;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -217,6 +217,8 @@
   request.PromptTokens = Call.PromptTokens.value_or(0);
   request.Tried = Tried;
   request.Seed = State.Random();
+  request.Version = State.VersionFor(Service, Call.Id,
+                                     Route->Kind == Repeatability::Idempotent);
   const auto chosen = State.Replicas.choose(request, now);
   if (!chosen)
     return finishOwn("no_upstream");
@@ -232,6 +234,7 @@
   attempt.ResumeAfter = Events.lastId();
   Now = {};
   Now.Replica = *chosen;
+  Now.OfVersion = replica->OfVersion;
   Now.At = now;
   IsOpen = true;
   State.Replicas.noteSent(*chosen, Work);
@@ -287,6 +290,7 @@
 void GatewayCall::onBody(std::string_view bytes) {
   if (!Now.HasFirstByte) {
     Now.HasFirstByte = true;
+    Now.FirstByteAt = bootNow();
     State.Replicas.noteFirstByte(Now.Replica, Work);
     if (FirstByteAt == Instant{})
       FirstByteAt = bootNow();
@@ -333,10 +337,25 @@
   if (!IsOpen)
     return;
   IsOpen = false;
+  recordOutcome(result);
   State.Replicas.noteEnded(Now.Replica, Work, Now.HasFirstByte, result,
                            bootNow());
 }
 
+/// What the send says of its version, while its service moves to another.
+void GatewayCall::recordOutcome(SendResult result) {
+  if (result == SendResult::TurnedAway || result == SendResult::Neither ||
+      !Now.WasSending)
+    return;
+  UpstreamOutcome outcome = UpstreamOutcome::Failed;
+  if (result == SendResult::Answered) {
+    const bool isLate = Route->LatencyTarget > Duration::zero() &&
+                        Now.FirstByteAt - Now.At > Route->LatencyTarget;
+    outcome = isLate ? UpstreamOutcome::Late : UpstreamOutcome::Good;
+  }
+  State.RecordOutcome(Service, Now.OfVersion, Route->Name, outcome);
+}
+
 void GatewayCall::onEnd() {
   if (IsDone)
     return;
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -33,6 +33,8 @@
     bool IsNotRun = false;
     bool IsSwallowed = false;
     HttpReplyHead Head;
+    VersionId OfVersion;
+    Instant FirstByteAt{};
   };
 
   void start();
@@ -51,6 +53,7 @@
   void onTimer();
   void armTimer();
   void endSend(SendResult result);
+  void recordOutcome(SendResult result);
   void tryAgainOrFinish(const char *cause);
   void beginAnswer();
   void passOn(std::string_view bytes);
--- a/Services/sorrelbayd/GatewayHooks.h
+++ b/Services/sorrelbayd/GatewayHooks.h
@@ -3,6 +3,7 @@
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibObjectApi/KindStore.h"
 #include "LibServing/CloudOrders.h"
+#include "LibServing/MoveOrder.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ServingCall.h"
 #include "LibServing/ServingPlan.h"
@@ -27,9 +28,12 @@
   std::function<bool(const HttpRequest &)> AsksAddresses;
   std::function<std::string(const std::vector<std::string> &, Duration)>
       AddressesBody;
-  /// Both throw an Error where the object can't be read.
+  /// All three throw an Error where the object can't be read.
   std::function<ServingPlan(const KeptObject &)> ReadPlan;
   std::function<ReplicaRecord(const KeptObject &)> ReadReplica;
+  std::function<MoveOrder(const KeptObject &)> ReadMove;
+  /// The status that says so of an order.
+  std::function<std::string(const MoveOrder &, MoveOutcome)> MoveStatusBody;
   KindStore Store;
   CloudOrders Cloud;
 };
--- /dev/null
+++ b/Services/sorrelbayd/GatewayMoves.cpp
@@ -0,0 +1,246 @@
+#include "GatewayMoves.h"
+#include "LibBase/BootClock.h"
+#include "LibBase/LogLine.h"
+#include "LibPeer/RolloutCodec.h"
+#include <algorithm>
+
+namespace sorrelbay {
+
+/// A completed move's old replicas stop at once. So the status is written when
+/// nothing is open at them any more, or this long before the deadline.
+static constexpr Duration CompletionMargin = milliseconds(1200);
+/// Between two tries to write a status.
+static constexpr Duration WritePause = milliseconds(500);
+/// What peers told is taken as all that they know if it came this lately.
+static constexpr Duration HeardLately = milliseconds(800);
+
+/// A version's name among all services; two services may call theirs alike.
+static VersionId fullName(const ServiceId &service, const VersionId &version) {
+  return VersionId(service.text() + "/" + version.text());
+}
+
+GatewayMoves::GatewayMoves(GatewayState &state, const DutyKeeper &duties)
+    : State(state),
+      Duties(duties), Self{state.Settings.Host, state.Incarnation} {}
+
+void GatewayMoves::take(const KeptObject &object) {
+  try {
+    const MoveOrder order = State.Hooks.ReadMove(object);
+    Move &move = Moves[object.Name];
+    const bool isNew = move.Order.Target != order.Target ||
+                       move.Order.Service != order.Service;
+    if (isNew)
+      move = {};
+    move.Order = order;
+    move.Object = object;
+    LogLine(Severity::Info, "move ordered")
+        .field("service", order.Service.text())
+        .field("version", order.Target.text())
+        .field("within_ms", toMilliseconds(order.Within))
+        .field("outcome", static_cast<std::int64_t>(order.Outcome))
+        .field("revision", static_cast<std::int64_t>(object.Revision));
+    if (isNew && order.Outcome != MoveOutcome::Completed &&
+        order.Outcome != MoveOutcome::RolledBack)
+      move.Deadline = State.Time.at(bootNow()) + order.Within;
+    if (isNew)
+      findOld(move);
+  } catch (const Error &error) {
+    LogLine(Severity::Warning, "move refused")
+        .field("object", object.Name)
+        .field("revision", static_cast<std::int64_t>(object.Revision))
+        .field("why", error.what());
+  }
+}
+
+void GatewayMoves::remove(const std::string &name) { Moves.erase(name); }
+
+/// The version that most of the service's other replicas have.
+void GatewayMoves::findOld(Move &move) const {
+  std::map<VersionId, int> counts;
+  for (const ReplicaRecord &it : State.Replicas.records())
+    if (it.OfService == move.Order.Service && !it.IsLeaving &&
+        it.OfVersion != move.Order.Target)
+      ++counts[it.OfVersion];
+  if (counts.empty())
+    return;
+  move.Old = std::max_element(counts.begin(), counts.end(),
+                              [](const auto &a, const auto &b) {
+                                return a.second < b.second;
+                              })
+                 ->first;
+}
+
+void GatewayMoves::begin(Move &move, Instant trueNow) {
+  findOld(move);
+  if (move.Old.empty())
+    return;
+  int replicas = 0;
+  for (const ReplicaRecord &it : State.Replicas.records())
+    if (it.OfService == move.Order.Service && !it.IsLeaving &&
+        it.OfVersion == move.Order.Target)
+      ++replicas;
+  // Until the new version has replicas there is nothing to try.
+  if (replicas == 0)
+    return;
+  MovePlan plan;
+  plan.New = fullName(move.Order.Service, move.Order.Target);
+  plan.Old = fullName(move.Order.Service, move.Old);
+  plan.Deadline = move.Deadline;
+  plan.ReplicaShare = 1.0 / std::max(1, replicas);
+  for (const ServingRoute &it : State.Plan->plan().Routes) {
+    const bool isServed = std::any_of(it.Split.begin(), it.Split.end(),
+                                      [&](const WeightedService &part) {
+                                        return part.Name == move.Order.Service;
+                                      });
+    if (!isServed)
+      continue;
+    Route route;
+    route.Id = it.Name;
+    route.Service = move.Order.Service;
+    route.Repeatable = it.Kind == Repeatability::Idempotent;
+    route.LatencyTarget = it.LatencyTarget;
+    plan.Routes.push_back(route);
+  }
+  move.Run.emplace(plan, State.Settings.Host);
+  LogLine(Severity::Info, "move begun")
+      .field("service", move.Order.Service.text())
+      .field("from", move.Old.text())
+      .field("to", move.Order.Target.text())
+      .field("left_ms", toMilliseconds(move.Deadline - trueNow));
+}
+
+static bool isOver(MoveOutcome outcome) {
+  return outcome == MoveOutcome::Completed ||
+         outcome == MoveOutcome::RolledBack;
+}
+
+void GatewayMoves::tick(Instant now) {
+  if (!State.Plan || Moves.empty())
+    return;
+  const Instant trueNow = State.Time.at(now);
+  const bool hearsPeers =
+      State.Peers.empty() ||
+      std::any_of(State.Peers.begin(), State.Peers.end(), [&](const auto &it) {
+        return now - it.second.HeardAt < HeardLately;
+      });
+  for (auto &[name, move] : Moves) {
+    if (isOver(move.Order.Outcome))
+      continue;
+    if (!move.Run)
+      begin(move, trueNow);
+    if (!move.Run)
+      continue;
+    if (hearsPeers)
+      move.Run->refreshed(trueNow);
+    const RolloutStatus before = move.Run->status();
+    move.Run->update(Known, trueNow);
+    const RolloutStatus after = move.Run->status();
+    if (before.State != after.State || before.Stage != after.Stage)
+      LogLine(Severity::Info, "move step")
+          .field("service", move.Order.Service.text())
+          .field("state", toText(after.State))
+          .field("stage", static_cast<std::int64_t>(after.Stage))
+          .field("share", after.Share.Repeatable)
+          .field("reason", after.Reason ? toText(after.Reason->Reason) : "");
+    if (Duties.isHeld(now))
+      writeStatus(move, now);
+  }
+}
+
+int GatewayMoves::openAtOld(const Move &move) const {
+  int open = 0;
+  for (const ReplicaRecord &it : State.Replicas.records())
+    if (it.OfService == move.Order.Service && it.OfVersion == move.Old)
+      open += State.Replicas.workAt(it.Id).Calls;
+  return open;
+}
+
+MoveOutcome GatewayMoves::outcomeOf(const Move &move, Instant trueNow) const {
+  switch (move.Run->state()) {
+  case RolloutState::TakenBack:
+    return MoveOutcome::RolledBack;
+  case RolloutState::Done:
+    return openAtOld(move) == 0 || trueNow > move.Deadline - CompletionMargin
+               ? MoveOutcome::Completed
+               : MoveOutcome::InProgress;
+  case RolloutState::Moving:
+    break;
+  }
+  return MoveOutcome::InProgress;
+}
+
+void GatewayMoves::writeStatus(Move &move, Instant now) {
+  const MoveOutcome outcome = outcomeOf(move, State.Time.at(now));
+  if (outcome == move.Order.Outcome || IsWriting ||
+      now - move.WrittenAt < WritePause)
+    return;
+  move.WrittenAt = now;
+  IsWriting = true;
+  KeptObject object = move.Object;
+  object.Status = State.Hooks.MoveStatusBody(move.Order, outcome);
+  State.Hooks.Store.ReplaceStatus(
+      StoreKind::Moves, object,
+      [this, name = object.Name,
+       outcome](const StoreResult<KeptObject> &result) {
+        IsWriting = false;
+        LogLine(Severity::Info, "move status written")
+            .field("move", name)
+            .field("outcome", static_cast<std::int64_t>(outcome))
+            .field("done", static_cast<std::int64_t>(result.Got.has_value()));
+      });
+}
+
+VersionChoice GatewayMoves::versionFor(const ServiceId &service,
+                                       const std::string &callId,
+                                       bool isRepeatable, Instant now) const {
+  for (const auto &[name, move] : Moves) {
+    if (move.Order.Service != service)
+      continue;
+    if (move.Order.Outcome == MoveOutcome::Completed)
+      return {move.Order.Target, VersionId()};
+    const bool isBack =
+        move.Order.Outcome == MoveOutcome::RolledBack ||
+        (move.Run && move.Run->state() == RolloutState::TakenBack);
+    if (isBack || !move.Run)
+      return {move.Old, move.Order.Target};
+    const VersionId chosen = chooseVersion(move.Run->shares(), callId,
+                                           isRepeatable, State.Time.at(now));
+    const bool isNew = chosen == move.Run->plan().New;
+    return {isNew ? move.Order.Target : move.Old, VersionId()};
+  }
+  return {};
+}
+
+void GatewayMoves::record(const ServiceId &service, const VersionId &version,
+                          const RouteId &route, UpstreamOutcome outcome) {
+  if (isMoving(service))
+    Known.Evidence.record(Self, {fullName(service, version), route}, outcome);
+}
+
+bool GatewayMoves::isMoving(const ServiceId &service) const {
+  return std::any_of(Moves.begin(), Moves.end(), [&](const auto &it) {
+    return it.second.Order.Service == service &&
+           !isOver(it.second.Order.Outcome);
+  });
+}
+
+std::string GatewayMoves::news() const {
+  const bool hasMove =
+      std::any_of(Moves.begin(), Moves.end(), [](const auto &it) {
+        return !isOver(it.second.Order.Outcome);
+      });
+  return hasMove ? encodeRolloutKnowledge(ownPart(Known, Self)) : "";
+}
+
+void GatewayMoves::hear(const std::string &news, Instant /*now*/) {
+  if (news.empty())
+    return;
+  try {
+    merge(Known, decodeRolloutKnowledge(news));
+  } catch (const RolloutKnowledgeMalformed &error) {
+    LogLine(Severity::Warning, "peer's word on moves refused")
+        .field("why", error.what());
+  }
+}
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -4,6 +4,7 @@
 #include "GatewaySettings.h"
 #include "LibBase/LogBudget.h"
 #include "LibBase/Time.h"
+#include "LibDecision/EvidencePool.h"
 #include "LibDecision/RetryBudget.h"
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibServing/FleetReport.h"
@@ -61,6 +62,14 @@
   /// When the stop was asked for; nothing while the host serves.
   std::optional<Instant> StoppingSince;
   bool isStopping() const { return StoppingSince.has_value(); }
+  /// Which version a call goes to and how it did; set where moves are kept.
+  std::function<VersionChoice(const ServiceId &, const std::string &callId,
+                              bool isRepeatable)>
+      VersionFor;
+  std::function<void(const ServiceId &, const VersionId &, const RouteId &,
+                     UpstreamOutcome)>
+      RecordOutcome;
+  std::function<bool(const ServiceId &)> IsMoving;
   /// Tells the peers at once what is open here.
   std::function<void()> TellPeers = [] {};
 
--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -36,7 +36,8 @@
 void ReplicaOrders::plan(Instant now) {
   const bool isLogged = now - LoggedAt > LogInterval;
   for (const ServingService &service : State.Plan->plan().Services) {
-    if (!service.Scaling || !service.Engine)
+    // While a service moves, both versions' replicas are there on purpose.
+    if (!service.Scaling || !service.Engine || State.IsMoving(service.Name))
       continue;
     const auto [it, isNew] =
         Plans.try_emplace(service.Name, *service.Scaling, *service.Engine);
--- a/Tests/sorrelbayd/GatewayWorld.cpp
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -49,6 +49,8 @@
     throw Error("not a replica");
   record.Address = object.Body.substr(0, at);
   record.IsLeaving = object.Body.substr(at + 1) == "leaving";
+  // "new..." is a replica of the new version.
+  record.OfVersion = VersionId(object.Name.substr(0, 3) == "new" ? "v2" : "v1");
   return record;
 }
 
@@ -105,6 +107,12 @@
   HistoryFrom = ++Revision;
 }
 
+std::string FakeStore::statusOf(StoreKind kind, const std::string &name) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  const auto it = Kinds[kind].find(name);
+  return it == Kinds[kind].end() ? "" : it->second.Status;
+}
+
 std::string FakeStore::bodyOf(StoreKind kind, const std::string &name) {
   const std::lock_guard<std::mutex> lock(Mutex);
   const auto it = Kinds[kind].find(name);
@@ -225,7 +233,8 @@
     call.Method = request.Method;
     call.Path = request.Path;
     call.Body = request.Body;
-    call.Headers = {{"X-Call", headerValue(request.Headers, "X-Call")},
+    call.Headers = {{"X-Replica", it.Replica.text()},
+                    {"X-Call", headerValue(request.Headers, "X-Call")},
                     {"X-Team", it.Team.text()}};
     return call;
   };
@@ -249,6 +258,29 @@
   };
   out.ReadPlan = planOf;
   out.ReadReplica = replicaOf;
+  out.ReadMove = [](const KeptObject &object) {
+    MoveOrder order;
+    order.Service = ServiceId("desk");
+    order.Target = VersionId(object.Body);
+    order.Within = seconds(8);
+    if (object.Status == "completed")
+      order.Outcome = MoveOutcome::Completed;
+    if (object.Status == "rolled_back")
+      order.Outcome = MoveOutcome::RolledBack;
+    if (object.Status == "in_progress")
+      order.Outcome = MoveOutcome::InProgress;
+    return order;
+  };
+  out.MoveStatusBody = [](const MoveOrder &, MoveOutcome outcome) {
+    switch (outcome) {
+    case MoveOutcome::Completed:
+      return std::string("completed");
+    case MoveOutcome::RolledBack:
+      return std::string("rolled_back");
+    default:
+      return std::string("in_progress");
+    }
+  };
   out.Store = Store.hooks(loop);
   out.Cloud.ReportUsage = [&loop](const DutyStamp &, WindowNumber,
                                   const TeamCounts &,
--- a/Tests/sorrelbayd/GatewayWorld.h
+++ b/Tests/sorrelbayd/GatewayWorld.h
@@ -24,6 +24,7 @@
   void setUnreachable(bool isUnreachable) { IsUnreachable = isUnreachable; }
   /// Watches are no longer answered from history: the watcher must list.
   void forgetHistory();
+  std::string statusOf(StoreKind kind, const std::string &name);
   std::string bodyOf(StoreKind kind, const std::string &name);
 
 private:
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -91,6 +91,61 @@
   BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
 }
 
+namespace {
+
+/// Calls until the move's status says so; returns how many calls went to the
+/// new version meanwhile.
+int moveUntil(GatewayWorld &world, const std::string &status) {
+  int callsToNew = 0;
+  for (int n = 0; n < 4000; ++n) {
+    if (world.Store.statusOf(StoreKind::Moves, "desk") == status)
+      return callsToNew;
+    if (world.call("key").Body.find("new") != std::string::npos)
+      ++callsToNew;
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  BOOST_REQUIRE_MESSAGE(false, "the move never was " << status);
+  return callsToNew;
+}
+
+/// Answers with the replica's name; those of the new version fail as asked.
+GatewayWorld::Answer versionedAnswer(bool isNewBad) {
+  return [isNewBad](const std::shared_ptr<HttpExchange> &it) {
+    const std::string replica = headerValue(it->request().Headers, "X-Replica");
+    const bool isBad = isNewBad && replica.substr(0, 3) == "new";
+    it->respond(isBad ? 500 : 200,
+                {{"X-Call", headerValue(it->request().Headers, "X-Call")}},
+                replica);
+  };
+}
+
+} // namespace
+
+// Operators order a version that fails every call. Its replicas register like
+// any others, so without the order's being read they get half of all calls.
+BOOST_AUTO_TEST_CASE(a_bad_version_is_taken_back_and_gets_few_calls) {
+  GatewayWorld world;
+  world.Upstream = versionedAnswer(true);
+  world.callUntil(200, "key");
+  world.Store.put(StoreKind::Moves, "desk", "v2");
+  world.addReplica("new1");
+  const int callsToNew = moveUntil(world, "rolled_back");
+  BOOST_TEST(callsToNew < 60);
+  for (int n = 0; n < 50; ++n)
+    BOOST_TEST(world.call("key").Body == "r1");
+}
+
+BOOST_AUTO_TEST_CASE(a_good_version_gets_all_calls_in_time) {
+  GatewayWorld world;
+  world.Upstream = versionedAnswer(false);
+  world.callUntil(200, "key");
+  world.Store.put(StoreKind::Moves, "desk", "v2");
+  world.addReplica("new1");
+  moveUntil(world, "completed");
+  for (int n = 0; n < 50; ++n)
+    BOOST_TEST(world.call("key").Body == "new1");
+}
+
 // A host is told to stop; callers that still have its address go on sending
 // long calls, which would be cut with the process (the operators' incident
 // inc-df1e).
