sorrelbayd: Let resumable streams go on at another replica

Cause: a replica that is reclaimed or dies cut each of its streams, though chats may go on behind their last whole event. Change: CallLife::mayResume; the call goes on inside its answer, once more within its attempts and the budget for repeats.

--- a/Libraries/LibServing/CallLife.cpp
+++ b/Libraries/LibServing/CallLife.cpp
@@ -9,9 +9,14 @@
   return !MayHaveRun || Kind == Repeatability::Idempotent;
 }
 
+bool CallLife::mayResume(Instant now) const {
+  return IsAnswering && !IsSent && AttemptsLeft > 0 && now < Deadline &&
+         Kind == Repeatability::Idempotent;
+}
+
 void CallLife::noteSending() {
-  verifyInvariant(!IsSent && !IsAnswering && AttemptsLeft > 0,
-                  "call_sent_in_turn", "a call is sent while it may not be");
+  verifyInvariant(!IsSent && AttemptsLeft > 0, "call_sent_in_turn",
+                  "a call is sent while it may not be");
   verifyInvariant(!MayHaveRun || Kind == Repeatability::Idempotent,
                   "once_only_call_sent_once",
                   "a call that may have run is sent again");
--- a/Libraries/LibServing/CallLife.h
+++ b/Libraries/LibServing/CallLife.h
@@ -26,6 +26,8 @@
 
   /// Whether the call may be sent to an upstream now.
   bool mayTry(Instant now) const;
+  /// Whether an answer that was begun may go on at another upstream.
+  bool mayResume(Instant now) const;
   /// Its bytes are about to leave this host: from now on it may have run.
   void noteSending();
   /// The upstream that it was sent to says that it did not run it.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -53,9 +53,9 @@
       Usage(State, Duties), Orders(State, Duties), Moves(State, Duties),
       TickTimer(Loop), PeerTimer(Loop) {
   State.TellPeers = [this] { publishSoon(); };
-  State.VersionFor = [this](const ServiceId &service, const std::string &callId,
-                            bool isRepeatable) {
-    return Moves.versionFor(service, callId, isRepeatable, bootNow());
+  State.VersionFor = [this](const ServiceId &service,
+                            const std::string &callId) {
+    return Moves.versionFor(service, callId, bootNow());
   };
   State.RecordOutcome = [this](const ServiceId &service,
                                const VersionId &version, const RouteId &route,
@@ -162,6 +162,7 @@
       return;
     }
     State.Plan = std::make_shared<const PlanIndex>(std::move(plan));
+    limitRepeats();
     LogLine(Severity::Info, "plan in force")
         .field("version", static_cast<std::int64_t>(version))
         .field("revision", static_cast<std::int64_t>(object.Revision))
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -190,9 +190,7 @@
   }
   if (!HasBegun)
     return finishOwn("deadline");
-  log("cut", Now.Head.Status, "deadline");
-  IsDone = true;
-  Exchange->abort();
+  cut("deadline");
 }
 
 /// Whether the budget allows another send of this call; takes it out.
@@ -206,7 +204,7 @@
 
 void GatewayCall::trySend() {
   const Instant now = bootNow();
-  if (!Life->mayTry(now))
+  if (HasBegun ? !Life->mayResume(now) : !Life->mayTry(now))
     return finishOwn("no_attempt_left");
   const ServingService *service = Plan->service(Service);
   ReplicaRequest request;
@@ -217,8 +215,7 @@
   request.PromptTokens = Call.PromptTokens.value_or(0);
   request.Tried = Tried;
   request.Seed = State.Random();
-  request.Version = State.VersionFor(Service, Call.Id,
-                                     Route->Kind == Repeatability::Idempotent);
+  request.Version = State.VersionFor(Service, Call.Id);
   const auto chosen = State.Replicas.choose(request, now);
   if (!chosen)
     return finishOwn("no_upstream");
@@ -376,11 +373,8 @@
         return trySend();
       Body = body;
     }
-    if (HasBegun && Now.IsSwallowed) {
-      log("cut", Now.Head.Status, "resume_failed");
-      IsDone = true;
-      return Exchange->abort();
-    }
+    if (HasBegun && Now.IsSwallowed)
+      return cut("resume_failed");
     noteBegun();
     return finishWhole();
   }
@@ -417,10 +411,8 @@
   }
   if (HasBegun) {
     endSend(SendResult::Broken);
-    log("cut", Now.Head.Status, "upstream_broke_off");
-    IsDone = true;
-    Timer.cancel();
-    return Exchange->abort();
+    Life->noteFailed();
+    return resume() ? trySend() : cut("upstream_broke_off");
   }
   if (Now.IsNotRun)
     Life->noteNotRun();
@@ -432,9 +424,33 @@
                                                  : "upstream_broke_off");
 }
 
+/// A stream whose upstream broke off may go on at another one behind the last
+/// whole event, inside the same answer; its caller sees a pause and no cut.
+bool GatewayCall::resume() {
+  if (!Route->IsResumable || !Life->mayResume(bootNow()) || !mayRepeat())
+    return false;
+  Events.takePart();
+  LogLine(Severity::Info, "stream goes on elsewhere")
+      .field("id", Call.Id)
+      .field("from", Now.Replica.text())
+      .field("after_event", Events.lastId());
+  return true;
+}
+
+/// Ends an answer that was begun and can't be made whole, so that its caller
+/// can tell.
+void GatewayCall::cut(const char *cause) {
+  log("cut", Now.Head.Status, cause);
+  IsDone = true;
+  Timer.cancel();
+  Exchange->abort();
+}
+
 void GatewayCall::tryAgainOrFinish(const char *cause) {
   Body.clear();
-  if (Life->mayTry(bootNow()) && mayRepeat())
+  const Instant now = bootNow();
+  const bool mayGoOn = HasBegun ? Life->mayResume(now) : Life->mayTry(now);
+  if (mayGoOn && mayRepeat())
     return trySend();
   finishOwn(cause);
 }
@@ -451,6 +467,8 @@
 }
 
 void GatewayCall::finishOwn(const char *cause) {
+  if (HasBegun)
+    return cut(cause);
   switch (Life->ending(bootNow())) {
   case CallEnding::NotRun:
     return refuse(Unavailable, cause, spreadRetry(milliseconds(100)));
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -54,6 +54,8 @@
   void armTimer();
   void endSend(SendResult result);
   void recordOutcome(SendResult result);
+  bool resume();
+  void cut(const char *cause);
   void tryAgainOrFinish(const char *cause);
   void beginAnswer();
   void passOn(std::string_view bytes);
--- a/Services/sorrelbayd/GatewayMoves.cpp
+++ b/Services/sorrelbayd/GatewayMoves.cpp
@@ -97,7 +97,9 @@
     Route route;
     route.Id = it.Name;
     route.Service = move.Order.Service;
-    route.Repeatable = it.Kind == Repeatability::Idempotent;
+    // All routes move together: an order gives seconds, and those that may not
+    // be repeated would wait for calls of the others that may never come.
+    route.Repeatable = true;
     route.LatencyTarget = it.LatencyTarget;
     plan.Routes.push_back(route);
   }
@@ -192,7 +194,7 @@
 
 VersionChoice GatewayMoves::versionFor(const ServiceId &service,
                                        const std::string &callId,
-                                       bool isRepeatable, Instant now) const {
+                                       Instant now) const {
   for (const auto &[name, move] : Moves) {
     if (move.Order.Service != service)
       continue;
@@ -203,8 +205,8 @@
         (move.Run && move.Run->state() == RolloutState::TakenBack);
     if (isBack || !move.Run)
       return {move.Old, move.Order.Target};
-    const VersionId chosen = chooseVersion(move.Run->shares(), callId,
-                                           isRepeatable, State.Time.at(now));
+    const VersionId chosen =
+        chooseVersion(move.Run->shares(), callId, true, State.Time.at(now));
     const bool isNew = chosen == move.Run->plan().New;
     return {isNew ? move.Order.Target : move.Old, VersionId()};
   }
--- a/Services/sorrelbayd/GatewayMoves.h
+++ b/Services/sorrelbayd/GatewayMoves.h
@@ -26,7 +26,7 @@
   void tick(Instant now);
 
   VersionChoice versionFor(const ServiceId &service, const std::string &callId,
-                           bool isRepeatable, Instant now) const;
+                           Instant now) const;
   /// A send to an upstream of that version has ended.
   void record(const ServiceId &service, const VersionId &version,
               const RouteId &route, UpstreamOutcome outcome);
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -63,8 +63,7 @@
   std::optional<Instant> StoppingSince;
   bool isStopping() const { return StoppingSince.has_value(); }
   /// Which version a call goes to and how it did; set where moves are kept.
-  std::function<VersionChoice(const ServiceId &, const std::string &callId,
-                              bool isRepeatable)>
+  std::function<VersionChoice(const ServiceId &, const std::string &callId)>
       VersionFor;
   std::function<void(const ServiceId &, const VersionId &, const RouteId &,
                      UpstreamOutcome)>
--- a/Tests/LibServing/TestCallLife.cpp
+++ b/Tests/LibServing/TestCallLife.cpp
@@ -46,6 +46,21 @@
   BOOST_TEST(!answering.mayTry(Start));
 }
 
+BOOST_AUTO_TEST_CASE(only_what_may_be_repeated_goes_on_after_its_first_byte) {
+  for (const bool mayRepeat : {true, false}) {
+    CallLife life(mayRepeat ? Repeatability::Idempotent
+                            : Repeatability::OnceOnly,
+                  2, Deadline);
+    life.noteSending();
+    life.noteAnswering();
+    BOOST_TEST(!life.mayResume(Start));
+    life.noteFailed();
+    BOOST_TEST(life.mayResume(Start) == mayRepeat);
+    BOOST_TEST(!life.mayResume(Deadline));
+    BOOST_TEST(!life.mayTry(Start));
+  }
+}
+
 // Seeds play every order of events; whatever happens, a once-only call is never
 // sent once it may have run, and "not run" is never said of one that may have.
 BOOST_AUTO_TEST_CASE(randomised_lives_keep_their_promises) {
--- a/Tests/sorrelbayd/GatewayWorld.cpp
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -30,7 +30,14 @@
   route.PathPrefix = "/a/";
   route.Split = {{ServiceId("desk"), 1}};
   route.Timeout = seconds(3);
-  plan.Routes = {route};
+  ServingRoute stream = route;
+  stream.Name = RouteId("s");
+  stream.PathPrefix = "/s/";
+  stream.IsStream = true;
+  stream.IsResumable = true;
+  stream.Kind = Repeatability::Idempotent;
+  stream.MaxAttempts = 2;
+  plan.Routes = {route, stream};
   ServingTeam team;
   team.Name = TeamId("team");
   team.Keys = {object.Body.substr(at + 1)};
@@ -78,6 +85,8 @@
   bounds.Grace = grace;
   bounds.PlanInForce = seconds(2);
   bounds.KeyRemoval = keyRemoval;
+  bounds.RepeatShare = 0.2;
+  bounds.RepeatSlack = 20;
   bounds.RepeatWindow = seconds(10);
   bounds.Lease = seconds(3);
   bounds.UsageWindow = seconds(5);
@@ -234,6 +243,7 @@
     call.Path = request.Path;
     call.Body = request.Body;
     call.Headers = {{"X-Replica", it.Replica.text()},
+                    {"X-After", it.ResumeAfter},
                     {"X-Call", headerValue(request.Headers, "X-Call")},
                     {"X-Team", it.Team.text()}};
     return call;
--- a/Tests/sorrelbayd/GatewayWorld.h
+++ b/Tests/sorrelbayd/GatewayWorld.h
@@ -43,8 +43,9 @@
 };
 
 /// A gateway with a store in memory and one upstream that the test scripts, all
-/// in this process. Plans are written "version;key": one route "/a/" to the
-/// service "desk", open to the key.
+/// in this process. Plans are written "version;key": a route "/a/" that
+/// may not be repeated and one of resumable streams "/s/", both to the service
+/// "desk" and open to the key.
 class GatewayWorld {
 public:
   using Answer = std::function<void(std::shared_ptr<HttpExchange>)>;
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -91,6 +91,29 @@
   BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
 }
 
+// A replica is reclaimed in the middle of a chat, and in the middle of an
+// event. Its user would see half an answer, or the same words twice.
+BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_upstream) {
+  GatewayWorld world;
+  world.addReplica("r2");
+  world.callUntil(200, "key");
+  world.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+    const HttpHeaders id = {
+        {"X-Call", headerValue(it->request().Headers, "X-Call")}};
+    it->begin(200, id, std::nullopt);
+    if (headerValue(it->request().Headers, "X-After") == "2") {
+      it->write("id: 3\ndata: c\n\n");
+      it->end();
+      return;
+    }
+    it->write("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+    it->onDrained([it] { it->abort(); });
+  };
+  const HttpReply reply = world.callUntil(200, "key", "/s/1");
+  BOOST_TEST(reply.Body ==
+             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
+}
+
 namespace {
 
 /// Calls until the move's status says so; returns how many calls went to the
