--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -127,6 +127,10 @@
   int coming = 0;
   int largest = 0;
   for (const auto &[zone, it] : seen) {
+    // A notice is the first that is heard of a shortage; waiting for the first
+    // refusal costs the seconds that the notice gives.
+    if (it.IsReclaimed)
+      ScarceSince = now;
     const int n = it.IsReclaimed ? it.Reclaimable
                                  : expected(zone, true, it.Reclaimable, now);
     coming += n;
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -109,6 +109,24 @@
   BOOST_TEST(cloud.total(true) >= plan.needed());
 }
 
+// The notice of a reclaim comes seconds before the replicas go. On-demand ones
+// that are ordered only when reclaimable ones have been refused come when the
+// next zone is gone, too.
+BOOST_AUTO_TEST_CASE(a_notice_brings_on_demand_replicas_at_once) {
+  Cloud cloud;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  const ServiceLoad load{110, 700000};
+  cloud.run(plan, load, seconds(40));
+  BOOST_TEST(cloud.total(false) == 0);
+  cloud.IsDry = true;
+  for (const char *zone : {"c", "d"}) {
+    cloud.Seen[ZoneId(zone)].Reclaimable = 0;
+    cloud.Seen[ZoneId(zone)].IsReclaimed = true;
+  }
+  cloud.run(plan, load, cloud.Bounds.BootTime + milliseconds(500));
+  BOOST_TEST(cloud.total(false) > 0);
+}
+
 // A plan that took its own orders for the level that it found ordered more with
 // each round.
 BOOST_AUTO_TEST_CASE(a_plan_does_not_grow_by_its_own_orders) {
