--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -115,6 +115,22 @@
       [this](const FleetReport &report) { heard(report); });
 }
 
+void Gateway::listenForMetrics() {
+  if (State.Settings.MetricsListen.empty())
+    return;
+  AsyncHttpServerHooks hooks;
+  hooks.Limits = [] { return HttpLimits{}; };
+  hooks.Handle = [this](const std::shared_ptr<HttpExchange> &exchange) {
+    State.Counts.setOpenCalls(Callers->openRequests());
+    State.Counts.setBundleGeneration(State.Plan ? State.Plan->plan().Version
+                                                : 0);
+    exchange->respond(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
+                      State.Counts.render());
+  };
+  MetricsServer = std::make_unique<AsyncHttpServer>(
+      Loop, State.Settings.MetricsListen, hooks);
+}
+
 void Gateway::watchStore() {
   KindWatcherSettings settings;
   const Duration bound =
@@ -407,6 +423,7 @@
 
 void Gateway::start() {
   listen();
+  listenForMetrics();
   watchStore();
   findPeers();
   repeat(TickTimer, TickInterval, [this] { tick(); });
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -41,6 +41,7 @@
 
 private:
   void listen();
+  void listenForMetrics();
   void watchStore();
   void takePlan(const KeptObject &object);
   void takeReplica(const KeptObject &object);
@@ -68,6 +69,7 @@
   std::unique_ptr<AsyncHttpServer> Callers;
   std::unique_ptr<AsyncHttpServer> Readiness;
   std::unique_ptr<AsyncHttpServer> Addresses;
+  std::unique_ptr<AsyncHttpServer> MetricsServer;
   std::unique_ptr<FleetLink> Link;
   std::unique_ptr<KindWatcher> Plans;
   std::unique_ptr<KindWatcher> Replicas;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -504,6 +504,10 @@
 
 void GatewayCall::log(const char *outcome, int status, const char *cause) {
   const Instant now = bootNow();
+  const std::string route = Route ? Route->Name.text() : "";
+  State.Counts.countCall(route, *cause == 0 ? outcome : cause);
+  if (FirstByteAt != Instant{})
+    State.Counts.observeFirstToken(route, FirstByteAt - ReceivedAt);
   const bool isGood = status / 100 == 2 && *cause == 0;
   LogBudget &budget = isGood ? State.GoodCallLines : State.BadCallLines;
   if (!budget.take(now))
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -69,6 +69,8 @@
   settings.ReadinessListen = addressAt(listen, "readiness");
   settings.AddressListen = addressAt(listen, "addresses");
   settings.PeerListen = addressAt(listen, "peers");
+  if (listen.has("metrics"))
+    settings.MetricsListen = addressAt(listen, "metrics");
   TomlReader store = all.table("store");
   settings.StoreAddress = addressAt(store, "address");
   TomlReader cloud = all.table("cloud");
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -57,6 +57,8 @@
   std::string AddressListen;
   /// Where other daemons connect.
   std::string PeerListen;
+  /// Where metrics are read; empty for nowhere.
+  std::string MetricsListen;
   std::string StoreAddress;
   std::string CloudAddress;
   /// Calls a second of the cloud's duties, from all hosts.
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -13,6 +13,7 @@
 #include "LibServing/TeamMeter.h"
 #include "LibServing/TrueTime.h"
 #include "LibServing/UsageCounts.h"
+#include "Metrics.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -61,6 +62,7 @@
   LogBudget BadCallLines{200};
   /// When the stop was asked for; nothing while the host serves.
   std::optional<Instant> StoppingSince;
+  Metrics Counts;
   bool isStopping() const { return StoppingSince.has_value(); }
   /// Which version a call goes to and how it did; set where moves are kept.
   std::function<VersionChoice(const ServiceId &, const std::string &callId)>
--- /dev/null
+++ b/Tests/sorrelbayd/TestGatewaySettings.cpp
@@ -0,0 +1,96 @@
+#include "GatewaySettings.h"
+#include "LibBase/TomlReader.h"
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+namespace {
+
+const std::string Good = R"(bundle_source = "store"
+[host]
+name = "edge-1"
+zone = "z"
+region = "r"
+[listen]
+callers = "10.0.0.1:1"
+readiness = "10.0.0.1:2"
+addresses = "10.0.0.1:3"
+peers = "10.0.0.1:4"
+metrics = "10.0.0.1:5"
+[store]
+address = "10.1.0.1:1"
+[cloud]
+address = "10.1.0.2:1"
+duty_calls_per_second = 50.0
+[upstreams]
+heartbeat_ms = 1200
+[bounds]
+drain_ms = 2000
+grace_s = 8
+plan_in_force_ms = 2000
+key_removal_ms = 5000
+keys_fail_closed = true
+repeat_share = 0.2
+repeat_window_s = 10
+repeat_slack = 54
+allotment_slack = 140000
+lease_ms = 3000
+usage_window_s = 5
+usage_due_s = 10
+trial_share = 0.1
+trial_slack = 50
+trial_end_ms = 5000
+address_ttl_s = 5
+)";
+
+struct Change {
+  const char *From;
+  const char *To;
+  /// The key that the fault names.
+  const char *Key;
+};
+
+std::ostream &operator<<(std::ostream &out, const Change &it) {
+  return out << it.To;
+}
+
+const Change Changes[] = {
+    {"drain_ms = 2000", "drain_ms = \"soon\"", "drain_ms"},
+    {"drain_ms = 2000", "", "drain_ms"},
+    {"callers = \"10.0.0.1:1\"", "callers = \"10.0.0.1\"", "callers"},
+    {"repeat_share = 0.2", "repeat_share = 7.0", "repeat_share"},
+    {"zone = \"z\"", "zone = \"z\"\nzoen = \"y\"", "zoen"},
+    {"name = \"edge-1\"", "", "name"},
+    {"key_removal_ms = 5000", "key_removal_ms = 0", "key_removal_ms"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(gateway_settings)
+
+BOOST_AUTO_TEST_CASE(good_settings_are_read) {
+  BOOST_TEST(namesStoreAsBundleSource(Good));
+  BOOST_TEST(!namesStoreAsBundleSource("host = \"a\""));
+  const GatewaySettings settings = parseGatewaySettings(Good, "file");
+  BOOST_TEST(settings.Host.text() == "edge-1");
+  BOOST_TEST((settings.Bounds.Grace == seconds(8)));
+  BOOST_TEST(settings.Bounds.AllotmentSlack == 140000);
+  BOOST_TEST(settings.MetricsListen == "10.0.0.1:5");
+}
+
+BOOST_DATA_TEST_CASE(each_fault_is_named_by_its_key,
+                     boost::unit_test::data::make(Changes), it) {
+  std::string text = Good;
+  text.replace(text.find(it.From), std::string(it.From).size(), it.To);
+  try {
+    parseGatewaySettings(text, "file");
+    BOOST_TEST(false);
+  } catch (const TomlRefused &refused) {
+    BOOST_REQUIRE(!refused.faults().empty());
+    BOOST_TEST(refused.faults().front().Key.find(it.Key) != std::string::npos);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
