--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -100,7 +100,7 @@
 
 std::optional<UpstreamId> ReplicaTable::choose(const ReplicaRequest &request,
                                                Instant now) {
-  const auto chosen = chooseOf(request, now);
+  auto chosen = chooseOf(request, now);
   if (chosen || request.Version.First.empty())
     return chosen;
   ReplicaRequest ofAny = request;
