--- a/Meta/sorrelbay.sh
+++ b/Meta/sorrelbay.sh
@@ -60,7 +60,7 @@
 soak() {
   local seeds=100
   [ "${1:-}" = --seeds ] && seeds=$2
-  for program in TestLibDecision TestLibPeer; do
+  for program in TestLibDecision TestLibPeer TestLibServing; do
     SORRELBAY_SOAK_SEEDS=$seeds "$BUILD/$program" --run_test='*randomised*:*/*randomised*' --log_level=message
   done
 }
