--- a/Libraries/LibServing/UsageCounts.cpp
+++ b/Libraries/LibServing/UsageCounts.cpp
@@ -3,6 +3,23 @@
 
 namespace sorrelbay {
 
+std::optional<WindowNumber> mostUrgent(const std::vector<WindowNumber> &windows,
+                                       Duration window, Duration dueAfterEnd,
+                                       Instant trueNow) {
+  std::optional<WindowNumber> next;
+  bool isNextOverdue = false;
+  for (const WindowNumber it : windows) {
+    const bool isOverdue = Instant((it + 1) * window) + dueAfterEnd <= trueNow;
+    const bool isSooner =
+        !next || (isNextOverdue != isOverdue ? isNextOverdue : it < *next);
+    if (!isSooner)
+      continue;
+    next = it;
+    isNextOverdue = isOverdue;
+  }
+  return next;
+}
+
 WindowNumber UsageCounts::windowAt(Instant trueTime) const {
   return trueTime.time_since_epoch() / Window;
 }
--- a/Libraries/LibServing/UsageCounts.h
+++ b/Libraries/LibServing/UsageCounts.h
@@ -4,6 +4,8 @@
 #include "LibBase/Time.h"
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -41,4 +43,12 @@
   std::map<WindowNumber, std::map<IncarnationId, TeamCounts>> Counts;
 };
 
+/// Which of the windows to report first: the one that is due next; those whose
+/// time is over already come last, since nothing is lost by their waiting.
+/// Nothing if there is none. The window and the due time are spans; the time is
+/// true time since 1970.
+std::optional<WindowNumber> mostUrgent(const std::vector<WindowNumber> &windows,
+                                       Duration window, Duration dueAfterEnd,
+                                       Instant trueNow);
+
 } // namespace sorrelbay
--- a/Services/sorrelbayd/UsageReporter.cpp
+++ b/Services/sorrelbayd/UsageReporter.cpp
@@ -44,6 +44,7 @@
                              Recorded.clear();
                            }
                            ReadInTerm = term;
+                           tick(bootNow());
                          });
 }
 
@@ -65,6 +66,7 @@
     IsWaiting = false;
     if (result.Got) {
       Revision = result.Got->Revision;
+      tick(bootNow());
       return;
     }
     // Not recorded, or not known to be: nothing may be reported from it before
@@ -79,10 +81,16 @@
 }
 
 void UsageReporter::report() {
-  WindowNumber window = 0;
+  std::vector<WindowNumber> open;
   for (const auto &[number, it] : Recorded)
-    if (!it.IsAccepted && window == 0)
-      window = number;
+    if (!it.IsAccepted)
+      open.push_back(number);
+  const GatewayBounds &bounds = State.Settings.Bounds;
+  const auto next = mostUrgent(open, bounds.UsageWindow, bounds.UsageDue,
+                               State.Time.at(bootNow()));
+  if (!next)
+    return;
+  const WindowNumber window = *next;
   IsWaiting = true;
   State.Hooks.Cloud.ReportUsage(Duties.stamp(), window, Recorded[window].Counts,
                                 [this, window](CloudResult result) {
@@ -91,8 +99,11 @@
                                       .field("window", window)
                                       .field("result",
                                              static_cast<std::int64_t>(result));
-                                  if (result == CloudResult::Accepted)
-                                    Recorded[window].IsAccepted = true;
+                                  if (result != CloudResult::Accepted)
+                                    return;
+                                  Recorded[window].IsAccepted = true;
+                                  // A new holder has windows to catch up with.
+                                  tick(bootNow());
                                 });
 }
 
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -23,6 +23,24 @@
   }
 }
 
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(usage_order)
+
+// A new holder of the duty finds four windows open, one of them long overdue.
+// Taken in order, the overdue one held up one that could still be in time
+// (the operators' incident inc-ead2).
+BOOST_AUTO_TEST_CASE(windows_that_can_still_be_in_time_go_first) {
+  const auto next = [](const std::vector<WindowNumber> &windows, int now) {
+    return mostUrgent(windows, seconds(5), seconds(10), Instant(seconds(now)))
+        .value_or(-1);
+  };
+  BOOST_TEST(next({10, 11, 12}, 60) == 10);
+  BOOST_TEST(next({10, 11, 12}, 66) == 11);
+  BOOST_TEST(next({10, 11, 12}, 71) == 12);
+  BOOST_TEST(next({10, 11, 12}, 99) == 10);
+  BOOST_TEST(next({}, 60) == -1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE(true_time)
 
