--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -8,6 +8,10 @@
 /// Sends after which the failure share is believed.
 static constexpr double EnoughSeen = 3;
 static constexpr double MostSeen = 20;
+/// What an upstream in another zone counts as more, in open calls.
+static constexpr double OtherZoneCalls = 0.5;
+/// Decides between equals and is less than any difference.
+static constexpr double DrawWeight = 0.1;
 
 ReplicaTable::ReplicaTable(ReplicaTableSettings settings)
     : Settings(settings) {}
@@ -69,16 +73,18 @@
   return version.First.empty() || record.OfVersion == version.First;
 }
 
+bool ReplicaTable::fits(const Entry &entry,
+                        const ReplicaRequest &request) const {
+  const bool wasTried = std::find(request.Tried.begin(), request.Tried.end(),
+                                  entry.Record.Id) != request.Tried.end();
+  return entry.Record.OfService == request.ForService &&
+         !entry.Record.IsLeaving && !wasTried &&
+         isOfVersion(entry.Record, request);
+}
+
 bool ReplicaTable::mayTake(const Entry &entry, const ReplicaRequest &request,
                            Instant now) const {
-  if (entry.Record.OfService != request.ForService || entry.Record.IsLeaving)
-    return false;
-  if (!isOfVersion(entry.Record, request))
-    return false;
-  if (now < entry.EjectedUntil || entry.IsProbed)
-    return false;
-  return std::find(request.Tried.begin(), request.Tried.end(),
-                   entry.Record.Id) == request.Tried.end();
+  return fits(entry, request) && now >= entry.EjectedUntil && !entry.IsProbed;
 }
 
 double ReplicaTable::loadOf(const Entry &entry) const {
@@ -108,60 +114,71 @@
   return chooseOf(ofAny, now);
 }
 
-std::optional<UpstreamId> ReplicaTable::chooseOf(const ReplicaRequest &request,
-                                                 Instant now) {
+/// The upstreams that may take the call; if all that could have failed lately,
+/// those, because better one that may fail than none.
+std::vector<ReplicaTable::Entry *>
+ReplicaTable::ableTo(const ReplicaRequest &request, Instant now) {
   std::vector<Entry *> able;
-  for (auto &[id, entry] : Entries)
+  std::vector<Entry *> doubtful;
+  for (auto &[id, entry] : Entries) {
     if (mayTake(entry, request, now))
       able.push_back(&entry);
-  if (able.empty()) {
-    // Better one that has failed lately than none.
-    for (auto &[id, entry] : Entries) {
-      const bool wasTried =
-          std::find(request.Tried.begin(), request.Tried.end(), id) !=
-          request.Tried.end();
-      if (entry.Record.OfService == request.ForService &&
-          !entry.Record.IsLeaving && !wasTried &&
-          isOfVersion(entry.Record, request))
-        able.push_back(&entry);
+    else if (fits(entry, request))
+      doubtful.push_back(&entry);
+  }
+  return able.empty() ? doubtful : able;
+}
+
+/// The one with least to do, in the own zone where that is equal.
+ReplicaTable::Entry *ReplicaTable::leastBusy(const std::vector<Entry *> &able,
+                                             const ReplicaRequest &request) {
+  Entry *best = nullptr;
+  double bestCost = std::numeric_limits<double>::max();
+  for (Entry *it : able) {
+    const std::uint64_t draw = stableHash(it->Record.Id.text(), request.Seed);
+    const double zone =
+        it->Record.InZone == request.OwnZone ? 0 : OtherZoneCalls;
+    const double cost = it->Own.Calls + it->Peers.Calls + zone +
+                        DrawWeight * hashFraction(draw);
+    if (cost < bestCost) {
+      bestCost = cost;
+      best = it;
     }
   }
-  if (able.empty())
-    return std::nullopt;
+  return best;
+}
+
+/// The conversation's home, or the next in its order if the home has too much
+/// to do; the order is the same on all hosts.
+ReplicaTable::Entry *
+ReplicaTable::homeOf(const std::string &conversation,
+                     const std::vector<Entry *> &able) const {
   double least = std::numeric_limits<double>::max();
   for (const Entry *it : able)
     least = std::min(least, loadOf(*it));
-  const std::string conversation = conversationOf(request.Prompt);
   Entry *best = nullptr;
-  if (conversation.empty()) {
-    double bestCost = std::numeric_limits<double>::max();
-    for (Entry *it : able) {
-      const std::uint64_t draw = stableHash(it->Record.Id.text(), request.Seed);
-      const double zone = it->Record.InZone == request.OwnZone ? 0 : 0.5;
-      const double cost =
-          it->Own.Calls + it->Peers.Calls + zone + 0.1 * hashFraction(draw);
-      if (cost < bestCost) {
-        bestCost = cost;
-        best = it;
-      }
-    }
-  } else {
-    // A home that has too much to do passes its conversations on to the next in
-    // the order, which is again the same on all hosts.
-    std::uint64_t bestDraw = 0;
-    for (Entry *it : able) {
-      const double slots = std::max(1, it->Record.Slots);
-      const double allowed =
-          least * (1 + Settings.HomeSlack) +
-          static_cast<double>(Settings.HomeSlackTokens) / slots;
-      const std::uint64_t draw =
-          stableHash(it->Record.Id.text(), stableHash(conversation));
-      if (loadOf(*it) <= allowed && (!best || draw > bestDraw)) {
-        best = it;
-        bestDraw = draw;
-      }
+  std::uint64_t bestDraw = 0;
+  for (Entry *it : able) {
+    const double slots = std::max(1, it->Record.Slots);
+    const double allowed =
+        least * (1 + Settings.HomeSlack) +
+        static_cast<double>(Settings.HomeSlackTokens) / slots;
+    const std::uint64_t draw =
+        stableHash(it->Record.Id.text(), stableHash(conversation));
+    if (loadOf(*it) <= allowed && (!best || draw > bestDraw)) {
+      best = it;
+      bestDraw = draw;
     }
   }
+  return best;
+}
+
+std::optional<UpstreamId> ReplicaTable::chooseOf(const ReplicaRequest &request,
+                                                 Instant now) {
+  const std::vector<Entry *> able = ableTo(request, now);
+  const std::string conversation = conversationOf(request.Prompt);
+  Entry *best = conversation.empty() ? leastBusy(able, request)
+                                     : homeOf(conversation, able);
   if (!best)
     return std::nullopt;
   if (best->LastEjection > Duration::zero() && best->Seen == 0)
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -152,6 +152,12 @@
 
   std::optional<UpstreamId> chooseOf(const ReplicaRequest &request,
                                      Instant now);
+  std::vector<Entry *> ableTo(const ReplicaRequest &request, Instant now);
+  static Entry *leastBusy(const std::vector<Entry *> &able,
+                          const ReplicaRequest &request);
+  Entry *homeOf(const std::string &conversation,
+                const std::vector<Entry *> &able) const;
+  bool fits(const Entry &entry, const ReplicaRequest &request) const;
   bool mayTake(const Entry &entry, const ReplicaRequest &request,
                Instant now) const;
   double loadOf(const Entry &entry) const;
