sorrelbayd: Keep to a host's part of an upstream's connections, and to the cloud's pace

Cause: found in reading: the configuration says how many connections an upstream takes from all hosts and how many duty calls the cloud takes a second; both were read and not used.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -415,6 +415,11 @@
   return it == All->Open.end() ? 0 : it->second;
 }
 
+bool AsyncHttpClient::hasIdle(const std::string &address) const {
+  const auto it = All->Idle.find(address);
+  return it != All->Idle.end() && !it->second.empty();
+}
+
 void AsyncHttpClient::forget(const std::string &address) {
   const auto it = All->Idle.find(address);
   if (it == All->Idle.end())
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -97,6 +97,8 @@
                                        std::optional<Duration> freshness = {});
   /// Connections to the address, in use and kept.
   std::size_t connections(const std::string &address) const;
+  /// Whether a kept connection to the address waits for a call.
+  bool hasIdle(const std::string &address) const;
   /// Closes the kept connections to an address that is no longer used.
   void forget(const std::string &address);
   HttpClientCounts counts() const;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -202,10 +202,18 @@
          it->second.takeRetry(RetryLayer::EntryHost);
 }
 
-void GatewayCall::trySend() {
-  const Instant now = bootNow();
-  if (HasBegun ? !Life->mayResume(now) : !Life->mayTry(now))
-    return finishOwn("no_attempt_left");
+/// An upstream takes so many connections from all hosts together and resets
+/// those beyond, with the calls on them; each host keeps to its part.
+bool GatewayCall::hasConnectionFor(const std::string &address) const {
+  const ServingService *service = Plan->service(Service);
+  if (!service || service->MaxConnections <= 0 || State.Client.hasIdle(address))
+    return true;
+  const int most = std::max(1, service->MaxConnections / State.hostCount());
+  return State.Client.connections(address) < static_cast<std::size_t>(most);
+}
+
+/// The upstream for the next send. Those that were passed over count as tried.
+std::optional<UpstreamId> GatewayCall::chooseUpstream(Instant now) {
   const ServingService *service = Plan->service(Service);
   ReplicaRequest request;
   request.ForService = Service;
@@ -213,14 +221,27 @@
   if (service && service->Engine)
     request.Prompt = Call.Prompt;
   request.PromptTokens = Call.PromptTokens.value_or(0);
-  request.Tried = Tried;
   request.Seed = State.Random();
   request.Version = State.VersionFor(Service, Call.Id);
-  const auto chosen = State.Replicas.choose(request, now);
+  for (;;) {
+    request.Tried = Tried;
+    auto chosen = State.Replicas.choose(request, now);
+    if (!chosen)
+      return chosen;
+    Tried.push_back(*chosen);
+    if (hasConnectionFor(State.Replicas.find(*chosen)->Address))
+      return chosen;
+  }
+}
+
+void GatewayCall::trySend() {
+  const Instant now = bootNow();
+  if (HasBegun ? !Life->mayResume(now) : !Life->mayTry(now))
+    return finishOwn("no_attempt_left");
+  const auto chosen = chooseUpstream(now);
   if (!chosen)
     return finishOwn("no_upstream");
   const ReplicaRecord *replica = State.Replicas.find(*chosen);
-  Tried.push_back(*chosen);
   UpstreamTry attempt;
   attempt.Replica = *chosen;
   attempt.Address = replica->Address;
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -54,6 +54,8 @@
   void armTimer();
   void endSend(SendResult result);
   void recordOutcome(SendResult result);
+  std::optional<UpstreamId> chooseUpstream(Instant now);
+  bool hasConnectionFor(const std::string &address) const;
   bool resume();
   void cut(const char *cause);
   void tryAgainOrFinish(const char *cause);
--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -72,9 +72,14 @@
   }
 }
 
-void ReplicaOrders::send(Instant /*now*/) {
+void ReplicaOrders::send(Instant now) {
   if (IsSending || Waiting.empty())
     return;
+  // The cloud refuses what comes faster; the next tick goes on.
+  const Duration gap = fromSeconds(1 / State.Settings.DutyCallsPerSecond);
+  if (now - SentAt < gap)
+    return;
+  SentAt = now;
   const ReplicaOrder order = Waiting.front();
   Waiting.pop_front();
   IsSending = true;
--- a/Services/sorrelbayd/ReplicaOrders.h
+++ b/Services/sorrelbayd/ReplicaOrders.h
@@ -30,6 +30,7 @@
   std::uint64_t MadeInTerm = 0;
   std::deque<ReplicaOrder> Waiting;
   bool IsSending = false;
+  Instant SentAt{};
   Instant LoggedAt{};
 };
 
--- a/Tests/sorrelbayd/GatewayWorld.cpp
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -2,6 +2,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
+#include <future>
 
 namespace sorrelbay {
 
@@ -10,6 +11,8 @@
 /// How often an idle watch looks for changes.
 constexpr Duration WatchStep = milliseconds(10);
 constexpr int MostTries = 400;
+/// That the desk takes.
+constexpr int MaxConnections = 4;
 
 template <typename Value>
 void answer(boost::asio::io_context &loop, const StoreCallback<Value> &done,
@@ -42,7 +45,7 @@
   team.Name = TeamId("team");
   team.Keys = {object.Body.substr(at + 1)};
   plan.Teams = {team};
-  plan.Services.push_back({ServiceId("desk"), 100, {}, {}});
+  plan.Services.push_back({ServiceId("desk"), MaxConnections, {}, {}});
   return plan;
 }
 
@@ -332,6 +335,15 @@
   UpstreamWorker.join();
 }
 
+void GatewayWorld::onUpstream(const std::function<void()> &work) {
+  std::promise<void> done;
+  boost::asio::post(UpstreamLoop, [&] {
+    work();
+    done.set_value();
+  });
+  done.get_future().wait();
+}
+
 void GatewayWorld::addReplica(const std::string &id, bool isLeaving) {
   Store.put(StoreKind::Replicas, id,
             UpstreamServer->address() + (isLeaving ? " leaving" : " ready"));
--- a/Tests/sorrelbayd/GatewayWorld.h
+++ b/Tests/sorrelbayd/GatewayWorld.h
@@ -63,6 +63,8 @@
   /// is.
   HttpReply callUntil(int status, const std::string &key,
                       const std::string &path = "/a/1");
+  /// Runs the work where exchanges of the upstream belong, and waits for it.
+  void onUpstream(const std::function<void()> &work);
   void addReplica(const std::string &id, bool isLeaving = false);
 
   FakeStore Store;
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -169,6 +169,29 @@
     BOOST_TEST(world.call("key").Body == "new1");
 }
 
+// A desk takes four connections from all hosts and resets those beyond. A call
+// on one of these may have run, and its caller is told neither.
+BOOST_AUTO_TEST_CASE(no_more_connections_are_opened_than_an_upstream_takes) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  std::vector<std::shared_ptr<HttpExchange>> open;
+  world.Upstream = [&](std::shared_ptr<HttpExchange> it) {
+    open.push_back(std::move(it));
+  };
+  std::vector<std::thread> callers;
+  for (int n = 0; n < 4; ++n)
+    callers.emplace_back([&] { world.call("key"); });
+  while (world.UpstreamCalls < 5)
+    std::this_thread::sleep_for(milliseconds(5));
+  const HttpReply reply = world.call("key");
+  BOOST_TEST(reply.Status == 503);
+  BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
+  BOOST_TEST(world.UpstreamCalls == 5);
+  for (std::thread &it : callers)
+    it.join();
+  world.onUpstream([&] { open.clear(); });
+}
+
 // A host is told to stop; callers that still have its address go on sending
 // long calls, which would be cut with the process (the operators' incident
 // inc-df1e).
@@ -199,6 +222,7 @@
   stopping.join();
   world.Served.reset();
   caller.join();
+  world.onUpstream([&] { open.reset(); });
 }
 
 BOOST_AUTO_TEST_SUITE_END()
