LibServing: Count a trial of an ejected upstream when it is sent

Cause: the choice marked the upstream as being tried; passed over afterwards for its connections, it would have stayed out for ever. Change: the mark is set with the send. a_trial_that_was_not_sent_does_not_keep_an_upstream_out fails without it. Kept connections to an upstream that is gone are closed.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -181,8 +181,6 @@
                                      : homeOf(conversation, able);
   if (!best)
     return std::nullopt;
-  if (best->LastEjection > Duration::zero() && best->Seen == 0)
-    best->IsProbed = true;
   return best->Record.Id;
 }
 
@@ -190,6 +188,11 @@
   const auto it = Entries.find(id);
   if (it == Entries.end())
     return;
+  // The first call after an ejection shows whether it works again; until it has
+  // ended no other goes there.
+  Entry &entry = it->second;
+  if (entry.LastEjection > Duration::zero() && entry.Seen == 0)
+    entry.IsProbed = true;
   ++it->second.Own.Calls;
   it->second.Own.PromptTokens += work.PromptTokens;
   it->second.Own.Tokens += work.Tokens;
--- a/Libraries/LibServing/ServingPlan.h
+++ b/Libraries/LibServing/ServingPlan.h
@@ -63,6 +63,7 @@
   int Slots = 1;
   /// Tokens that fit into one engine's memory.
   std::int64_t MemoryTokens = 0;
+  // FIXME: Moves of memory at a reclaim.
   /// A running answer's memory can be moved to another engine.
   bool CanMove = false;
   /// How long a moved memory is kept for its call.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -148,6 +148,8 @@
   replicas.OnObject = [this](const KeptObject &object) { takeReplica(object); };
   replicas.OnRemoved = [this](const std::string &name) {
     LogLine(Severity::Info, "upstream gone").field("upstream", name);
+    if (const ReplicaRecord *it = State.Replicas.find(UpstreamId(name)))
+      State.Client.forget(it->Address);
     State.Replicas.remove(UpstreamId(name));
   };
   replicas.OnConfirmed = [this](Instant begun) {
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -33,6 +33,8 @@
   Duration UsageWindow{};
   /// After the window's end.
   Duration UsageDue{};
+  // FIXME: A hard limit on a trial by these; the judge's steps keep to it
+  // today.
   /// The part of a service's calls that a version may get that is being tried,
   /// and so many calls besides.
   double TrialShare = 0;
--- a/Tests/LibServing/TestReplicaTable.cpp
+++ b/Tests/LibServing/TestReplicaTable.cpp
@@ -102,6 +102,27 @@
   BOOST_TEST(isBack);
 }
 
+// An ejected replica is chosen to be tried again, but the call goes elsewhere.
+// Had the choice counted as the trial, no call would ever have ended it.
+BOOST_AUTO_TEST_CASE(a_trial_that_was_not_sent_does_not_keep_an_upstream_out) {
+  ReplicaTable table;
+  table.note(replica("r0"), Now);
+  table.note(replica("r1"), Now);
+  const UpstreamId bad("r0");
+  for (int n = 0; n < 10; ++n) {
+    table.noteSent(bad, {});
+    table.noteEnded(bad, {}, false, SendResult::Broken, Now);
+  }
+  const Instant later = Now + seconds(30);
+  for (int n = 0; n < 5; ++n)
+    table.noteSent(UpstreamId("r1"), {});
+  const auto it = request("");
+  BOOST_TEST((table.choose(it, later) == bad));
+  BOOST_TEST((table.choose(it, later) == bad));
+  table.noteSent(bad, {});
+  BOOST_TEST((table.choose(it, later) == UpstreamId("r1")));
+}
+
 // All replicas of a desk answer one call in seven with a failure of their own;
 // that is how the desk is, and no reason to stop using it.
 BOOST_AUTO_TEST_CASE(failures_that_all_have_eject_none) {
