--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -179,6 +179,7 @@
     open.push_back(std::move(it));
   };
   std::vector<std::thread> callers;
+  callers.reserve(4);
   for (int n = 0; n < 4; ++n)
     callers.emplace_back([&] { world.call("key"); });
   while (world.UpstreamCalls < 5)
