--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -9,6 +9,7 @@
 namespace sorrelbay {
 
 /// Calls of a service as one host saw them since its process began.
+// FIXME: Nothing reads it yet; it is meant for the forecast of replicas.
 struct ServiceDemand {
   std::int64_t Calls = 0;
   /// Turned away because there was no room.
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -35,8 +35,8 @@
 constexpr int SilenceTargets = 3;
 /// A prompt that others should not be sent behind.
 constexpr std::int64_t LargePromptTokens = 16000;
-/// The part of an allotment's slack that is given to callers; the rest covers
-/// what hosts let in before they hear of each other.
+/// One part in so many of an allotment's slack is given to callers; the rest
+/// covers what hosts let in before they hear of each other.
 constexpr std::int64_t SlackUsed = 4;
 /// Before the last moment at which a key may still count.
 constexpr Duration KeyMargin = milliseconds(100);
