--- a/Libraries/LibObjectApi/KindStore.h
+++ b/Libraries/LibObjectApi/KindStore.h
@@ -56,6 +56,22 @@
   std::uint64_t AsOf = 0;
 };
 
+/// What one host passes on to others of a kind that it watches, so that not
+/// every host asks the store.
+struct KindNews {
+  StoreKind Kind = StoreKind::Plan;
+  /// The changes are those after this revision.
+  std::uint64_t From = 0;
+  KindChanges Changes;
+  /// The changes are too large to be passed on; they have to be asked for.
+  bool IsLeftOut = false;
+  /// Since the call to the store began that brought them.
+  Duration Age{};
+  /// The receiver's own clock as the teller last heard it, in microseconds: the
+  /// news was told later than that, however long it was on its way.
+  std::int64_t Echo = 0;
+};
+
 /// Why a call to the store gave no result.
 enum class StoreFailure {
   /// It did nothing: it is overloaded, down, or wasn't reached.
--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -1,6 +1,7 @@
 #include "LibObjectApi/KindWatcher.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
+#include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <set>
@@ -15,10 +16,15 @@
 
   void list();
   void watch();
+  void next(Instant now);
+  bool mustAsk(Instant now) const;
+  void apply(const KindChanges &changes);
+  void confirm(Instant begun);
+  void hear(const KindNews &news, Instant now);
   void retry(StoreFailure why, bool mustList);
   void succeeded(Instant begun);
   void take(const KeptObject &object);
-  void removed(const std::string &name);
+  void removed(const std::string &name, std::uint64_t revision);
   void releaseHeld();
 
   boost::asio::steady_timer Timer;
@@ -34,6 +40,11 @@
   std::uint64_t AsOf = 0;
   Instant LastSuccess{};
   Instant HoldUntil{};
+  /// When another host was last heard, and by what time all is known.
+  Instant HeardAt{};
+  Instant ConfirmedAt{};
+  /// No call to the store is under way or timed.
+  bool IsResting = false;
   int Failures = 0;
   bool HasListed = false;
   bool IsStopped = false;
@@ -58,11 +69,11 @@
       if (present.count(name) == 0)
         missing.insert(name);
     for (const std::string &name : missing)
-      self->removed(name);
+      self->removed(name, self->Known[name]);
     self->AsOf = result.Got->AsOf;
     self->HasListed = true;
-    self->Hooks.OnConfirmed(begun);
-    self->watch();
+    self->confirm(begun);
+    self->next(bootNow());
   });
 }
 
@@ -71,8 +82,8 @@
     return;
   const Instant begun = bootNow();
   Store.Watch(Kind, AsOf, Settings.Patience,
-              [self = shared_from_this(),
-               begun](const StoreResult<KindChanges> &result) {
+              [self = shared_from_this(), begun,
+               from = AsOf](const StoreResult<KindChanges> &result) {
                 if (self->IsStopped)
                   return;
                 if (!result.Got)
@@ -80,18 +91,61 @@
                                      result.Failure ==
                                          StoreFailure::HistoryGone);
                 self->succeeded(begun);
-                for (const KindChange &it : result.Got->Changes) {
-                  if (it.IsRemoved)
-                    self->removed(it.Object.Name);
-                  else
-                    self->take(it.Object);
-                }
-                self->AsOf = result.Got->AsOf;
-                self->Hooks.OnConfirmed(begun);
-                self->watch();
+                self->apply(*result.Got);
+                self->confirm(begun);
+                self->Hooks.OnWatched(from, *result.Got, begun);
+                self->next(bootNow());
               });
 }
 
+void KindWatcher::Impl::apply(const KindChanges &changes) {
+  for (const KindChange &it : changes.Changes) {
+    if (it.IsRemoved)
+      removed(it.Object.Name, it.Object.Revision);
+    else
+      take(it.Object);
+  }
+  AsOf = std::max(AsOf, changes.AsOf);
+}
+
+void KindWatcher::Impl::confirm(Instant begun) {
+  if (begun <= ConfirmedAt)
+    return;
+  ConfirmedAt = begun;
+  Hooks.OnConfirmed(begun);
+}
+
+bool KindWatcher::Impl::mustAsk(Instant now) const {
+  return Hooks.AsksAlways() ||
+         now - HeardAt > Settings.Patience * Settings.SilentPatiences ||
+         now - ConfirmedAt > Settings.Patience * Settings.OldPatiences;
+}
+
+void KindWatcher::Impl::next(Instant now) {
+  IsResting = !mustAsk(now);
+  if (!IsResting)
+    watch();
+}
+
+void KindWatcher::Impl::hear(const KindNews &news, Instant now) {
+  // What is older than the view says nothing new; before the first list there
+  // is none that changes could be put to.
+  if (!HasListed || news.Changes.AsOf < AsOf)
+    return;
+  if (news.From > AsOf || news.IsLeftOut) {
+    // Something in between was missed: only the store can tell.
+    HeardAt = {};
+    if (IsResting)
+      next(now);
+    return;
+  }
+  HeardAt = now;
+  // Told later than the echo was sent; it may have been on its way for long.
+  const Instant begun = Instant(microseconds(news.Echo)) - news.Age;
+  apply(news.Changes);
+  confirm(begun);
+}
+
 void KindWatcher::Impl::retry(StoreFailure why, bool mustList) {
   if (++Failures == 1)
     LogLine(Severity::Warning, "store view failed")
@@ -130,14 +184,17 @@
 void KindWatcher::Impl::take(const KeptObject &object) {
   Held.erase(object.Name);
   std::uint64_t &revision = Known[object.Name];
-  if (revision == object.Revision)
+  if (revision >= object.Revision)
     return;
   revision = object.Revision;
   Hooks.OnObject(object);
 }
 
-void KindWatcher::Impl::removed(const std::string &name) {
-  if (Known.count(name) == 0)
+void KindWatcher::Impl::removed(const std::string &name,
+                                std::uint64_t revision) {
+  const auto known = Known.find(name);
+  // Of two tellers one may be behind: what it saw removed may be back.
+  if (known == Known.end() || known->second > revision)
     return;
   const Instant now = bootNow();
   if (now >= HoldUntil) {
@@ -173,6 +230,17 @@
 
 void KindWatcher::start() { All->list(); }
 
+void KindWatcher::hear(const KindNews &news, Instant now) {
+  All->hear(news, now);
+}
+
+void KindWatcher::tick(Instant now) {
+  if (All->IsResting && !All->IsStopped)
+    All->next(now);
+}
+
+bool KindWatcher::isFailing() const { return All->Failures != 0; }
+
 void KindWatcher::stop() {
   All->IsStopped = true;
   All->Timer.cancel();
--- a/Libraries/LibObjectApi/KindWatcher.h
+++ b/Libraries/LibObjectApi/KindWatcher.h
@@ -21,6 +21,11 @@
   Duration OutageAfter = seconds(1);
   /// ... within this time; removals wait as long.
   Duration ReturnTime = seconds(2);
+  /// A view that is told by another host is asked for here when so many
+  /// patiences have passed without news, ...
+  int SilentPatiences = 2;
+  /// ... or when the last news may be as old as so many.
+  int OldPatiences = 4;
 };
 
 struct KindWatcherHooks {
@@ -29,11 +34,18 @@
   std::function<void(const std::string &name)> OnRemoved;
   /// All that the store held at that time is known.
   std::function<void(Instant begun)> OnConfirmed;
+  /// The store told what came after that revision, to a call that began then.
+  std::function<void(std::uint64_t from, const KindChanges &, Instant begun)>
+      OnWatched = [](std::uint64_t, const KindChanges &, Instant) {};
+  /// Whether this host asks the store all the time; others wait for news.
+  std::function<bool()> AsksAlways = [] { return true; };
 };
 
 /// Keeps a view of one kind of object: lists it, then watches it, and lists
 /// again where the store has forgotten its history. The view is as old as the
-/// begin of the last call that confirmed it. Belongs to the loop's thread.
+/// begin of the last call that confirmed it. A host that is told of changes by
+/// another one rests, and asks again by itself as soon as the news stop, leave
+/// a gap, or may be too old. Belongs to the loop's thread.
 class KindWatcher {
 public:
   KindWatcher(boost::asio::io_context &loop, KindStore store, StoreKind kind,
@@ -44,6 +56,12 @@
 
   void start();
   void stop();
+  /// Another host has passed on what the store told it.
+  void hear(const KindNews &news, Instant now);
+  /// To be called several times a second.
+  void tick(Instant now);
+  /// The last call to the store failed.
+  bool isFailing() const;
 
   struct Impl;
 
--- a/Libraries/LibPeer/FleetLink.cpp
+++ b/Libraries/LibPeer/FleetLink.cpp
@@ -1,6 +1,5 @@
 #include "LibPeer/FleetLink.h"
 #include "LibBase/LogLine.h"
-#include "LibPeer/FleetReportCodec.h"
 #include "LibPeer/PeerFailures.h"
 #include "LibPeer/PeerSocket.h"
 #include <map>
@@ -20,14 +19,14 @@
     Instant TriedAt{};
   };
 
-  explicit Impl(ReportHook onReport) : OnReport(std::move(onReport)) {}
+  explicit Impl(Hooks hooks) : Told(std::move(hooks)) {}
 
   PeerSocketEvents events();
   void received(ConnectionId connection, const std::string &bytes);
   void closed(ConnectionId connection);
   void drop(Peer &peer);
 
-  ReportHook OnReport;
+  Hooks Told;
   std::unique_ptr<PeerSocket> Socket;
   std::map<HostId, Peer> Peers;
   std::map<ConnectionId, HostId> Outgoing;
@@ -51,7 +50,11 @@
 void FleetLink::Impl::received(ConnectionId connection,
                                const std::string &bytes) {
   try {
-    OnReport(decodeFleetReport(bytes));
+    const FleetMessage message = decodeFleetMessage(bytes);
+    if (const auto *report = std::get_if<FleetReport>(&message))
+      Told.OnReport(*report);
+    else
+      Told.OnNews(std::get<KindNews>(message));
   } catch (const PeerMessageRefused &error) {
     LogLine(Severity::Warning, "peer message refused")
         .field("why", error.what());
@@ -79,8 +82,8 @@
 }
 
 FleetLink::FleetLink(boost::asio::io_context &loop, const std::string &listen,
-                     ReportHook onReport)
-    : All(std::make_shared<Impl>(std::move(onReport))) {
+                     Hooks hooks)
+    : All(std::make_shared<Impl>(std::move(hooks))) {
   All->Socket = std::make_unique<PeerSocket>(listen, All->events(), &loop);
 }
 
@@ -88,37 +91,38 @@
 
 std::string FleetLink::address() const { return All->Socket->address(); }
 
-void FleetLink::addPeer(const HostId &peer, const std::string &address) {
-  Impl::Peer &it = All->Peers[peer];
-  if (it.Address == address)
-    return;
-  All->drop(it);
-  it.Address = address;
-  it.TriedAt = {};
-}
-
-void FleetLink::removePeer(const HostId &peer) {
-  const auto it = All->Peers.find(peer);
-  if (it == All->Peers.end())
-    return;
-  All->drop(it->second);
-  All->Peers.erase(it);
-}
-
-void FleetLink::publish(const FleetReport &report, Instant now) {
-  const std::string bytes = encodeFleetReport(report);
-  for (auto &[id, peer] : All->Peers) {
-    if (peer.IsOpen) {
-      All->Socket->send(peer.Connection, bytes);
+void FleetLink::keep(const std::map<HostId, std::string> &peers, Instant now) {
+  for (auto it = All->Peers.begin(); it != All->Peers.end();) {
+    const auto wanted = peers.find(it->first);
+    const bool isWanted =
+        wanted != peers.end() && wanted->second == it->second.Address;
+    if (!isWanted)
+      All->drop(it->second);
+    it = isWanted ? std::next(it) : All->Peers.erase(it);
+  }
+  for (const auto &[id, address] : peers) {
+    if (address.empty())
+      continue;
+    Impl::Peer &peer = All->Peers[id];
+    peer.Address = address;
+    if (peer.IsOpen)
       continue;
-    }
     if (peer.Connection != 0 && now - peer.TriedAt > ConnectPatience)
       All->drop(peer);
-    if (peer.Connection == 0 && now - peer.TriedAt >= ConnectPause) {
-      peer.TriedAt = now;
-      peer.Connection = All->Socket->connect(peer.Address);
-      All->Outgoing[peer.Connection] = id;
-    }
+    if (peer.Connection != 0 || now - peer.TriedAt < ConnectPause)
+      continue;
+    peer.TriedAt = now;
+    peer.Connection = All->Socket->connect(peer.Address);
+    All->Outgoing[peer.Connection] = id;
+  }
+}
+
+void FleetLink::send(const std::vector<HostId> &peers,
+                     const std::string &bytes) {
+  for (const HostId &it : peers) {
+    const auto peer = All->Peers.find(it);
+    if (peer != All->Peers.end() && peer->second.IsOpen)
+      All->Socket->send(peer->second.Connection, bytes);
   }
 }
 
--- a/Libraries/LibPeer/FleetLink.h
+++ b/Libraries/LibPeer/FleetLink.h
@@ -2,10 +2,12 @@
 
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
-#include "LibServing/FleetReport.h"
+#include "LibPeer/FleetReportCodec.h"
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace boost::asio {
 class io_context;
@@ -13,28 +15,30 @@
 
 namespace sorrelbay {
 
-/// Sends this host's reports to all peers that are known, and hears theirs.
-/// Each host keeps a connection of its own to each peer and speaks only on
-/// that one; a connection that has broken or gone silent is made anew. Belongs
-/// to the loop's thread.
+/// Sends this host's messages to those peers that it has something to tell, and
+/// hears what any peer tells. Each host keeps a connection of its own to each
+/// of them and speaks only on that one; a connection that has broken or gone
+/// silent is made anew. Belongs to the loop's thread.
 class FleetLink {
 public:
-  using ReportHook = std::function<void(const FleetReport &)>;
+  struct Hooks {
+    std::function<void(const FleetReport &)> OnReport;
+    std::function<void(const KindNews &)> OnNews;
+  };
 
   /// Listens on "ip:port". Throws PeerListenFailed.
   FleetLink(boost::asio::io_context &loop, const std::string &listen,
-            ReportHook onReport);
+            Hooks hooks);
   ~FleetLink();
   FleetLink(const FleetLink &) = delete;
   FleetLink &operator=(const FleetLink &) = delete;
 
   std::string address() const;
-  /// A peer and where it listens; again with another address if it has moved.
-  void addPeer(const HostId &peer, const std::string &address);
-  void removePeer(const HostId &peer);
-  /// Sends the report on each connection that is open, and begins to connect
-  /// where there is none.
-  void publish(const FleetReport &report, Instant now);
+  /// The peers to be connected to, and where they listen; connections to
+  /// others end. Begins to connect where there is no connection.
+  void keep(const std::map<HostId, std::string> &peers, Instant now);
+  /// Sends the message to those of the peers whose connection is open.
+  void send(const std::vector<HostId> &peers, const std::string &bytes);
 
   struct Impl;
 
--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -7,85 +7,144 @@
 using nlohmann::json;
 
 /// Changed whenever hosts of two versions would misread each other.
-static constexpr int FormatNumber = 2;
+static constexpr int FormatNumber = 3;
 
-std::string encodeFleetReport(const FleetReport &report) {
+namespace {
+
+enum class MessageKind { Report, News };
+
+std::string toBytes(const json &message) {
+  const auto bytes = json::to_cbor(message);
+  return {bytes.begin(), bytes.end()};
+}
+
+json fromMember(const FleetMember &it) {
+  return {it.Host.text(),   it.Zone.text(), it.PeerAddress,
+          it.CallerAddress, it.IsReady,     it.IsLeaving,
+          it.IsCutOff,      it.HoldsDuties, it.Capacity};
+}
+
+FleetMember toMember(const json &from) {
+  FleetMember out;
+  out.Host = HostId(from.at(0).get<std::string>());
+  out.Zone = ZoneId(from.at(1).get<std::string>());
+  from.at(2).get_to(out.PeerAddress);
+  from.at(3).get_to(out.CallerAddress);
+  from.at(4).get_to(out.IsReady);
+  from.at(5).get_to(out.IsLeaving);
+  from.at(6).get_to(out.IsCutOff);
+  from.at(7).get_to(out.HoldsDuties);
+  from.at(8).get_to(out.Capacity);
+  return out;
+}
+
+template <typename Value>
+json fromTeams(const std::map<TeamId, Value> &byTeam) {
+  json out = json::array();
+  for (const auto &[team, value] : byTeam)
+    out.push_back({team.text(), value});
+  return out;
+}
+
+template <typename Value> std::map<TeamId, Value> toTeams(const json &from) {
+  std::map<TeamId, Value> out;
+  for (const json &it : from)
+    out[TeamId(it.at(0).get<std::string>())] = it.at(1).get<Value>();
+  return out;
+}
+
+FleetReport toReport(const json &all) {
+  FleetReport report;
+  const int scope = all.at(2).get<int>();
+  if (scope < 0 || scope > static_cast<int>(ReportScope::OtherZones))
+    throw PeerMessageRefused("a report of an unknown scope");
+  report.Scope = static_cast<ReportScope>(scope);
+  report.Teller = HostId(all.at(3).get<std::string>());
+  report.Zone = ZoneId(all.at(4).get<std::string>());
+  report.Incarnation = IncarnationId(all.at(5).get<std::string>());
+  all.at(6).get_to(report.Sequence);
+  report.Uptime = Duration(all.at(7).get<std::int64_t>());
+  all.at(8).get_to(report.SentAt);
+  all.at(9).get_to(report.TrueTimeMs);
+  for (const json &it : all.at(10))
+    report.Members.push_back(toMember(it));
+  for (const json &it : all.at(11))
+    report.Open[UpstreamId(it.at(0).get<std::string>())] = {
+        it.at(1).get<int>(), it.at(2).get<std::int64_t>(),
+        it.at(3).get<std::int64_t>()};
+  report.Used = toTeams<UsedUnits>(all.at(12));
+  report.Levels = toTeams<double>(all.at(13));
+  for (const json &window : all.at(14))
+    report.Usage[window.at(0).get<WindowNumber>()] =
+        toTeams<std::int64_t>(window.at(1));
+  all.at(15).get_to(report.Moves);
+  return report;
+}
+
+KindNews toNews(const json &all) {
+  KindNews news;
+  const auto kind = all.at(2).get<std::size_t>();
+  if (kind >= StoreKindCount)
+    throw PeerMessageRefused("news of an unknown kind");
+  news.Kind = static_cast<StoreKind>(kind);
+  all.at(3).get_to(news.From);
+  all.at(4).get_to(news.Changes.AsOf);
+  all.at(5).get_to(news.IsLeftOut);
+  news.Age = Duration(all.at(6).get<std::int64_t>());
+  all.at(7).get_to(news.Echo);
+  for (const json &it : all.at(8)) {
+    KindChange change;
+    it.at(0).get_to(change.Object.Name);
+    it.at(1).get_to(change.Object.Body);
+    it.at(2).get_to(change.Object.Status);
+    it.at(3).get_to(change.Object.Revision);
+    it.at(4).get_to(change.IsRemoved);
+    news.Changes.Changes.push_back(change);
+  }
+  return news;
+}
+
+} // namespace
+
+std::string encodeFleetMessage(const FleetReport &report) {
+  json members = json::array();
+  for (const FleetMember &it : report.Members)
+    members.push_back(fromMember(it));
   json open = json::array();
   for (const auto &[id, work] : report.Open)
     open.push_back({id.text(), work.Calls, work.PromptTokens, work.Tokens});
-  json used = json::array();
-  for (const auto &[team, units] : report.Used)
-    used.push_back({team.text(), units});
   json usage = json::array();
-  for (const auto &[window, counts] : report.Usage) {
-    json byTeam = json::array();
-    for (const auto &[team, count] : counts)
-      byTeam.push_back({team.text(), count});
-    usage.push_back({window, byTeam});
-  }
-  json demand = json::array();
-  for (const auto &[service, it] : report.Demand)
-    demand.push_back({service.text(), it.Calls, it.Refused, it.PromptTokens,
-                      it.OutputTokens});
-  const json all = {FormatNumber,
-                    report.Host.text(),
-                    report.Zone.text(),
-                    report.Incarnation.text(),
-                    report.Sequence,
-                    report.PeerAddress,
-                    report.CallerAddress,
-                    report.IsReady,
-                    report.IsLeaving,
-                    report.HoldsDuties,
-                    report.PlanVersion,
-                    report.TrueTimeMs,
-                    open,
-                    used,
-                    usage,
-                    demand,
-                    report.Moves};
-  const auto bytes = json::to_cbor(all);
-  return {bytes.begin(), bytes.end()};
+  for (const auto &[window, counts] : report.Usage)
+    usage.push_back({window, fromTeams(counts)});
+  return toBytes({FormatNumber, static_cast<int>(MessageKind::Report),
+                  static_cast<int>(report.Scope), report.Teller.text(),
+                  report.Zone.text(), report.Incarnation.text(),
+                  report.Sequence, report.Uptime.count(), report.SentAt,
+                  report.TrueTimeMs, members, open, fromTeams(report.Used),
+                  fromTeams(report.Levels), usage, report.Moves});
+}
+
+std::string encodeFleetMessage(const KindNews &news) {
+  json changes = json::array();
+  for (const KindChange &it : news.Changes.Changes)
+    changes.push_back({it.Object.Name, it.Object.Body, it.Object.Status,
+                       it.Object.Revision, it.IsRemoved});
+  return toBytes({FormatNumber, static_cast<int>(MessageKind::News),
+                  static_cast<int>(news.Kind), news.From, news.Changes.AsOf,
+                  news.IsLeftOut, news.Age.count(), news.Echo, changes});
 }
 
-FleetReport decodeFleetReport(const std::string &bytes) {
+FleetMessage decodeFleetMessage(const std::string &bytes) {
   try {
     const json all = json::from_cbor(bytes);
     if (all.at(0).get<int>() != FormatNumber)
-      throw PeerMessageRefused("a report of another format");
-    FleetReport report;
-    report.Host = HostId(all.at(1).get<std::string>());
-    report.Zone = ZoneId(all.at(2).get<std::string>());
-    report.Incarnation = IncarnationId(all.at(3).get<std::string>());
-    all.at(4).get_to(report.Sequence);
-    all.at(5).get_to(report.PeerAddress);
-    all.at(6).get_to(report.CallerAddress);
-    all.at(7).get_to(report.IsReady);
-    all.at(8).get_to(report.IsLeaving);
-    all.at(9).get_to(report.HoldsDuties);
-    all.at(10).get_to(report.PlanVersion);
-    all.at(11).get_to(report.TrueTimeMs);
-    for (const json &it : all.at(12))
-      report.Open[UpstreamId(it.at(0).get<std::string>())] = {
-          it.at(1).get<int>(), it.at(2).get<std::int64_t>(),
-          it.at(3).get<std::int64_t>()};
-    for (const json &it : all.at(13))
-      report.Used[TeamId(it.at(0).get<std::string>())] =
-          it.at(1).get<UsedUnits>();
-    for (const json &window : all.at(14)) {
-      TeamCounts &counts = report.Usage[window.at(0).get<WindowNumber>()];
-      for (const json &it : window.at(1))
-        counts[TeamId(it.at(0).get<std::string>())] =
-            it.at(1).get<std::int64_t>();
-    }
-    for (const json &it : all.at(15))
-      report.Demand[ServiceId(it.at(0).get<std::string>())] = {
-          it.at(1).get<std::int64_t>(), it.at(2).get<std::int64_t>(),
-          it.at(3).get<std::int64_t>(), it.at(4).get<std::int64_t>()};
-    all.at(16).get_to(report.Moves);
-    return report;
+      throw PeerMessageRefused("a message of another format");
+    if (all.at(1).get<int>() == static_cast<int>(MessageKind::News))
+      return toNews(all);
+    return toReport(all);
   } catch (const json::exception &error) {
-    throw PeerMessageRefused(std::string("not a report: ") + error.what());
+    throw PeerMessageRefused(std::string("not a fleet message: ") +
+                             error.what());
   }
 }
 
--- a/Libraries/LibPeer/FleetReportCodec.h
+++ b/Libraries/LibPeer/FleetReportCodec.h
@@ -1,14 +1,19 @@
 #pragma once
 
+#include "LibObjectApi/KindStore.h"
 #include "LibServing/FleetReport.h"
 #include <string>
+#include <variant>
 
 namespace sorrelbay {
 
-/// A report as one CBOR message.
-std::string encodeFleetReport(const FleetReport &report);
+/// What entry hosts send each other.
+using FleetMessage = std::variant<FleetReport, KindNews>;
 
-/// The inverse. Throws PeerMessageRefused when the bytes are none.
-FleetReport decodeFleetReport(const std::string &bytes);
+/// Either as CBOR.
+std::string encodeFleetMessage(const FleetReport &report);
+std::string encodeFleetMessage(const KindNews &news);
+/// The inverse. Throws PeerMessageRefused.
+FleetMessage decodeFleetMessage(const std::string &bytes);
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -5,41 +5,69 @@
 #include "LibServing/UsageCounts.h"
 #include <map>
 #include <string>
+#include <tuple>
+#include <vector>
 
 namespace sorrelbay {
 
-/// Calls of a service as one host saw them since its process began.
-// FIXME: Nothing reads it yet; it is meant for the forecast of replicas.
-struct ServiceDemand {
-  std::int64_t Calls = 0;
-  /// Turned away because there was no room.
-  std::int64_t Refused = 0;
-  std::int64_t PromptTokens = 0;
-  std::int64_t OutputTokens = 0;
+/// Whose work a report adds up.
+enum class ReportScope {
+  /// The host that tells it.
+  Host,
+  /// All hosts of its zone.
+  Zone,
+  /// All hosts of the other zones.
+  OtherZones,
 };
 
-/// What one entry host tells its peers several times a second. Each report
-/// replaces the one before it; counts begin anew with each incarnation.
-struct FleetReport {
+/// An entry host as its peers know it.
+struct FleetMember {
   HostId Host;
   ZoneId Zone;
-  IncarnationId Incarnation;
-  std::uint64_t Sequence = 0;
   /// Where peers connect.
   std::string PeerAddress;
   /// Where callers connect.
   std::string CallerAddress;
   bool IsReady = false;
   bool IsLeaving = false;
+  /// Its last call to the store has failed.
+  bool IsCutOff = false;
   bool HoldsDuties = false;
-  std::uint64_t PlanVersion = 0;
-  /// The host's own idea of the time since 1970.
+  /// Cores that it may use; the largest speak for their zones.
+  double Capacity = 0;
+
+  friend bool operator==(const FleetMember &a, const FleetMember &b) {
+    return std::tie(a.Host, a.Zone, a.PeerAddress, a.CallerAddress, a.IsReady,
+                    a.IsLeaving, a.IsCutOff, a.HoldsDuties, a.Capacity) ==
+           std::tie(b.Host, b.Zone, b.PeerAddress, b.CallerAddress, b.IsReady,
+                    b.IsLeaving, b.IsCutOff, b.HoldsDuties, b.Capacity);
+  }
+};
+
+/// What one entry host tells its peers several times a second, of itself or,
+/// where it speaks for others, of all of them. Each report replaces the one
+/// before it of the same scope; counts begin anew with each incarnation.
+struct FleetReport {
+  ReportScope Scope = ReportScope::Host;
+  HostId Teller;
+  ZoneId Zone;
+  IncarnationId Incarnation;
+  std::uint64_t Sequence = 0;
+  /// How long the teller's process has been running.
+  Duration Uptime{};
+  /// The teller's boot clock, in microseconds. Peers send it back with what
+  /// they pass on, so that the teller knows how old that is at the most.
+  std::int64_t SentAt = 0;
+  /// The teller's idea of the time since 1970, in milliseconds.
   std::int64_t TrueTimeMs = 0;
+  /// The teller, or all that it speaks for.
+  std::vector<FleetMember> Members;
   std::map<UpstreamId, OpenWork> Open;
   std::map<TeamId, UsedUnits> Used;
+  /// What the teller believes is left of the teams' allotments.
+  std::map<TeamId, double> Levels;
   std::map<WindowNumber, TeamCounts> Usage;
-  std::map<ServiceId, ServiceDemand> Demand;
-  /// What the host knows of moves, as RolloutCodec writes it; empty without
+  /// What the hosts know of moves, as RolloutCodec writes it; empty without
   /// one.
   std::string Moves;
 };
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -262,7 +262,7 @@
   entry.Seen = 0;
 }
 
-void ReplicaTable::notePeer(const HostId &peer,
+void ReplicaTable::notePeer(const SourceId &peer,
                             std::map<UpstreamId, OpenWork> open) {
   std::map<UpstreamId, OpenWork> &known = PeerWork[peer];
   for (const auto &[id, work] : known) {
@@ -284,7 +284,7 @@
   }
 }
 
-void ReplicaTable::forgetPeer(const HostId &peer) {
+void ReplicaTable::forgetPeer(const SourceId &peer) {
   notePeer(peer, {});
   PeerWork.erase(peer);
 }
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -117,8 +117,8 @@
   void noteEnded(const UpstreamId &id, const CallWork &work, bool hadFirstByte,
                  SendResult result, Instant now);
   /// What a peer has open now at all upstreams; replaces what it said before.
-  void notePeer(const HostId &peer, std::map<UpstreamId, OpenWork> open);
-  void forgetPeer(const HostId &peer);
+  void notePeer(const SourceId &peer, std::map<UpstreamId, OpenWork> open);
+  void forgetPeer(const SourceId &peer);
 
   /// What this host has open, for its reports.
   std::map<UpstreamId, OpenWork> ownWork() const;
@@ -166,7 +166,7 @@
 
   ReplicaTableSettings Settings;
   std::map<UpstreamId, Entry> Entries;
-  std::map<HostId, std::map<UpstreamId, OpenWork>> PeerWork;
+  std::map<SourceId, std::map<UpstreamId, OpenWork>> PeerWork;
 };
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -9,31 +9,33 @@
 /// let calls in.
 static constexpr Duration LongestAhead = seconds(2);
 
-void TeamMeter::notePeer(const HostId &peer, const IncarnationId &incarnation,
-                         UsedUnits used, Instant now) {
+void TeamMeter::notePeer(const SourceId &peer, const PeerUse &use,
+                         Instant now) {
   Peer &it = Peers[peer];
-  if (it.Incarnation != incarnation) {
+  if (it.Incarnation != use.Incarnation) {
     // A new process has let in what it reports; the old one's are counted.
-    it.Incarnation = incarnation;
-    it.Used = 0;
+    it.Incarnation = use.Incarnation;
+    it.Used = use.IsOlder ? use.Used : 0;
     it.ReportedAt = now;
     it.Ahead = 0;
     it.AheadAt = now;
+    if (use.IsOlder && use.Level && !IsFilled)
+      ToldLevel = std::min(*use.Level, ToldLevel.value_or(*use.Level));
   }
-  const auto fresh = static_cast<double>(used - it.Used);
+  const auto fresh = static_cast<double>(use.Used - it.Used);
   const double span = toSeconds(now - it.ReportedAt);
   if (span > 0) {
     it.Pace =
         PaceMemory * it.Pace + (1 - PaceMemory) * std::max(0.0, fresh) / span;
     it.ReportedAt = now;
   }
-  it.Used = used;
+  it.Used = use.Used;
   Level -= fresh - it.Ahead;
   it.Ahead = 0;
   it.AheadAt = now;
 }
 
-void TeamMeter::forgetPeer(const HostId &peer) {
+void TeamMeter::forgetPeer(const SourceId &peer) {
   const auto it = Peers.find(peer);
   if (it != Peers.end())
     it->second.Pace = 0;
@@ -45,6 +47,8 @@
     IsFilled = true;
     FilledAt = now;
     Level += most;
+    if (ToldLevel)
+      Level = std::min(Level, *ToldLevel);
   }
   Level += toSeconds(now - FilledAt) * static_cast<double>(rate);
   FilledAt = now;
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -4,6 +4,7 @@
 #include "LibBase/Time.h"
 #include <cstdint>
 #include <map>
+#include <optional>
 
 namespace sorrelbay {
 
@@ -11,6 +12,18 @@
 /// the start of its process.
 using UsedUnits = std::int64_t;
 
+/// What a peer's report says of one team.
+struct PeerUse {
+  /// The process that counts; a new one begins at zero.
+  IncarnationId Incarnation;
+  UsedUnits Used = 0;
+  /// It has counted before this host could hear of it: what it counted until
+  /// the first report is over and says nothing of what is left now.
+  bool IsOlder = false;
+  /// What the peer believes is left in the bucket.
+  std::optional<double> Level = std::nullopt;
+};
+
 /// One team's allotment over all hosts, as one host sees it: a bucket that
 /// fills by the team's rate up to its burst and is emptied by what this host
 /// lets in and by what its peers report. Between two reports a peer is taken to
@@ -18,12 +31,16 @@
 /// a second late don't all hand out the same units.
 class TeamMeter {
 public:
-  /// What a peer's reports add up to. A report tells the units since the peer's
-  /// process began; a new incarnation begins at zero.
-  void notePeer(const HostId &peer, const IncarnationId &incarnation,
-                UsedUnits used, Instant now);
+  /// What a peer's reports add up to. A host that has just started takes the
+  /// level of the bucket from peers that were there before it: charged with
+  /// all that they let in since they began, it would refuse the team's calls
+  /// for as long as that takes to come in again.
+  void notePeer(const SourceId &peer, const PeerUse &use, Instant now);
   /// The peer is gone; its pace is no longer counted.
-  void forgetPeer(const HostId &peer);
+  void forgetPeer(const SourceId &peer);
+  /// Another source tells from now on what this one told; when it is heard
+  /// again, what it counted meanwhile is not charged a second time.
+  void dropPeer(const SourceId &peer) { Peers.erase(peer); }
 
   /// Takes the units out of the bucket, or says that the team is beyond its
   /// allotment. A rate of 0 allows everything.
@@ -36,6 +53,10 @@
 
   /// Units in the bucket when it was last asked; below zero after a large call.
   double level() const { return Level; }
+  /// The same for peers that start; nothing before the first call.
+  std::optional<double> knownLevel() const {
+    return IsFilled ? std::optional(Level) : std::nullopt;
+  }
   /// What this host has let in, for its reports.
   UsedUnits used() const { return OwnUsed; }
 
@@ -53,8 +74,10 @@
 
   void fill(std::int64_t rate, std::int64_t burst, Instant now);
 
-  std::map<HostId, Peer> Peers;
+  std::map<SourceId, Peer> Peers;
   double Level = 0;
+  /// The least that older peers said was left, before the first call.
+  std::optional<double> ToldLevel;
   bool IsFilled = false;
   Instant FilledAt{};
   UsedUnits OwnUsed = 0;
--- a/Libraries/LibServing/TrueTime.cpp
+++ b/Libraries/LibServing/TrueTime.cpp
@@ -4,11 +4,11 @@
 
 namespace sorrelbay {
 
-void TrueTime::notePeer(const HostId &peer, Instant peersTime, Instant boot) {
+void TrueTime::notePeer(const SourceId &peer, Instant peersTime, Instant boot) {
   PeerOffsets[peer] = peersTime - boot;
 }
 
-void TrueTime::forgetPeer(const HostId &peer) { PeerOffsets.erase(peer); }
+void TrueTime::forgetPeer(const SourceId &peer) { PeerOffsets.erase(peer); }
 
 Instant TrueTime::at(Instant boot) const {
   std::vector<Duration> offsets{OwnOffset};
--- a/Libraries/LibServing/TrueTime.h
+++ b/Libraries/LibServing/TrueTime.h
@@ -18,14 +18,14 @@
   /// What this host tells its peers.
   Instant own(Instant boot) const { return boot + OwnOffset; }
   /// A peer has told its time.
-  void notePeer(const HostId &peer, Instant peersTime, Instant boot);
-  void forgetPeer(const HostId &peer);
+  void notePeer(const SourceId &peer, Instant peersTime, Instant boot);
+  void forgetPeer(const SourceId &peer);
   /// The median of all.
   Instant at(Instant boot) const;
 
 private:
   Duration OwnOffset;
-  std::map<HostId, Duration> PeerOffsets;
+  std::map<SourceId, Duration> PeerOffsets;
 };
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/UsageCounts.cpp
+++ b/Libraries/LibServing/UsageCounts.cpp
@@ -20,6 +20,16 @@
   return next;
 }
 
+static void raise(TeamCounts &known, const TeamCounts &counts) {
+  for (const auto &[team, count] : counts)
+    known[team] = std::max(known[team], count);
+}
+
+static void add(TeamCounts &sum, const TeamCounts &counts) {
+  for (const auto &[team, count] : counts)
+    sum[team] += count;
+}
+
 WindowNumber UsageCounts::windowAt(Instant trueTime) const {
   return trueTime.time_since_epoch() / Window;
 }
@@ -29,39 +39,86 @@
 }
 
 void UsageCounts::noteBegun(const TeamId &team, Instant trueTime) {
-  ++Counts[windowAt(trueTime)][Self][team];
+  ++Windows[windowAt(trueTime)].Hosts[Zone][Self][team];
 }
 
-void UsageCounts::noteReport(const IncarnationId &incarnation,
-                             WindowNumber window, const TeamCounts &counts) {
-  TeamCounts &known = Counts[window][incarnation];
-  for (const auto &[team, count] : counts)
-    known[team] = std::max(known[team], count);
+void UsageCounts::noteHost(const ZoneId &zone, const IncarnationId &incarnation,
+                           WindowNumber window, const TeamCounts &counts) {
+  raise(Windows[window].Hosts[zone][incarnation], counts);
+}
+
+void UsageCounts::noteZone(const ZoneId &zone, WindowNumber window,
+                           const TeamCounts &counts) {
+  raise(Windows[window].Zones[zone], counts);
+}
+
+void UsageCounts::noteOthers(WindowNumber window, const TeamCounts &counts) {
+  raise(Windows[window].Others, counts);
 }
 
 void UsageCounts::forgetBefore(WindowNumber window) {
-  Counts.erase(Counts.begin(), Counts.lower_bound(window));
+  Windows.erase(Windows.begin(), Windows.lower_bound(window));
 }
 
-TeamCounts UsageCounts::sum(WindowNumber window) const {
+TeamCounts UsageCounts::ownZoneOf(const Counted &counted) const {
   TeamCounts out;
-  const auto it = Counts.find(window);
-  if (it == Counts.end())
+  const auto hosts = counted.Hosts.find(Zone);
+  if (hosts == counted.Hosts.end())
     return out;
-  for (const auto &[incarnation, counts] : it->second)
-    for (const auto &[team, count] : counts)
-      out[team] += count;
+  for (const auto &[incarnation, counts] : hosts->second)
+    add(out, counts);
+  return out;
+}
+
+TeamCounts UsageCounts::otherZonesOf(const Counted &counted) const {
+  std::map<ZoneId, TeamCounts> zones;
+  for (const auto &[zone, hosts] : counted.Hosts)
+    for (const auto &[incarnation, counts] : hosts)
+      add(zones[zone], counts);
+  for (const auto &[zone, counts] : counted.Zones)
+    raise(zones[zone], counts);
+  zones.erase(Zone);
+  TeamCounts out;
+  for (const auto &[zone, counts] : zones)
+    add(out, counts);
+  raise(out, counted.Others);
+  return out;
+}
+
+TeamCounts UsageCounts::sum(WindowNumber window) const {
+  const auto it = Windows.find(window);
+  if (it == Windows.end())
+    return {};
+  TeamCounts out = ownZoneOf(it->second);
+  add(out, otherZonesOf(it->second));
   return out;
 }
 
 std::map<WindowNumber, TeamCounts> UsageCounts::own() const {
   std::map<WindowNumber, TeamCounts> out;
-  for (const auto &[window, byProcess] : Counts) {
-    const auto it = byProcess.find(Self);
-    if (it != byProcess.end())
+  for (const auto &[window, counted] : Windows) {
+    const auto hosts = counted.Hosts.find(Zone);
+    if (hosts == counted.Hosts.end())
+      continue;
+    const auto it = hosts->second.find(Self);
+    if (it != hosts->second.end())
       out[window] = it->second;
   }
   return out;
 }
 
+std::map<WindowNumber, TeamCounts> UsageCounts::ownZone() const {
+  std::map<WindowNumber, TeamCounts> out;
+  for (const auto &[window, counted] : Windows)
+    out[window] = ownZoneOf(counted);
+  return out;
+}
+
+std::map<WindowNumber, TeamCounts> UsageCounts::otherZones() const {
+  std::map<WindowNumber, TeamCounts> out;
+  for (const auto &[window, counted] : Windows)
+    out[window] = otherZonesOf(counted);
+  return out;
+}
+
 } // namespace sorrelbay
--- a/Libraries/LibServing/UsageCounts.h
+++ b/Libraries/LibServing/UsageCounts.h
@@ -16,17 +16,23 @@
 
 /// The calls that began to run in each of the last windows, as told by all
 /// hosts. Each process reports its own counts, which only grow; the counts of a
-/// process that has been killed stay, because the team did use them.
+/// process that has been killed stay, because the team did use them. In a large
+/// fleet other zones are told as sums; a sum never adds to what is known of its
+/// parts but takes their place where it is higher. Not thread-safe.
 class UsageCounts {
 public:
-  UsageCounts(IncarnationId self, Duration window)
-      : Self(std::move(self)), Window(window) {}
+  UsageCounts(IncarnationId self, ZoneId zone, Duration window)
+      : Self(std::move(self)), Zone(std::move(zone)), Window(window) {}
 
   /// A call began to run at that time, true time since 1970.
   void noteBegun(const TeamId &team, Instant trueTime);
-  /// A process has reported its counts of a window.
-  void noteReport(const IncarnationId &incarnation, WindowNumber window,
-                  const TeamCounts &counts);
+  /// A process of that zone has reported its counts of a window.
+  void noteHost(const ZoneId &zone, const IncarnationId &incarnation,
+                WindowNumber window, const TeamCounts &counts);
+  /// The sum over a whole zone, or over all zones but this host's.
+  void noteZone(const ZoneId &zone, WindowNumber window,
+                const TeamCounts &counts);
+  void noteOthers(WindowNumber window, const TeamCounts &counts);
   /// Drops windows before that one.
   void forgetBefore(WindowNumber window);
 
@@ -36,11 +42,24 @@
   TeamCounts sum(WindowNumber window) const;
   /// What this process counted, for its reports.
   std::map<WindowNumber, TeamCounts> own() const;
+  /// The sum over this host's zone, and over all others.
+  std::map<WindowNumber, TeamCounts> ownZone() const;
+  std::map<WindowNumber, TeamCounts> otherZones() const;
 
 private:
+  struct Counted {
+    std::map<ZoneId, std::map<IncarnationId, TeamCounts>> Hosts;
+    std::map<ZoneId, TeamCounts> Zones;
+    TeamCounts Others;
+  };
+
+  TeamCounts ownZoneOf(const Counted &counted) const;
+  TeamCounts otherZonesOf(const Counted &counted) const;
+
   IncarnationId Self;
+  ZoneId Zone;
   Duration Window;
-  std::map<WindowNumber, std::map<IncarnationId, TeamCounts>> Counts;
+  std::map<WindowNumber, Counted> Windows;
 };
 
 /// Which of the windows to report first: the one that is due next; those whose
--- a/Services/sorrelbayd/DutyKeeper.cpp
+++ b/Services/sorrelbayd/DutyKeeper.cpp
@@ -9,8 +9,9 @@
 static constexpr const char *LeaseName = "duties";
 /// Beyond the bound, so that two holders never act by turns within it.
 static constexpr Duration TermMargin = seconds(1);
-/// A holder that has been silent for so long is looked for in the store.
-static constexpr Duration HolderSilence = seconds(1);
+/// Hosts of a group that stand by to take the duties; were it all, a large
+/// fleet would ask the store for the lease hundreds of times a second.
+static constexpr std::size_t Standbys = 3;
 
 static MoverLeaseSettings leaseSettings(const GatewayBounds &bounds) {
   MoverLeaseSettings settings;
@@ -25,12 +26,9 @@
 
 DutyStamp DutyKeeper::stamp() const { return {State.Settings.Host, Fencing}; }
 
-bool DutyKeeper::peerHolds(Instant now) const {
-  return std::any_of(State.Peers.begin(), State.Peers.end(),
-                     [&](const auto &it) {
-                       return it.second.Report.HoldsDuties &&
-                              now - it.second.HeardAt < HolderSilence;
-                     });
+bool DutyKeeper::mayStandBy(Instant now) const {
+  return !State.isStopping() && !State.Fleet.holdsDuties(now) &&
+         State.Fleet.isAmongFirst(State.Self(), Standbys, now);
 }
 
 void DutyKeeper::tick(Instant now) {
@@ -42,7 +40,7 @@
   }
   if (IsWaiting)
     return;
-  if (!WasHeld && (State.isStopping() || peerHolds(now)))
+  if (!WasHeld && !mayStandBy(now))
     return;
   switch (Lease.step(now)) {
   case LeaseStep::None:
--- a/Services/sorrelbayd/DutyKeeper.h
+++ b/Services/sorrelbayd/DutyKeeper.h
@@ -24,7 +24,7 @@
 private:
   void read(Instant now);
   void write(Instant now);
-  bool peerHolds(Instant now) const;
+  bool mayStandBy(Instant now) const;
 
   GatewayState &State;
   MoverLease Lease;
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -3,9 +3,9 @@
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
 #include "LibServing/StopPolicy.h"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <future>
-#include <nlohmann/json.hpp>
 
 namespace sorrelbay {
 
@@ -13,17 +13,8 @@
 
 /// Between two reports to peers.
 constexpr Duration TickInterval = milliseconds(250);
-/// At the least between two reports, whatever happens.
-constexpr Duration ShortestPublishGap = milliseconds(20);
-/// A peer that is silent for so long is left out of address lookups ...
-constexpr Duration PeerSilence = milliseconds(1500);
-/// ... and after this time is forgotten.
-constexpr Duration PeerGone = seconds(15);
-/// How often the store is asked who the peers are: often at the start, when
-/// all hosts come at once, then rarely.
-constexpr Duration FirstSearches = seconds(1);
-constexpr Duration LaterSearches = seconds(10);
-constexpr int FirstSearchCount = 3;
+/// Callers are told so many hosts at most.
+constexpr std::size_t MostAddresses = 64;
 /// Callers ask again for addresses so often.
 constexpr Duration UsualAddressLife = seconds(2);
 /// Connections without a request are closed after that while the host stops;
@@ -31,8 +22,8 @@
 constexpr Duration QuietWhileStopping = milliseconds(1200);
 /// A view of the store is confirmed at least so often, as a share of the
 /// tightest bound on its age.
-constexpr int ConfirmsPerBound = 2;
-constexpr Duration LongestWatch = seconds(1);
+constexpr int ConfirmsPerBound = 4;
+constexpr Duration LongestWatch = milliseconds(500);
 /// The part of the allowed share of repeated sends that is used: calls that
 /// come just before a window's end are repeated in the next one.
 constexpr double RepeatPart = 0.7;
@@ -51,8 +42,14 @@
     : Work(boost::asio::make_work_guard(Loop)),
       State(Loop, std::move(settings), makeHooks(Loop)), Duties(State),
       Usage(State, Duties), Orders(State, Duties), Moves(State, Duties),
-      TickTimer(Loop), PeerTimer(Loop) {
-  State.TellPeers = [this] { publishSoon(); };
+      Fleet(State,
+            {[this] { return selfAsMember(); },
+             [this](ReportScope scope) { return Moves.news(scope); },
+             [this](const std::string &news) { Moves.hear(news, bootNow()); },
+             [this](const KindNews &news) { takeNews(news); }}),
+      TickTimer(Loop) {
+  State.Self = [this] { return Fleet.self(); };
+  State.TellPeers = [this] { Fleet.publishSoon(); };
   State.VersionFor = [this](const ServiceId &service,
                             const std::string &callId) {
     return Moves.versionFor(service, callId, bootNow());
@@ -110,9 +107,7 @@
   };
   Addresses = std::make_unique<AsyncHttpServer>(
       Loop, State.Settings.AddressListen, addresses);
-  Link = std::make_unique<FleetLink>(
-      Loop, State.Settings.PeerListen,
-      [this](const FleetReport &report) { heard(report); });
+  Fleet.listen();
 }
 
 void Gateway::listenForMetrics() {
@@ -137,13 +132,13 @@
       std::min(State.Settings.Bounds.PlanInForce, State.Settings.Bounds.Drain);
   settings.Patience =
       std::min<Duration>(LongestWatch, bound / ConfirmsPerBound);
-  State.PlanFreshFor = settings.Patience * 2 + WatchDelay;
+  // News may come from another host, and be as old as that allows.
+  State.PlanFreshFor = settings.Patience * settings.OldPatiences + WatchDelay;
   KindWatcherHooks plans;
   plans.OnObject = [this](const KeptObject &object) { takePlan(object); };
   plans.OnRemoved = [](const std::string &) {};
   plans.OnConfirmed = [this](Instant begun) { State.PlanConfirmedAt = begun; };
-  Plans = std::make_unique<KindWatcher>(Loop, State.Hooks.Store,
-                                        StoreKind::Plan, settings, plans);
+  Plans = watcherOf(StoreKind::Plan, settings, plans);
   KindWatcherHooks replicas;
   replicas.OnObject = [this](const KeptObject &object) { takeReplica(object); };
   replicas.OnRemoved = [this](const std::string &name) {
@@ -155,21 +150,41 @@
   replicas.OnConfirmed = [this](Instant begun) {
     State.ReplicasConfirmedAt = begun;
   };
-  Replicas = std::make_unique<KindWatcher>(
-      Loop, State.Hooks.Store, StoreKind::Replicas, settings, replicas);
+  Replicas = watcherOf(StoreKind::Replicas, settings, replicas);
   KindWatcherHooks moves;
   moves.OnObject = [this](const KeptObject &object) { Moves.take(object); };
   moves.OnRemoved = [this](const std::string &name) { Moves.remove(name); };
   moves.OnConfirmed = [](Instant) {};
   KindWatcherSettings rare = settings;
   rare.Patience = MoveWatch;
-  MoveOrders = std::make_unique<KindWatcher>(Loop, State.Hooks.Store,
-                                             StoreKind::Moves, rare, moves);
+  MoveOrders = watcherOf(StoreKind::Moves, rare, moves);
   Plans->start();
   Replicas->start();
   MoveOrders->start();
 }
 
+std::unique_ptr<KindWatcher>
+Gateway::watcherOf(StoreKind kind, const KindWatcherSettings &settings,
+                   KindWatcherHooks hooks) {
+  hooks.OnWatched = [this, kind](std::uint64_t from, const KindChanges &changes,
+                                 Instant begun) {
+    Fleet.passOn(kind, from, changes, begun);
+  };
+  hooks.AsksAlways = [this] { return Fleet.speaks(bootNow()); };
+  return std::make_unique<KindWatcher>(Loop, State.Hooks.Store, kind, settings,
+                                       std::move(hooks));
+}
+
+void Gateway::takeNews(const KindNews &news) {
+  const Instant now = bootNow();
+  if (news.Kind == StoreKind::Plan)
+    Plans->hear(news, now);
+  else if (news.Kind == StoreKind::Replicas)
+    Replicas->hear(news, now);
+  else if (news.Kind == StoreKind::Moves)
+    MoveOrders->hear(news, now);
+}
+
 void Gateway::takePlan(const KeptObject &object) {
   try {
     ServingPlan plan = State.Hooks.ReadPlan(object);
@@ -230,13 +245,14 @@
 
 void Gateway::tick() {
   const Instant now = bootNow();
-  forgetSilentPeers(now);
+  for (KindWatcher *it : {Plans.get(), Replicas.get(), MoveOrders.get()})
+    it->tick(now);
   Duties.tick(now);
   Usage.tick(now);
   Orders.tick(now);
   Moves.tick(now);
   limitRepeats();
-  publish(now);
+  Fleet.tick(now);
 }
 
 /// The budget for repeated sends is one for all hosts: each takes half of its
@@ -246,7 +262,7 @@
     return;
   const GatewayBounds &bounds = State.Settings.Bounds;
   const double saved =
-      static_cast<double>(bounds.RepeatSlack) / (2.0 * State.hostCount());
+      static_cast<double>(bounds.RepeatSlack) / (2.0 * State.Fleet.hostCount());
   for (const ServingService &it : State.Plan->plan().Services) {
     const auto [budget, isNew] = State.Repeats.try_emplace(
         it.Name, bounds.RepeatShare * RepeatPart, saved);
@@ -255,88 +271,15 @@
   }
 }
 
-FleetReport Gateway::ownReport(Instant now) const {
-  FleetReport report;
-  report.Host = State.Settings.Host;
-  report.Zone = State.Settings.Zone;
-  report.Incarnation = State.Incarnation;
-  report.Sequence = Sequence;
-  report.PeerAddress = Link->address();
-  report.CallerAddress = Callers->address();
-  report.IsReady = isReady(now);
-  report.IsLeaving = State.isStopping();
-  report.HoldsDuties = Duties.isHeld(now);
-  report.PlanVersion = State.Plan ? State.Plan->plan().Version : 0;
-  report.TrueTimeMs = toEpochMilliseconds(State.Time.own(now));
-  report.Open = State.Replicas.ownWork();
-  for (const auto &[team, meter] : State.Meters)
-    report.Used[team] = meter.used();
-  report.Usage = State.Usage.own();
-  while (report.Usage.size() > 3)
-    report.Usage.erase(report.Usage.begin());
-  report.Demand = State.Demand;
-  report.Moves = Moves.news();
-  return report;
-}
-
-void Gateway::publish(Instant now) {
-  ++Sequence;
-  PublishedAt = now;
-  Link->publish(ownReport(now), now);
-}
-
-/// Peers choose by what they know of each other's sends; a prompt that keeps an
-/// engine busy for a second must be known before the next tick.
-void Gateway::publishSoon() {
+FleetMember Gateway::selfAsMember() const {
   const Instant now = bootNow();
-  if (now - PublishedAt >= ShortestPublishGap)
-    publish(now);
-}
-
-void Gateway::heard(const FleetReport &report) {
-  if (report.Host == State.Settings.Host)
-    return;
-  const Instant now = bootNow();
-  KnownPeer &peer = State.Peers[report.Host];
-  const bool isSameLife = peer.Report.Incarnation == report.Incarnation;
-  if (isSameLife && report.Sequence <= peer.Report.Sequence)
-    return;
-  if (!isSameLife || peer.Report.IsReady != report.IsReady ||
-      peer.Report.IsLeaving != report.IsLeaving)
-    LogLine(Severity::Info, "peer heard")
-        .field("peer", report.Host.text())
-        .field("ready", static_cast<std::int64_t>(report.IsReady))
-        .field("leaving", static_cast<std::int64_t>(report.IsLeaving))
-        .field("address", report.PeerAddress);
-  peer.Report = report;
-  peer.HeardAt = now;
-  Link->addPeer(report.Host, report.PeerAddress);
-  State.Replicas.notePeer(report.Host, report.Open);
-  for (const auto &[team, used] : report.Used)
-    State.Meters[team].notePeer(report.Host, report.Incarnation, used, now);
-  Moves.hear(report.Moves, now);
-  for (const auto &[window, counts] : report.Usage)
-    State.Usage.noteReport(report.Incarnation, window, counts);
-  State.Time.notePeer(report.Host, fromEpochMilliseconds(report.TrueTimeMs),
-                      now);
-}
-
-void Gateway::forgetSilentPeers(Instant now) {
-  for (auto it = State.Peers.begin(); it != State.Peers.end();) {
-    const bool isLeft =
-        it->second.Report.IsLeaving && now - it->second.HeardAt > PeerSilence;
-    if (!isLeft && now - it->second.HeardAt < PeerGone) {
-      ++it;
-      continue;
-    }
-    LogLine(Severity::Warning, "peer gone").field("peer", it->first.text());
-    Link->removePeer(it->first);
-    State.Replicas.forgetPeer(it->first);
-    for (auto &[team, meter] : State.Meters)
-      meter.forgetPeer(it->first);
-    State.Time.forgetPeer(it->first);
-    it = State.Peers.erase(it);
-  }
+  FleetMember self;
+  self.CallerAddress = Callers->address();
+  self.IsReady = isReady(now);
+  self.IsLeaving = State.isStopping();
+  self.IsCutOff = Plans->isFailing() || Replicas->isFailing();
+  self.HoldsDuties = Duties.isHeld(now);
+  return self;
 }
 
 bool Gateway::isReady(Instant now) const {
@@ -355,17 +298,21 @@
   std::vector<std::string> silent;
   if (isReady(now))
     addresses.push_back(Callers->address());
-  for (const auto &[host, peer] : State.Peers) {
-    if (peer.Report.IsLeaving)
+  for (const HeardMember &it : State.Fleet.members()) {
+    if (it.Member.IsLeaving)
       continue;
-    const bool isGood = peer.Report.IsReady && now - peer.HeardAt < PeerSilence;
-    (isGood ? addresses : silent).push_back(peer.Report.CallerAddress);
+    const bool isGood = it.Member.IsReady && State.Fleet.isAnswering(it, now);
+    (isGood ? addresses : silent).push_back(it.Member.CallerAddress);
   }
   // A caller with a doubtful address is better off than one with none.
   if (addresses.empty())
     addresses = silent;
   if (addresses.empty() && !State.isStopping())
     addresses.push_back(Callers->address());
+  if (addresses.size() > MostAddresses) {
+    std::shuffle(addresses.begin(), addresses.end(), State.Random);
+    addresses.resize(MostAddresses);
+  }
   const Duration life =
       std::min(UsualAddressLife, State.Settings.Bounds.AddressTimeToLive);
   exchange.respond(addresses.empty() ? Unavailable : Ok,
@@ -373,61 +320,11 @@
                    State.Hooks.AddressesBody(addresses, life));
 }
 
-void Gateway::registerHost() {
-  KeptObject own;
-  own.Name = State.Settings.Host.text();
-  own.Body = nlohmann::json{{"peer_address", Link->address()},
-                            {"zone", State.Settings.Zone.text()},
-                            {"incarnation", State.Incarnation.text()}}
-                 .dump();
-  State.Hooks.Store.Create(
-      StoreKind::Hosts, own,
-      [this, own](const StoreResult<KeptObject> &result) {
-        IsRegistered = result.Got.has_value();
-        if (IsRegistered || result.Failure != StoreFailure::Conflict)
-          return;
-        // An earlier life's entry, which may name another address.
-        State.Hooks.Store.Replace(
-            StoreKind::Hosts, own,
-            [this](const StoreResult<KeptObject> &replaced) {
-              IsRegistered = replaced.Got.has_value();
-            });
-      });
-}
-
-void Gateway::findPeers() {
-  if (State.isStopping())
-    return;
-  if (!IsRegistered)
-    registerHost();
-  State.Hooks.Store.List(
-      StoreKind::Hosts, [this](const StoreResult<KindListing> &result) {
-        if (!result.Got)
-          return;
-        for (const KeptObject &it : result.Got->Objects) {
-          const auto body = nlohmann::json::parse(it.Body, nullptr, false);
-          const HostId host(it.Name);
-          if (host == State.Settings.Host || !body.is_object() ||
-              State.Peers.count(host) != 0)
-            continue;
-          const std::string address = body.value("peer_address", "");
-          if (!address.empty())
-            Link->addPeer(host, address);
-        }
-      });
-  PeerTimer.expires_after(++PeerSearches <= FirstSearchCount ? FirstSearches
-                                                             : LaterSearches);
-  PeerTimer.async_wait([this](boost::system::error_code ec) {
-    if (!ec)
-      findPeers();
-  });
-}
-
 void Gateway::start() {
   listen();
   listenForMetrics();
   watchStore();
-  findPeers();
+  Fleet.start();
   repeat(TickTimer, TickInterval, [this] { tick(); });
   Worker = std::thread([this] {
     while (!Loop.stopped()) {
@@ -441,7 +338,7 @@
   });
   LogLine(Severity::Info, "started")
       .field("callers", Callers->address())
-      .field("peers", Link->address())
+      .field("peers", Fleet.address())
       .field("incarnation", State.Incarnation.text());
 }
 
@@ -452,10 +349,9 @@
   std::promise<void> left;
   boost::asio::post(Loop, [this, &left] {
     State.StoppingSince = bootNow();
-    publish(bootNow());
+    Fleet.publish(bootNow());
     Callers->beginClosing(QuietWhileStopping);
-    State.Hooks.Store.Remove(StoreKind::Hosts, State.Settings.Host.text(),
-                             [](const StoreResult<KeptObject> &) {});
+    Fleet.leave();
     left.set_value();
   });
   left.get_future().wait();
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include "DutyKeeper.h"
+#include "GatewayFleet.h"
 #include "GatewayMoves.h"
 #include "GatewayState.h"
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibObjectApi/KindWatcher.h"
-#include "LibPeer/FleetLink.h"
 #include "ReplicaOrders.h"
 #include "UsageReporter.h"
 #include <boost/asio/executor_work_guard.hpp>
@@ -48,15 +48,13 @@
   void repeat(boost::asio::steady_timer &timer, Duration interval,
               std::function<void()> work);
   void tick();
-  void publish(Instant now);
-  void publishSoon();
-  void heard(const FleetReport &report);
-  void forgetSilentPeers(Instant now);
-  void registerHost();
-  void findPeers();
+  FleetMember selfAsMember() const;
+  void takeNews(const KindNews &news);
+  std::unique_ptr<KindWatcher> watcherOf(StoreKind kind,
+                                         const KindWatcherSettings &settings,
+                                         KindWatcherHooks hooks);
   bool isReady(Instant now) const;
   void answerAddresses(HttpExchange &exchange);
-  FleetReport ownReport(Instant now) const;
   void limitRepeats();
 
   boost::asio::io_context Loop;
@@ -66,20 +64,15 @@
   UsageReporter Usage;
   ReplicaOrders Orders;
   GatewayMoves Moves;
+  GatewayFleet Fleet;
   std::unique_ptr<AsyncHttpServer> Callers;
   std::unique_ptr<AsyncHttpServer> Readiness;
   std::unique_ptr<AsyncHttpServer> Addresses;
   std::unique_ptr<AsyncHttpServer> MetricsServer;
-  std::unique_ptr<FleetLink> Link;
   std::unique_ptr<KindWatcher> Plans;
   std::unique_ptr<KindWatcher> Replicas;
   std::unique_ptr<KindWatcher> MoveOrders;
   boost::asio::steady_timer TickTimer;
-  boost::asio::steady_timer PeerTimer;
-  std::uint64_t Sequence = 0;
-  Instant PublishedAt{};
-  int PeerSearches = 0;
-  bool IsRegistered = false;
   std::thread Worker;
 };
 
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -68,10 +68,6 @@
   if (!service)
     return refuse(Unavailable, "route_without_service", std::nullopt);
   Service = service->Name;
-  ServiceDemand &demand = State.Demand[Service];
-  ++demand.Calls;
-  demand.PromptTokens += Call.PromptTokens.value_or(0);
-  demand.OutputTokens += Call.MostOutputTokens;
   Work.PromptTokens = Call.PromptTokens.value_or(0);
   Work.Tokens = Work.PromptTokens + Call.MostOutputTokens;
   const auto repeats = State.Repeats.find(Service);
@@ -208,7 +204,8 @@
   const ServingService *service = Plan->service(Service);
   if (!service || service->MaxConnections <= 0 || State.Client.hasIdle(address))
     return true;
-  const int most = std::max(1, service->MaxConnections / State.hostCount());
+  const int most =
+      std::max(1, service->MaxConnections / State.Fleet.hostCount());
   return State.Client.connections(address) < static_cast<std::size_t>(most);
 }
 
@@ -517,8 +514,6 @@
   Timer.cancel();
   if (HasUnits && (status == Unavailable || status == TooManyRequests))
     State.Meters[Team->Name].giveBack(Units);
-  if (status == Unavailable && !Service.empty())
-    ++State.Demand[Service].Refused;
   log("refused", status, cause);
   Exchange->respond(status, State.Hooks.OwnAnswerHeaders(Call, retryAfter), "");
 }
--- /dev/null
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -0,0 +1,320 @@
+#include "GatewayFleet.h"
+#include "LibBase/BootClock.h"
+#include "LibBase/LogLine.h"
+#include <nlohmann/json.hpp>
+
+namespace sorrelbay {
+
+namespace {
+
+/// At the least between two reports, whatever happens.
+constexpr Duration ShortestPublishGap = milliseconds(20);
+/// How often the store is asked who the peers are: often at the start, when
+/// all hosts come at once, then rarely.
+constexpr Duration FirstSearches = seconds(1);
+constexpr Duration LaterSearches = seconds(10);
+constexpr int FirstSearchCount = 3;
+/// Between two reports that name all members and carry what changes slowly.
+constexpr Duration WholeInterval = seconds(1);
+/// Windows of usage that reports carry.
+constexpr std::size_t ReportedWindows = 3;
+/// Larger changes are asked for by each host: passed on to a whole zone they
+/// would hold up the reports behind them.
+constexpr std::size_t MostPassedOn = 48UL * 1024;
+
+/// The newest few windows.
+std::map<WindowNumber, TeamCounts>
+newest(std::map<WindowNumber, TeamCounts> windows) {
+  while (windows.size() > ReportedWindows)
+    windows.erase(windows.begin());
+  return windows;
+}
+
+std::size_t sizeOf(const KindChanges &changes) {
+  std::size_t bytes = 0;
+  for (const KindChange &it : changes.Changes)
+    bytes += it.Object.Body.size() + it.Object.Status.size();
+  return bytes;
+}
+
+} // namespace
+
+GatewayFleet::GatewayFleet(GatewayState &state, GatewayFleetHooks hooks)
+    : State(state), Hooks(std::move(hooks)), SearchTimer(state.Loop),
+      BornAt(bootNow()) {}
+
+void GatewayFleet::listen() {
+  FleetLink::Hooks hooks;
+  hooks.OnReport = [this](const FleetReport &report) { heard(report); };
+  hooks.OnNews = [this](const KindNews &news) { Hooks.OnNews(news); };
+  Link =
+      std::make_unique<FleetLink>(State.Loop, State.Settings.PeerListen, hooks);
+}
+
+void GatewayFleet::start() { findPeers(); }
+
+FleetMember GatewayFleet::self() const {
+  FleetMember self = Hooks.Self();
+  self.Host = State.Settings.Host;
+  self.Zone = State.Settings.Zone;
+  self.PeerAddress = Link->address();
+  self.Capacity = State.Settings.Cores;
+  return self;
+}
+
+FleetReport GatewayFleet::ownReport(Instant now) const {
+  FleetReport report;
+  report.Teller = State.Settings.Host;
+  report.Zone = State.Settings.Zone;
+  report.Incarnation = State.Incarnation;
+  report.Sequence = Sequence;
+  report.Uptime = now - BornAt;
+  report.SentAt = now.time_since_epoch().count();
+  report.TrueTimeMs = toEpochMilliseconds(State.Time.own(now));
+  report.Members = {self()};
+  report.Open = State.Replicas.ownWork();
+  for (const auto &[team, meter] : State.Meters) {
+    report.Used[team] = meter.used();
+    if (const auto level = meter.knownLevel())
+      report.Levels[team] = *level;
+  }
+  report.Usage = newest(State.Usage.own());
+  report.Moves = Hooks.Moves(ReportScope::Host);
+  return report;
+}
+
+void GatewayFleet::tick(Instant now) {
+  for (const HostId &it : State.Fleet.forgetSilent(now)) {
+    LogLine(Severity::Warning, "peer gone").field("peer", it.text());
+    Echoes.erase(it);
+  }
+  recount(now);
+  keepLinks(now);
+  publish(now);
+}
+
+void GatewayFleet::keepLinks(Instant now) {
+  std::map<HostId, std::string> wanted;
+  for (const HostId &it : State.Fleet.mates())
+    wanted[it] = State.Fleet.peerAddressOf(it);
+  if (State.Fleet.isZoned() && speaks(now))
+    for (const HostId &it : State.Fleet.otherSpeakers(now))
+      wanted[it] = State.Fleet.peerAddressOf(it);
+  Link->keep(wanted, now);
+}
+
+void GatewayFleet::publish(Instant now) {
+  ++Sequence;
+  PublishedAt = now;
+  const FleetReport own = ownReport(now);
+  State.Fleet.noteOwn(own);
+  Link->send(State.Fleet.mates(), encodeFleetMessage(own));
+  if (State.Fleet.isZoned() && speaks(now))
+    publishSums(own, now);
+}
+
+/// Tells other zones' speakers the sum of this zone, and this zone the sum of
+/// the others. Members, usage and moves change slowly and are many; they go
+/// along once a second, or when a member has changed.
+void GatewayFleet::publishSums(const FleetReport &own, Instant now) {
+  FleetReport zone = State.Fleet.zoneReport(own, now);
+  FleetReport others = State.Fleet.othersReport(own, now);
+  const bool isWhole = now - NamedAt >= WholeInterval ||
+                       Named[zone.Scope] != zone.Members ||
+                       Named[others.Scope] != others.Members;
+  if (isWhole) {
+    NamedAt = now;
+    Named[zone.Scope] = zone.Members;
+    Named[others.Scope] = others.Members;
+  }
+  for (FleetReport *it : {&zone, &others}) {
+    it->Usage.clear();
+    it->Moves.clear();
+    if (!isWhole)
+      it->Members.clear();
+    else
+      it->Moves = Hooks.Moves(it->Scope);
+  }
+  if (isWhole) {
+    zone.Usage = newest(State.Usage.ownZone());
+    others.Usage = newest(State.Usage.otherZones());
+  }
+  Link->send(State.Fleet.otherSpeakers(now), encodeFleetMessage(zone));
+  Link->send(State.Fleet.mates(), encodeFleetMessage(others));
+}
+
+void GatewayFleet::publishSoon() {
+  const Instant now = bootNow();
+  if (now - PublishedAt >= ShortestPublishGap)
+    publish(now);
+}
+
+void GatewayFleet::heard(const FleetReport &report) {
+  const Instant now = bootNow();
+  if (!State.Fleet.hear(report, now))
+    return;
+  if (report.Scope == ReportScope::Host)
+    Echoes[report.Teller] = report.SentAt;
+  take(report, now);
+}
+
+/// Puts what a report says into the tables, unless others tell it as well.
+void GatewayFleet::take(const FleetReport &report, Instant now) {
+  for (const auto &[window, counts] : report.Usage) {
+    if (report.Scope == ReportScope::Host)
+      State.Usage.noteHost(report.Zone, report.Incarnation, window, counts);
+    else if (report.Scope == ReportScope::Zone)
+      State.Usage.noteZone(report.Zone, window, counts);
+    else
+      State.Usage.noteOthers(window, counts);
+  }
+  Hooks.HearMoves(report.Moves);
+  const SourceId source = sourceOf(report);
+  if (Counted.count(source) != 0)
+    return count(report, now);
+  recount(now);
+}
+
+void GatewayFleet::count(const FleetReport &report, Instant now) {
+  const SourceId source = sourceOf(report);
+  State.Replicas.notePeer(source, report.Open);
+  const bool isSum = report.Scope != ReportScope::Host;
+  const bool isOlder = isSum || report.Uptime > now - BornAt;
+  for (const auto &[team, used] : report.Used) {
+    PeerUse use{report.Incarnation, used, isOlder, std::nullopt};
+    const auto level = report.Levels.find(team);
+    if (level != report.Levels.end())
+      use.Level = level->second;
+    State.Meters[team].notePeer(source, use, now);
+  }
+  State.Time.notePeer(source, fromEpochMilliseconds(report.TrueTimeMs), now);
+}
+
+void GatewayFleet::dropCounted(const SourceId &source) {
+  State.Replicas.forgetPeer(source);
+  for (auto &[team, meter] : State.Meters)
+    meter.dropPeer(source);
+  State.Time.forgetPeer(source);
+}
+
+/// Whose reports count changes when this host begins or ends to speak for its
+/// zone, when the fleet grows large, and when hosts go.
+void GatewayFleet::recount(Instant now) {
+  std::set<SourceId> counting;
+  for (const FleetReport *it : State.Fleet.counted(self(), now)) {
+    const SourceId source = sourceOf(*it);
+    counting.insert(source);
+    if (Counted.insert(source).second) {
+      LogLine(Severity::Info, "peer heard")
+          .field("peer", source.text())
+          .field("teller", it->Teller.text());
+      count(*it, now);
+    }
+  }
+  for (auto it = Counted.begin(); it != Counted.end();) {
+    if (counting.count(*it) != 0) {
+      ++it;
+      continue;
+    }
+    LogLine(Severity::Info, "peer no longer counted").field("peer", it->text());
+    dropCounted(*it);
+    it = Counted.erase(it);
+  }
+}
+
+void GatewayFleet::passOn(StoreKind kind, std::uint64_t from,
+                          const KindChanges &changes, Instant begun) {
+  const Instant now = bootNow();
+  if (!speaks(now))
+    return;
+  KindNews news;
+  news.Kind = kind;
+  news.From = from;
+  news.Changes.AsOf = changes.AsOf;
+  news.IsLeftOut = sizeOf(changes) > MostPassedOn;
+  if (!news.IsLeftOut)
+    news.Changes.Changes = changes.Changes;
+  news.Age = now - begun;
+  for (const HostId &it : State.Fleet.mates()) {
+    const auto echo = Echoes.find(it);
+    if (echo == Echoes.end())
+      continue;
+    news.Echo = echo->second;
+    Link->send({it}, encodeFleetMessage(news));
+  }
+}
+
+void GatewayFleet::registerHost() {
+  const FleetMember self = this->self();
+  KeptObject own;
+  own.Name = self.Host.text();
+  own.Body = nlohmann::json{{"peer_address", self.PeerAddress},
+                            {"zone", self.Zone.text()},
+                            {"cores", self.Capacity},
+                            {"incarnation", State.Incarnation.text()}}
+                 .dump();
+  State.Hooks.Store.Create(
+      StoreKind::Hosts, own,
+      [this, own](const StoreResult<KeptObject> &result) {
+        IsRegistered = result.Got.has_value();
+        if (IsRegistered || result.Failure != StoreFailure::Conflict)
+          return;
+        // An earlier life's entry, which may name another address.
+        State.Hooks.Store.Replace(
+            StoreKind::Hosts, own,
+            [this](const StoreResult<KeptObject> &replaced) {
+              IsRegistered = replaced.Got.has_value();
+            });
+      });
+}
+
+void GatewayFleet::leave() {
+  State.Hooks.Store.Remove(StoreKind::Hosts, State.Settings.Host.text(),
+                           [](const StoreResult<KeptObject> &) {});
+}
+
+/// A host's entry; one without an address names nobody.
+static FleetMember registeredMember(const KeptObject &object) {
+  FleetMember out;
+  const auto body = nlohmann::json::parse(object.Body, nullptr, false);
+  if (!body.is_object())
+    return out;
+  out.Host = HostId(object.Name);
+  const auto text = [&](const char *key) {
+    const auto it = body.find(key);
+    return it != body.end() && it->is_string() ? it->get<std::string>() : "";
+  };
+  out.PeerAddress = text("peer_address");
+  out.Zone = ZoneId(text("zone"));
+  const auto cores = body.find("cores");
+  if (cores != body.end() && cores->is_number())
+    out.Capacity = cores->get<double>();
+  return out;
+}
+
+void GatewayFleet::findPeers() {
+  if (State.isStopping())
+    return;
+  if (!IsRegistered)
+    registerHost();
+  State.Hooks.Store.List(StoreKind::Hosts,
+                         [this](const StoreResult<KindListing> &result) {
+                           if (!result.Got)
+                             return;
+                           std::vector<FleetMember> members;
+                           for (const KeptObject &it : result.Got->Objects) {
+                             const FleetMember member = registeredMember(it);
+                             if (!member.PeerAddress.empty())
+                               members.push_back(member);
+                           }
+                           State.Fleet.noteRegistered(members);
+                         });
+  SearchTimer.expires_after(++Searches <= FirstSearchCount ? FirstSearches
+                                                           : LaterSearches);
+  SearchTimer.async_wait([this](boost::system::error_code ec) {
+    if (!ec)
+      findPeers();
+  });
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "GatewayState.h"
+#include "LibPeer/FleetLink.h"
+#include "LibServing/FleetView.h"
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace sorrelbay {
+
+/// What the rest of the daemon adds to its reports and takes from others'.
+struct GatewayFleetHooks {
+  /// This host as its peers should know it; its addresses are filled in here.
+  std::function<FleetMember()> Self;
+  /// What is known of moves by the hosts that the scope covers.
+  std::function<std::string(ReportScope)> Moves;
+  std::function<void(const std::string &)> HearMoves;
+  /// Another host has passed on what the store told it.
+  std::function<void(const KindNews &)> OnNews;
+};
+
+/// This host's part in the fleet: finds the others in the store, tells them
+/// what is open here, takes in what they tell, and passes on what the store
+/// told where it speaks for others. Belongs to the loop's thread.
+class GatewayFleet {
+public:
+  GatewayFleet(GatewayState &state, GatewayFleetHooks hooks);
+
+  /// Listens for peers. Throws PeerListenFailed.
+  void listen();
+  /// Begins to look for peers.
+  void start();
+  /// Gets out of the store's list of hosts.
+  void leave();
+  /// To be called several times a second.
+  void tick(Instant now);
+  void publish(Instant now);
+  /// Tells the peers at once what is open, but no more than every few
+  /// milliseconds.
+  void publishSoon();
+  /// The store told this host; it tells those that it speaks for.
+  void passOn(StoreKind kind, std::uint64_t from, const KindChanges &changes,
+              Instant begun);
+  /// Whether this host speaks for others.
+  bool speaks(Instant now) const { return State.Fleet.speaks(self(), now); }
+  FleetMember self() const;
+  std::string address() const { return Link->address(); }
+
+private:
+  void heard(const FleetReport &report);
+  void take(const FleetReport &report, Instant now);
+  void count(const FleetReport &report, Instant now);
+  void recount(Instant now);
+  void dropCounted(const SourceId &source);
+  FleetReport ownReport(Instant now) const;
+  void publishSums(const FleetReport &own, Instant now);
+  void keepLinks(Instant now);
+  void registerHost();
+  void findPeers();
+
+  GatewayState &State;
+  GatewayFleetHooks Hooks;
+  std::unique_ptr<FleetLink> Link;
+  boost::asio::steady_timer SearchTimer;
+  Instant BornAt;
+  std::uint64_t Sequence = 0;
+  Instant PublishedAt{};
+  /// When a report last named all members, and who they were.
+  Instant NamedAt{};
+  std::map<ReportScope, std::vector<FleetMember>> Named;
+  /// Whose reports are in this host's tables.
+  std::set<SourceId> Counted;
+  /// What each peer's clock showed when it last spoke.
+  std::map<HostId, std::int64_t> Echoes;
+  int Searches = 0;
+  bool IsRegistered = false;
+};
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayMoves.cpp
+++ b/Services/sorrelbayd/GatewayMoves.cpp
@@ -121,10 +121,7 @@
     return;
   const Instant trueNow = State.Time.at(now);
   const bool hearsPeers =
-      State.Peers.empty() ||
-      std::any_of(State.Peers.begin(), State.Peers.end(), [&](const auto &it) {
-        return now - it.second.HeardAt < HeardLately;
-      });
+      State.Fleet.members().empty() || State.Fleet.hearsAny(HeardLately, now);
   for (auto &[name, move] : Moves) {
     if (isOver(move.Order.Outcome))
       continue;
@@ -226,12 +223,17 @@
   });
 }
 
-std::string GatewayMoves::news() const {
+std::string GatewayMoves::news(ReportScope scope) const {
   const bool hasMove =
       std::any_of(Moves.begin(), Moves.end(), [](const auto &it) {
         return !isOver(it.second.Order.Outcome);
       });
-  return hasMove ? encodeRolloutKnowledge(ownPart(Known, Self)) : "";
+  if (!hasMove)
+    return "";
+  // FIXME: A sum of the evidence by zone. Whoever speaks for others tells all
+  // that it knows, which joins to the same, but grows with the fleet.
+  return encodeRolloutKnowledge(
+      scope == ReportScope::Host ? ownPart(Known, Self) : Known);
 }
 
 void GatewayMoves::hear(const std::string &news, Instant /*now*/) {
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -64,6 +64,7 @@
   settings.Host = HostId(host.requiredText("name"));
   settings.Zone = ZoneId(host.requiredText("zone"));
   settings.Region = host.text("region", "");
+  settings.Cores = host.number("cores", 1, 0.001, 4096);
   TomlReader listen = all.table("listen");
   settings.CallerListen = addressAt(listen, "callers");
   settings.ReadinessListen = addressAt(listen, "readiness");
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -51,6 +51,9 @@
   HostId Host;
   ZoneId Zone;
   std::string Region;
+  /// Cores, or the part of one, that the daemon may use; the larger hosts speak
+  /// for the others.
+  double Cores = 1;
   /// Where callers connect, "ip:port".
   std::string CallerListen;
   /// Where the platform asks whether the host is ready.
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -15,16 +15,9 @@
     : Loop(loop), Settings(std::move(settings)), Hooks(std::move(hooks)),
       Incarnation(newIncarnation(Settings.Host)),
       Client(loop, {milliseconds(250), seconds(4), 32UL * 1024}),
-      Usage(Incarnation, Settings.Bounds.UsageWindow),
-      Time(sorrelbay::now(), bootNow()), Random(std::random_device()()) {}
-
-int GatewayState::hostCount() const {
-  int n = 1;
-  for (const auto &[host, peer] : Peers)
-    if (!peer.Report.IsLeaving)
-      ++n;
-  return n;
-}
+      Usage(Incarnation, Settings.Zone, Settings.Bounds.UsageWindow),
+      Fleet({Settings.Host, Settings.Zone}), Time(sorrelbay::now(), bootNow()),
+      Random(std::random_device()()) {}
 
 double GatewayState::draw() {
   return std::uniform_real_distribution<double>(0, 1)(Random);
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -7,7 +7,7 @@
 #include "LibDecision/EvidencePool.h"
 #include "LibDecision/RetryBudget.h"
 #include "LibHttp/AsyncHttpClient.h"
-#include "LibServing/FleetReport.h"
+#include "LibServing/FleetView.h"
 #include "LibServing/ReplicaTable.h"
 #include "LibServing/ServingPlan.h"
 #include "LibServing/TeamMeter.h"
@@ -23,12 +23,6 @@
 
 namespace sorrelbay {
 
-/// A peer as its last report shows it.
-struct KnownPeer {
-  FleetReport Report;
-  Instant HeardAt{};
-};
-
 /// What all parts of a serving daemon share. All of it belongs to the event
 /// loop's thread, so it has no locks.
 struct GatewayState {
@@ -52,9 +46,8 @@
   ReplicaTable Replicas;
   std::map<TeamId, TeamMeter> Meters;
   UsageCounts Usage;
-  std::map<ServiceId, ServiceDemand> Demand;
   std::map<ServiceId, RetryBudget> Repeats;
-  std::map<HostId, KnownPeer> Peers;
+  FleetView Fleet;
   TrueTime Time;
   std::mt19937_64 Random;
   /// Failures go before successes where lines must be left out.
@@ -71,11 +64,11 @@
                      UpstreamOutcome)>
       RecordOutcome;
   std::function<bool(const ServiceId &)> IsMoving;
+  /// This host as its peers know it.
+  std::function<FleetMember()> Self;
   /// Tells the peers at once what is open here.
   std::function<void()> TellPeers = [] {};
 
-  /// Hosts that take calls, this one included; at least 1.
-  int hostCount() const;
   /// How old the plan may be at most, by what is known.
   Duration planAge(Instant now) const { return now - PlanConfirmedAt; }
   /// A fraction in [0, 1).
--- /dev/null
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -0,0 +1,153 @@
+#include "LibBase/BootClock.h"
+#include "LibObjectApi/KindWatcher.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+using namespace sorrelbay;
+
+namespace {
+
+/// A watcher of one kind whose store is played by the test: a call stays open
+/// until the test answers it.
+struct World {
+  explicit World(bool asksAlways) {
+    KindStore store;
+    store.List = [this](StoreKind, const StoreCallback<KindListing> &done) {
+      ++Lists;
+      Listed = done;
+    };
+    store.Watch = [this](StoreKind, std::uint64_t after, Duration,
+                         const StoreCallback<KindChanges> &done) {
+      ++Watches;
+      After = after;
+      Watched = done;
+    };
+    KindWatcherHooks hooks;
+    hooks.OnObject = [this](const KeptObject &it) { Seen[it.Name] = it.Body; };
+    hooks.OnRemoved = [this](const std::string &name) { Seen.erase(name); };
+    hooks.OnConfirmed = [this](Instant begun) { Confirmed = begun; };
+    hooks.AsksAlways = [asksAlways] { return asksAlways; };
+    Watcher = std::make_unique<KindWatcher>(Loop, store, StoreKind::Replicas,
+                                            KindWatcherSettings{}, hooks);
+    Watcher->start();
+    StoreResult<KindListing> listing;
+    listing.Got = KindListing{{{"a", "1", "", 5}}, 10};
+    Listed(listing);
+  }
+
+  /// News after `from` up to `asOf`, told this long after the call to the
+  /// store, in answer to what this host said `echoAge` ago.
+  static KindNews news(std::uint64_t from, std::uint64_t asOf,
+                       std::vector<KindChange> changes,
+                       Duration echoAge = Duration::zero()) {
+    KindNews out;
+    out.Kind = StoreKind::Replicas;
+    out.From = from;
+    out.Changes = {std::move(changes), asOf};
+    out.Age = milliseconds(100);
+    out.Echo = (bootNow() - echoAge).time_since_epoch().count();
+    return out;
+  }
+
+  boost::asio::io_context Loop;
+  StoreCallback<KindListing> Listed;
+  StoreCallback<KindChanges> Watched;
+  int Lists = 0;
+  int Watches = 0;
+  std::uint64_t After = 0;
+  std::map<std::string, std::string> Seen;
+  Instant Confirmed{};
+  std::unique_ptr<KindWatcher> Watcher;
+};
+
+KindChange changed(const char *name, const char *body, std::uint64_t revision) {
+  return {{name, body, "", revision}, false};
+}
+
+KindChange removed(const char *name, std::uint64_t revision) {
+  return {{name, "", "", revision}, true};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(kind_watcher)
+
+BOOST_AUTO_TEST_CASE(a_host_that_is_told_of_changes_does_not_ask) {
+  World world(false);
+  // Nothing was heard yet, so it asks.
+  BOOST_TEST(world.Watches == 1);
+  world.Watcher->hear(World::news(10, 12, {changed("b", "2", 12)}), bootNow());
+  BOOST_TEST(world.Seen.at("b") == "2");
+  StoreResult<KindChanges> late;
+  late.Got = KindChanges{{changed("b", "old", 11)}, 11};
+  world.Watched(late);
+  // The older answer undoes nothing, and no other call follows.
+  BOOST_TEST(world.Seen.at("b") == "2");
+  BOOST_TEST(world.Watches == 1);
+  world.Watcher->tick(bootNow() + milliseconds(100));
+  BOOST_TEST(world.Watches == 1);
+}
+
+// The host that passes news on dies, and says nothing. A replica that leaves
+// would go on getting calls for as long as this host waits.
+BOOST_AUTO_TEST_CASE(silence_of_the_teller_makes_it_ask_again) {
+  World world(false);
+  world.Watcher->hear(World::news(10, 12, {}), bootNow());
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  BOOST_TEST(world.Watches == 1);
+  world.Watcher->tick(bootNow() + seconds(3));
+  BOOST_TEST(world.Watches == 2);
+  BOOST_TEST(world.After == 12);
+}
+
+// News was held up in a link for seconds. It says what the store held then; as
+// proof that a key still counts today it would be false.
+BOOST_AUTO_TEST_CASE(news_confirms_no_more_than_its_echo_allows) {
+  World world(false);
+  const Instant before = bootNow();
+  world.Watcher->hear(World::news(10, 12, {}, seconds(20)), bootNow());
+  BOOST_TEST((world.Confirmed <= before + milliseconds(100)));
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  const Instant own = world.Confirmed;
+  world.Watcher->hear(World::news(12, 14, {}, seconds(20)), bootNow());
+  BOOST_TEST((world.Confirmed == own));
+}
+
+BOOST_AUTO_TEST_CASE(a_gap_in_the_news_is_asked_for) {
+  World world(false);
+  world.Watcher->hear(World::news(10, 12, {}), bootNow());
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  BOOST_TEST(world.Watches == 1);
+  world.Watcher->hear(World::news(20, 22, {changed("c", "3", 22)}), bootNow());
+  BOOST_TEST(world.Seen.count("c") == 0);
+  BOOST_TEST(world.Watches == 2);
+  BOOST_TEST(world.After == 12);
+}
+
+// A replica's entry was removed and is there again; the teller is behind and
+// passes the removal on. The replica would get nothing more.
+BOOST_AUTO_TEST_CASE(an_old_removal_undoes_nothing) {
+  World world(false);
+  world.Watcher->hear(World::news(10, 20, {changed("a", "again", 18)}),
+                      bootNow());
+  world.Watcher->hear(
+      World::news(10, 21, {removed("a", 14), changed("a", "again", 18)}),
+      bootNow());
+  BOOST_TEST(world.Seen.at("a") == "again");
+  world.Watcher->hear(World::news(21, 23, {removed("a", 18)}), bootNow());
+  BOOST_TEST(world.Seen.count("a") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(the_host_that_speaks_asks_all_the_time) {
+  World world(true);
+  for (int n = 0; n < 3; ++n) {
+    world.Watcher->hear(World::news(10, 12, {}), bootNow());
+    world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  }
+  BOOST_TEST(world.Watches == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -0,0 +1,211 @@
+#include "LibServing/FleetView.h"
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+namespace {
+
+constexpr Duration Round = milliseconds(250);
+
+/// Hosts "h00" to "hNN" in zones "z0", "z1" ..., that tell each other what
+/// their views say they should, without a network.
+struct Fleet {
+  Fleet(int hosts, int zones) {
+    for (int n = 0; n < hosts; ++n) {
+      FleetMember it;
+      it.Host = HostId((n < 10 ? "h0" : "h") + std::to_string(n));
+      it.Zone = ZoneId("z" + std::to_string(n % zones));
+      it.PeerAddress = it.Host.text() + ":1";
+      it.IsReady = true;
+      // The first host of each zone is larger.
+      it.Capacity = n < zones ? 2 : 1;
+      Members.push_back(it);
+      Views.emplace_back(FleetViewSettings{it.Host, it.Zone});
+    }
+    for (FleetView &it : Views)
+      it.noteRegistered(Members);
+    Work.resize(Members.size());
+    IsDown.resize(Members.size());
+  }
+
+  std::size_t indexOf(const HostId &host) const {
+    const auto it =
+        std::find_if(Members.begin(), Members.end(),
+                     [&](const FleetMember &m) { return m.Host == host; });
+    return static_cast<std::size_t>(it - Members.begin());
+  }
+
+  FleetReport ownReport(std::size_t n) {
+    FleetReport own;
+    own.Teller = Members[n].Host;
+    own.Zone = Members[n].Zone;
+    own.Incarnation = IncarnationId(own.Teller.text());
+    own.Sequence = Sequence;
+    own.Members = {Members[n]};
+    own.Open[UpstreamId("u")] = {Work[n], 0, 0};
+    own.Used[TeamId("t")] = Work[n];
+    return own;
+  }
+
+  void tell(const std::vector<HostId> &hosts, const FleetReport &report) {
+    for (const HostId &it : hosts) {
+      ++Messages;
+      if (!IsDown[indexOf(it)])
+        Views[indexOf(it)].hear(report, Now);
+    }
+  }
+
+  void round() {
+    Now += Round;
+    ++Sequence;
+    for (std::size_t n = 0; n < Views.size(); ++n) {
+      if (IsDown[n])
+        continue;
+      FleetView &view = Views[n];
+      view.forgetSilent(Now);
+      const FleetReport own = ownReport(n);
+      view.noteOwn(own);
+      tell(view.mates(), own);
+      if (!view.isZoned() || !view.speaks(Members[n], Now))
+        continue;
+      tell(view.otherSpeakers(Now), view.zoneReport(own, Now));
+      tell(view.mates(), view.othersReport(own, Now));
+    }
+  }
+
+  void rounds(int count) {
+    for (int n = 0; n < count; ++n)
+      round();
+  }
+
+  /// Calls that the host believes the others have open at "u".
+  int othersWork(std::size_t n) const {
+    int calls = 0;
+    for (const FleetReport *it : Views[n].counted(Members[n], Now)) {
+      const auto open = it->Open.find(UpstreamId("u"));
+      if (open != it->Open.end())
+        calls += open->second.Calls;
+    }
+    return calls;
+  }
+
+  int speakers() const {
+    int n = 0;
+    for (std::size_t it = 0; it < Views.size(); ++it)
+      if (!IsDown[it] && Views[it].speaks(Members[it], Now))
+        ++n;
+    return n;
+  }
+
+  std::vector<FleetMember> Members;
+  std::vector<FleetView> Views;
+  std::vector<int> Work;
+  std::vector<bool> IsDown;
+  std::uint64_t Sequence = 0;
+  int Messages = 0;
+  Instant Now{seconds(1000)};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fleet_view)
+
+BOOST_AUTO_TEST_CASE(few_hosts_all_tell_all) {
+  Fleet fleet(7, 4);
+  fleet.Work.assign(7, 3);
+  fleet.rounds(4);
+  for (std::size_t n = 0; n < 7; ++n) {
+    BOOST_TEST(!fleet.Views[n].isZoned());
+    BOOST_TEST(fleet.othersWork(n) == 6 * 3);
+    BOOST_TEST(fleet.Views[n].hostCount() == 7);
+  }
+  BOOST_TEST(fleet.speakers() == 1);
+}
+
+// Each host of a large fleet must still know what all others have open, or it
+// sends its calls behind theirs. Were each to tell all, messages would grow by
+// the square of the hosts and fill their links.
+BOOST_AUTO_TEST_CASE(many_hosts_know_all_work_by_few_messages) {
+  Fleet fleet(80, 4);
+  for (std::size_t n = 0; n < 80; ++n)
+    fleet.Work[n] = static_cast<int>(n);
+  fleet.rounds(8);
+  const int all = 79 * 80 / 2;
+  for (std::size_t n = 0; n < 80; ++n) {
+    BOOST_TEST(fleet.othersWork(n) == all - fleet.Work[n]);
+    BOOST_TEST(fleet.Views[n].hostCount() == 80);
+  }
+  BOOST_TEST(fleet.speakers() == 4);
+  fleet.Messages = 0;
+  fleet.round();
+  BOOST_TEST(fleet.Messages < 80 * 79 / 3);
+}
+
+// A speaker loses power. Its zone's hosts would stay unknown to the others, and
+// the others to them.
+BOOST_AUTO_TEST_CASE(another_host_speaks_when_a_speaker_is_silent) {
+  Fleet fleet(80, 4);
+  fleet.Work.assign(80, 2);
+  fleet.rounds(8);
+  fleet.IsDown[0] = true;
+  fleet.rounds(16);
+  for (std::size_t n = 1; n < 80; ++n) {
+    BOOST_TEST(fleet.othersWork(n) >= 78 * 2);
+    BOOST_TEST(fleet.othersWork(n) <= 79 * 2);
+  }
+  BOOST_TEST(fleet.speakers() == 4);
+  // No caller is sent to it.
+  for (std::size_t n = 1; n < 80; ++n)
+    for (const HeardMember &it : fleet.Views[n].members())
+      if (it.Member.Host == fleet.Members[0].Host)
+        BOOST_TEST(!fleet.Views[n].isAnswering(it, fleet.Now));
+}
+
+// A host that can't reach the store would pass on nothing, and all that wait
+// for its news would go on by what they knew.
+BOOST_AUTO_TEST_CASE(a_host_that_is_cut_off_does_not_speak) {
+  Fleet fleet(7, 1);
+  fleet.rounds(4);
+  BOOST_TEST(fleet.Views[0].speaks(fleet.Members[0], fleet.Now));
+  fleet.Members[0].IsCutOff = true;
+  fleet.rounds(4);
+  BOOST_TEST(!fleet.Views[0].speaks(fleet.Members[0], fleet.Now));
+  BOOST_TEST(fleet.Views[1].speaks(fleet.Members[1], fleet.Now));
+}
+
+BOOST_AUTO_TEST_CASE(a_second_speaker_is_not_believed_while_the_first_speaks) {
+  FleetView view({HostId("h"), ZoneId("z0")});
+  FleetReport sum;
+  sum.Scope = ReportScope::Zone;
+  sum.Zone = ZoneId("z1");
+  sum.Incarnation = IncarnationId("first");
+  sum.Sequence = 5;
+  const Instant now{seconds(10)};
+  BOOST_TEST(view.hear(sum, now));
+  BOOST_TEST(!view.hear(sum, now));
+  FleetReport second = sum;
+  second.Incarnation = IncarnationId("second");
+  BOOST_TEST(!view.hear(second, now + milliseconds(300)));
+  BOOST_TEST(view.hear(second, now + milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+BOOST_AUTO_TEST_SUITE(used_sum)
+
+// A host of a zone is killed and comes back. A sum that fell would look like
+// units given back, and one that began anew would charge the team twice.
+BOOST_AUTO_TEST_CASE(a_sum_never_falls_and_counts_nothing_twice) {
+  UsedSum sum;
+  const TeamId team("t");
+  sum.note(SourceId("a"), IncarnationId("1"), {{team, 500}}, true);
+  BOOST_TEST(sum.total().at(team) == 0);
+  sum.note(SourceId("a"), IncarnationId("1"), {{team, 600}}, true);
+  BOOST_TEST(sum.total().at(team) == 100);
+  sum.note(SourceId("a"), IncarnationId("2"), {{team, 30}}, false);
+  BOOST_TEST(sum.total().at(team) == 130);
+  sum.note(SourceId("a"), IncarnationId("2"), {}, false);
+  BOOST_TEST(sum.total().at(team) == 130);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/TestReplicaTable.cpp
+++ b/Tests/LibServing/TestReplicaTable.cpp
@@ -143,7 +143,7 @@
 BOOST_AUTO_TEST_CASE(what_peers_have_open_counts_until_they_say_otherwise) {
   ReplicaTable table;
   table.note(replica("r0"), Now);
-  const HostId peer("p");
+  const SourceId peer("p");
   table.notePeer(
       peer, {{UpstreamId("r0"), {3, 700, 900}}, {UpstreamId("r1"), {1, 5, 6}}});
   BOOST_TEST((table.workAt(UpstreamId("r0")) == OpenWork{3, 700, 900}));
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -50,8 +50,8 @@
   const Instant boot{seconds(50)};
   TrueTime time(Instant(seconds(1002)), boot);
   BOOST_TEST((time.at(boot) == Instant(seconds(1002))));
-  time.notePeer(HostId("a"), Instant(seconds(1000)), boot);
-  time.notePeer(HostId("b"), Instant(seconds(1000)), boot);
+  time.notePeer(SourceId("a"), Instant(seconds(1000)), boot);
+  time.notePeer(SourceId("b"), Instant(seconds(1000)), boot);
   BOOST_TEST((time.at(boot + seconds(5)) == Instant(seconds(1005))));
   BOOST_TEST((time.own(boot) == Instant(seconds(1002))));
 }
@@ -60,21 +60,42 @@
 BOOST_AUTO_TEST_SUITE(usage_counts)
 
 BOOST_AUTO_TEST_CASE(counts_are_summed_over_processes_and_never_fall) {
-  UsageCounts usage(IncarnationId("self"), seconds(5));
+  UsageCounts usage(IncarnationId("self"), ZoneId("z"), seconds(5));
   const TeamId team("t");
   const Instant at{seconds(12)};
   const WindowNumber window = usage.windowAt(at);
   BOOST_TEST(window == 2);
   BOOST_TEST((usage.endOf(window) == Instant(seconds(15))));
   usage.noteBegun(team, at);
-  usage.noteReport(IncarnationId("peer"), window, {{team, 5}});
-  usage.noteReport(IncarnationId("peer"), window, {{team, 3}});
+  usage.noteHost(ZoneId("z"), IncarnationId("peer"), window, {{team, 5}});
+  usage.noteHost(ZoneId("z"), IncarnationId("peer"), window, {{team, 3}});
   // The process that was killed did serve its calls.
-  usage.noteReport(IncarnationId("peer again"), window, {{team, 1}});
+  usage.noteHost(ZoneId("z"), IncarnationId("peer again"), window, {{team, 1}});
   BOOST_TEST(usage.sum(window)[team] == 7);
   BOOST_TEST(usage.own()[window][team] == 1);
   usage.forgetBefore(window + 1);
   BOOST_TEST(usage.sum(window).empty());
 }
 
+// A large fleet's hosts hear of other zones by sums, and the host that tells
+// them changes: counted twice, a team would be billed for calls it never made.
+BOOST_AUTO_TEST_CASE(sums_of_zones_and_of_their_hosts_are_not_added_up) {
+  UsageCounts usage(IncarnationId("self"), ZoneId("z"), seconds(5));
+  const TeamId team("t");
+  usage.noteBegun(team, Instant(seconds(1)));
+  usage.noteHost(ZoneId("z"), IncarnationId("mate"), 0, {{team, 2}});
+  usage.noteHost(ZoneId("y"), IncarnationId("afar"), 0, {{team, 10}});
+  usage.noteZone(ZoneId("y"), 0, {{team, 30}});
+  usage.noteZone(ZoneId("y"), 0, {{team, 20}});
+  usage.noteZone(ZoneId("x"), 0, {{team, 100}});
+  BOOST_TEST(usage.sum(0)[team] == 133);
+  BOOST_TEST(usage.ownZone()[0][team] == 3);
+  BOOST_TEST(usage.otherZones()[0][team] == 130);
+  usage.noteOthers(0, {{team, 131}});
+  BOOST_TEST(usage.sum(0)[team] == 134);
+  // What the own zone's hosts say comes back in no other sum.
+  usage.noteZone(ZoneId("z"), 0, {{team, 50}});
+  BOOST_TEST(usage.sum(0)[team] == 134);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/TestTeamMeter.cpp
+++ b/Tests/LibServing/TestTeamMeter.cpp
@@ -18,9 +18,9 @@
     for (std::size_t from = 0; from < Meters.size(); ++from)
       for (std::size_t to = 0; to < Meters.size(); ++to)
         if (from != to)
-          Meters[to].notePeer(HostId(std::to_string(from)),
-                              IncarnationId(std::to_string(from)),
-                              Meters[from].used(), now);
+          Meters[to].notePeer(
+              SourceId(std::to_string(from)),
+              {IncarnationId(std::to_string(from)), Meters[from].used()}, now);
   }
 
   /// Offers that many units a second in all, by turns, and returns what was let
@@ -71,11 +71,41 @@
   TeamMeter meter;
   const Instant now{seconds(10)};
   BOOST_TEST(meter.take(1, Rate, Burst, now));
-  meter.notePeer(HostId("a"), IncarnationId("1"), 500, now);
-  meter.notePeer(HostId("a"), IncarnationId("2"), 300, now);
+  meter.notePeer(SourceId("a"), {IncarnationId("1"), 500}, now);
+  meter.notePeer(SourceId("a"), {IncarnationId("2"), 300}, now);
   BOOST_TEST(meter.level() == Burst - 1 - 500 - 300);
 }
 
+// A host was killed and starts again beside peers that have let in the team's
+// calls for minutes. Charged with all of that at once, it would answer "beyond
+// the allotment" to a team that is well within it, for many seconds.
+BOOST_AUTO_TEST_CASE(a_host_that_starts_anew_takes_the_level_from_its_peers) {
+  TeamMeter meter;
+  const Instant now{seconds(10)};
+  meter.notePeer(SourceId("a"), {IncarnationId("1"), 50 * Rate, true, 600},
+                 now);
+  meter.notePeer(SourceId("b"), {IncarnationId("1"), 40 * Rate, true, 700},
+                 now);
+  BOOST_TEST(meter.take(100, Rate, Burst, now));
+  BOOST_TEST(meter.knownLevel().value() == 500);
+  // What they let in from then on counts.
+  meter.notePeer(SourceId("a"), {IncarnationId("1"), 50 * Rate + 200, true, 0},
+                 now);
+  BOOST_TEST(meter.level() == 300);
+}
+
+// Two hosts start anew together: nobody knows the level, and nothing has been
+// let in.
+BOOST_AUTO_TEST_CASE(without_older_peers_the_bucket_is_full) {
+  TeamMeter meter;
+  const Instant now{seconds(10)};
+  BOOST_TEST(!meter.knownLevel().has_value());
+  meter.notePeer(SourceId("a"), {IncarnationId("1"), 300, false, Burst - 300},
+                 now);
+  BOOST_TEST(meter.take(1, Rate, Burst, now));
+  BOOST_TEST(meter.level() == Burst - 301);
+}
+
 BOOST_AUTO_TEST_CASE(units_of_a_call_that_did_not_run_come_back) {
   TeamMeter meter;
   const Instant now{seconds(10)};
