LibServing: Keep allotments and repeats over hosts that start and speak

(2) Two zones whose speakers knew only of each other's lesser hosts never came to know each other: their sums stood still for good. (3) Each host that starts is the first that it knows of, and spoke for its zone. (4) Hosts that start together each began with the whole fleet's slack for repeats: 65 to 102 repeats in a window where 54 and a fifth of the calls are allowed. (5) A sum was taken as new at each change of speaker, what was let in meanwhile was lost: 456,375 units in a window of the model that allows 396,000 and the slack.

Ruled out: charging a new speaker's whole sum (a team would be refused for what it used minutes ago).

What puts reports into the tables is pure now (FleetCounting) and played by FleetWorld: hosts killed, frozen, cut off, one team that asks for three times its allotment, repeats, one lease; QUOTA, BUDGET, ONE and the usage are checked, three omissions are each noticed.

--- a/Libraries/LibDecision/RetryBudget.h
+++ b/Libraries/LibDecision/RetryBudget.h
@@ -18,7 +18,10 @@
   /// Each call earns that share of a retry; at most so many are saved up for a
   /// burst.
   explicit RetryBudget(double share = 0.1, double mostSaved = 10)
-      : Share(share), MostSaved(mostSaved), Saved(mostSaved) {}
+      : RetryBudget(share, mostSaved, mostSaved) {}
+  /// One that begins with so many saved up.
+  RetryBudget(double share, double mostSaved, double saved)
+      : Share(share), MostSaved(mostSaved), Saved(saved) {}
 
   void noteCall();
   /// Changes how many may be saved up; what is saved beyond it is lost.
--- /dev/null
+++ b/Libraries/LibServing/FleetCounting.cpp
@@ -0,0 +1,106 @@
+#include "LibServing/FleetCounting.h"
+
+namespace sorrelbay {
+
+/// Windows of usage that reports carry.
+static constexpr std::size_t ReportedWindows = 3;
+/// Processes that were started together may be that much apart.
+static constexpr Duration StartSpread = seconds(1);
+
+/// The newest few windows.
+static std::map<WindowNumber, TeamCounts>
+newest(std::map<WindowNumber, TeamCounts> windows) {
+  while (windows.size() > ReportedWindows)
+    windows.erase(windows.begin());
+  return windows;
+}
+
+FleetCounting::FleetCounting(FleetView &view, FleetTables tables,
+                             Instant bornAt, SourceHook onSource)
+    : View(view), Tables(tables), BornAt(bornAt),
+      OnSource(std::move(onSource)) {}
+
+void FleetCounting::take(const FleetReport &report, const FleetMember &self,
+                         Instant now) {
+  for (const auto &[window, counts] : report.Usage) {
+    if (report.Scope == ReportScope::Host)
+      Tables.Usage.noteHost(report.Zone, report.Incarnation, window, counts);
+    else if (report.Scope == ReportScope::Zone)
+      Tables.Usage.noteZone(report.Zone, window, counts);
+    else
+      Tables.Usage.noteOthers(window, counts);
+  }
+  if (Counted.count(sourceOf(report)) != 0)
+    count(report, now);
+  else
+    recount(self, now);
+}
+
+void FleetCounting::count(const FleetReport &report, Instant now) {
+  const SourceId source = sourceOf(report);
+  Tables.Replicas.notePeer(source, report.Open);
+  const bool isSum = report.Scope != ReportScope::Host;
+  // What a sum shows when this host begins or ends to speak was charged by way
+  // of other sums before.
+  const bool isCharged = isSum && HasCountedSum && Counted.count(source) == 0;
+  HasCountedSum = HasCountedSum || isSum;
+  const bool isOlder = isCharged || report.Uptime > now - BornAt + StartSpread;
+  for (const auto &[team, used] : report.Used) {
+    PeerUse use{report.Incarnation, used, isOlder, isSum, std::nullopt};
+    const auto level = report.Levels.find(team);
+    if (level != report.Levels.end())
+      use.Level = level->second;
+    Tables.Meters[team].notePeer(source, use, now);
+  }
+  Tables.Time.notePeer(source, fromEpochMilliseconds(report.TrueTimeMs), now);
+  FleetReport &known = Counted[source];
+  known.Scope = report.Scope;
+  known.Teller = report.Teller;
+  known.Zone = report.Zone;
+}
+
+void FleetCounting::drop(const SourceId &source) {
+  Tables.Replicas.forgetPeer(source);
+  for (auto &[team, meter] : Tables.Meters)
+    meter.dropPeer(source);
+  Tables.Time.forgetPeer(source);
+}
+
+void FleetCounting::recount(const FleetMember &self, Instant now) {
+  std::set<SourceId> counting;
+  for (const FleetReport *it : View.counted(self, now)) {
+    const SourceId source = sourceOf(*it);
+    counting.insert(source);
+    if (Counted.count(source) != 0)
+      continue;
+    count(*it, now);
+    OnSource(*it, true);
+  }
+  for (auto it = Counted.begin(); it != Counted.end();) {
+    if (counting.count(it->first) != 0) {
+      ++it;
+      continue;
+    }
+    OnSource(it->second, false);
+    drop(it->first);
+    it = Counted.erase(it);
+  }
+}
+
+void FleetCounting::fillOwn(FleetReport &report) const {
+  report.Open = Tables.Replicas.ownWork();
+  for (const auto &[team, meter] : Tables.Meters) {
+    report.Used[team] = meter.used();
+    if (const auto level = meter.knownLevel())
+      report.Levels[team] = *level;
+  }
+  report.Usage = newest(Tables.Usage.own());
+}
+
+void FleetCounting::fillUsage(FleetReport &sum) const {
+  sum.Usage =
+      newest(sum.Scope == ReportScope::Zone ? Tables.Usage.ownZone()
+                                            : Tables.Usage.otherZones());
+}
+
+} // namespace sorrelbay
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -53,7 +53,8 @@
   ZoneId Zone;
   IncarnationId Incarnation;
   std::uint64_t Sequence = 0;
-  /// How long the teller's process has been running.
+  /// How long the teller's process has been running, or the longest of those
+  /// whose work it adds up.
   Duration Uptime{};
   /// The teller's boot clock, in microseconds. Peers send it back with what
   /// they pass on, so that the teller knows how old that is at the most.
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -65,10 +65,14 @@
     return false;
   noteMembers(report, now);
   if (report.Scope == ReportScope::Host && report.Zone == Settings.Zone)
-    ZoneUsed.note(source, report.Incarnation, report.Used,
-                  heard.At == Instant{});
+    ZoneUsed.note(source, report.Incarnation, report.Used, CountFrom::Zero);
+  // While all hosts are young those that speak change quickly, and each sum
+  // holds the ones before it. Later a new speaker may know of less, or of more
+  // that was let in long ago.
   if (report.Scope == ReportScope::Zone)
-    OthersUsed.note(source, report.Incarnation, report.Used, true);
+    OthersUsed.note(source, report.Incarnation, report.Used,
+                    report.Uptime < Settings.Young ? CountFrom::Known
+                                                   : CountFrom::Now);
   heard.Report = report;
   heard.At = now;
   return true;
@@ -157,7 +161,9 @@
 }
 
 bool FleetView::speaks(const FleetMember &self, Instant now) const {
-  return isAmongFirst(self, 1, now);
+  // Before it has heard of the others each host is the first that it knows of.
+  return now - Settings.BornAt >= Settings.SpeakerSilence &&
+         isAmongFirst(self, 1, now);
 }
 
 bool FleetView::isAmongFirst(const FleetMember &self, std::size_t count,
@@ -178,32 +184,46 @@
 }
 
 std::vector<HostId> FleetView::otherSpeakers(Instant now) const {
-  std::map<ZoneId, std::vector<FleetMember>> zones;
+  std::set<ZoneId> zones;
   for (const auto &[host, it] : Registered)
-    zones[it.Zone];
+    zones.insert(it.Zone);
   for (const auto &[host, it] : Known)
-    zones[it.Member.Zone];
+    zones.insert(it.Member.Zone);
   zones.erase(Settings.Zone);
   std::vector<HostId> out;
-  for (auto &[zone, hosts] : zones) {
-    hosts = ranked(&zone, Settings.Silence * 2, now);
-    if (hosts.empty()) {
-      // Nobody there was heard of yet. Entries of hosts that are gone stay in
-      // the store, so that all are tried by turns.
-      for (const auto &[host, it] : Registered)
-        if (it.Zone == zone)
-          hosts.push_back(it);
-      std::sort(hosts.begin(), hosts.end(), ranksBefore);
-      const auto turn =
-          static_cast<std::size_t>(toSeconds(now.time_since_epoch())) %
-          hosts.size();
-      std::rotate(hosts.begin(),
-                  hosts.begin() + static_cast<std::ptrdiff_t>(turn),
-                  hosts.end());
-    }
-    for (std::size_t n = 0; n < hosts.size() && n < Settings.SpeakersTold; ++n)
-      out.push_back(hosts[n].Host);
+  for (const ZoneId &zone : zones) {
+    const auto heard = ranked(&zone, Settings.Silence * 2, now);
+    for (std::size_t n = 0; n < heard.size() && n < Settings.SpeakersTold; ++n)
+      out.push_back(heard[n].Host);
+    const std::vector<HostId> unheard = unheardOf(zone, now);
+    out.insert(out.end(), unheard.begin(), unheard.end());
+  }
+  return out;
+}
+
+/// Hosts of the zone that have registered and weren't heard of: the one that
+/// would speak first, and the others by turns. Two zones whose speakers know
+/// only of each other's lesser hosts would never come to know each other; and
+/// entries of hosts that are long gone stay in the store.
+std::vector<HostId> FleetView::unheardOf(const ZoneId &zone,
+                                         Instant now) const {
+  std::vector<FleetMember> hosts;
+  for (const auto &[host, it] : Registered) {
+    const auto known = Known.find(host);
+    const bool isHeard =
+        known != Known.end() && isAnswering(known->second, now);
+    if (it.Zone == zone && !isHeard)
+      hosts.push_back(it);
   }
+  if (hosts.empty())
+    return {};
+  std::sort(hosts.begin(), hosts.end(), ranksBefore);
+  const auto turn =
+      static_cast<std::size_t>(toSeconds(now.time_since_epoch())) %
+      hosts.size();
+  std::vector<HostId> out{hosts.front().Host};
+  if (turn != 0)
+    out.push_back(hosts[turn].Host);
   return out;
 }
 
@@ -246,10 +266,13 @@
   FleetReport out = own;
   out.Scope = ReportScope::Zone;
   out.Used = ZoneUsed.total();
-  for (const auto &[source, heard] : Reports)
-    if (heard.Report.Scope == ReportScope::Host &&
-        heard.Report.Zone == Settings.Zone)
-      addTo(out.Open, heard.Report.Open);
+  for (const auto &[source, heard] : Reports) {
+    if (heard.Report.Scope != ReportScope::Host ||
+        heard.Report.Zone != Settings.Zone)
+      continue;
+    addTo(out.Open, heard.Report.Open);
+    out.Uptime = std::max(out.Uptime, heard.Report.Uptime);
+  }
   for (const auto &[host, it] : Known)
     if (it.Member.Zone == Settings.Zone &&
         (it.Member.IsLeaving || isAnswering(it, now)))
@@ -262,9 +285,12 @@
   out.Scope = ReportScope::OtherZones;
   out.Used = OthersUsed.total();
   out.Open.clear();
-  for (const auto &[source, heard] : Reports)
-    if (heard.Report.Scope == ReportScope::Zone)
-      addTo(out.Open, heard.Report.Open);
+  for (const auto &[source, heard] : Reports) {
+    if (heard.Report.Scope != ReportScope::Zone)
+      continue;
+    addTo(out.Open, heard.Report.Open);
+    out.Uptime = std::max(out.Uptime, heard.Report.Uptime);
+  }
   out.Members.clear();
   for (const auto &[host, it] : Known)
     if (it.Member.Zone != Settings.Zone &&
@@ -274,7 +300,7 @@
 }
 
 void FleetView::noteOwn(const FleetReport &own) {
-  ZoneUsed.note(sourceOf(own), own.Incarnation, own.Used, false);
+  ZoneUsed.note(sourceOf(own), own.Incarnation, own.Used, CountFrom::Zero);
 }
 
 std::vector<HeardMember> FleetView::members() const {
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -13,6 +13,8 @@
 struct FleetViewSettings {
   HostId Self;
   ZoneId Zone;
+  /// When this host's process began.
+  Instant BornAt{};
   /// Up to so many hosts all report to all. Beyond it only the hosts of a zone
   /// do, and one of them speaks for the zone.
   std::size_t FullMesh = 16;
@@ -25,6 +27,8 @@
   /// Hosts of each other zone that a speaker reports to: the one that speaks
   /// there, and the one that would speak next.
   std::size_t SpeakersTold = 2;
+  /// A fleet whose oldest process is younger than that has only just started.
+  Duration Young = seconds(3);
 };
 
 /// A host and when it was last heard of, by its own word or by one that speaks
@@ -102,6 +106,7 @@
   Duration silenceOf(const FleetMember &member) const;
   std::vector<FleetMember> ranked(const ZoneId *zone, Duration silence,
                                   Instant now) const;
+  std::vector<HostId> unheardOf(const ZoneId &zone, Instant now) const;
   std::size_t placeInGroup(const FleetMember &self, Instant now) const;
 
   FleetViewSettings Settings;
--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -8,20 +8,39 @@
 /// A silent peer's pace is counted on for so long: it may be cut off and still
 /// let calls in.
 static constexpr Duration LongestAhead = seconds(2);
+/// How much more than by its pace a sum may have grown between two speakers.
+static constexpr double LikelyGrowth = 3;
+
+/// Another process tells from now on.
+void TeamMeter::begin(Peer &peer, const PeerUse &use, Instant now) {
+  const bool isFirst = peer.Incarnation.empty();
+  peer.Incarnation = use.Incarnation;
+  if (use.IsSum && !isFirst) {
+    // Two speakers may have begun to count at different times; more than the
+    // pace of late explains was let in long ago.
+    const auto likely = static_cast<UsedUnits>(
+        LikelyGrowth * peer.Pace * toSeconds(now - peer.ReportedAt));
+    const UsedUnits from =
+        use.IsOlder ? std::max(peer.Used, use.Used - likely) : peer.Used;
+    peer.Used = std::min(use.Used, from);
+    return;
+  }
+  // A new process has let in what it reports; the old one's are counted.
+  peer.Used = use.IsOlder ? use.Used : 0;
+  peer.ReportedAt = now;
+  peer.Ahead = 0;
+  peer.AheadAt = now;
+  if (use.IsOlder && use.Level && !IsFilled)
+    ToldLevel = std::min(*use.Level, ToldLevel.value_or(*use.Level));
+}
 
 void TeamMeter::notePeer(const SourceId &peer, const PeerUse &use,
                          Instant now) {
+  if (FilledAt == Instant{})
+    FilledAt = now;
   Peer &it = Peers[peer];
-  if (it.Incarnation != use.Incarnation) {
-    // A new process has let in what it reports; the old one's are counted.
-    it.Incarnation = use.Incarnation;
-    it.Used = use.IsOlder ? use.Used : 0;
-    it.ReportedAt = now;
-    it.Ahead = 0;
-    it.AheadAt = now;
-    if (use.IsOlder && use.Level && !IsFilled)
-      ToldLevel = std::min(*use.Level, ToldLevel.value_or(*use.Level));
-  }
+  if (it.Incarnation != use.Incarnation)
+    begin(it, use, now);
   const auto fresh = static_cast<double>(use.Used - it.Used);
   const double span = toSeconds(now - it.ReportedAt);
   if (span > 0) {
@@ -44,8 +63,11 @@
 void TeamMeter::fill(std::int64_t rate, std::int64_t burst, Instant now) {
   const auto most = static_cast<double>(burst);
   if (!IsFilled) {
+    // Peers may have been letting calls in for long before the first one comes
+    // here; what the bucket gained meanwhile counts as well as what they took.
     IsFilled = true;
-    FilledAt = now;
+    if (FilledAt == Instant{})
+      FilledAt = now;
     Level += most;
     if (ToldLevel)
       Level = std::min(Level, *ToldLevel);
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -20,6 +20,9 @@
   /// It has counted before this host could hear of it: what it counted until
   /// the first report is over and says nothing of what is left now.
   bool IsOlder = false;
+  /// The sum over other hosts, by whoever speaks for them now; it goes on about
+  /// where the last speaker's ended.
+  bool IsSum = false;
   /// What the peer believes is left in the bucket.
   std::optional<double> Level = std::nullopt;
 };
@@ -72,6 +75,7 @@
     Instant AheadAt{};
   };
 
+  void begin(Peer &peer, const PeerUse &use, Instant now);
   void fill(std::int64_t rate, std::int64_t burst, Instant now);
 
   std::map<SourceId, Peer> Peers;
@@ -79,6 +83,8 @@
   /// The least that older peers said was left, before the first call.
   std::optional<double> ToldLevel;
   bool IsFilled = false;
+  /// Up to when the bucket has gained; first when a peer or a call was heard
+  /// of.
   Instant FilledAt{};
   UsedUnits OwnUsed = 0;
 };
--- a/Libraries/LibServing/UsedSum.cpp
+++ b/Libraries/LibServing/UsedSum.cpp
@@ -4,11 +4,14 @@
 namespace sorrelbay {
 
 void UsedSum::note(const SourceId &source, const IncarnationId &incarnation,
-                   const std::map<TeamId, UsedUnits> &used, bool isOlder) {
+                   const std::map<TeamId, UsedUnits> &used, CountFrom from) {
   Known &known = Sources[source];
   if (known.Incarnation != incarnation) {
     known.Incarnation = incarnation;
-    known.Used = isOlder ? used : std::map<TeamId, UsedUnits>{};
+    if (from == CountFrom::Zero)
+      known.Used.clear();
+    if (from == CountFrom::Now)
+      known.Used = used;
   }
   for (const auto &[team, units] : used) {
     UsedUnits &before = known.Used[team];
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -2,6 +2,7 @@
 #include "GatewayCall.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
+#include "LibServing/RepeatPart.h"
 #include "LibServing/StopPolicy.h"
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -24,9 +25,6 @@
 /// tightest bound on its age.
 constexpr int ConfirmsPerBound = 4;
 constexpr Duration LongestWatch = milliseconds(500);
-/// The part of the allowed share of repeated sends that is used: calls that
-/// come just before a window's end are repeated in the next one.
-constexpr double RepeatPart = 0.7;
 /// By which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
 /// How long a watch for moves waits; orders are rare and no view's age hangs on
@@ -255,19 +253,16 @@
   Fleet.tick(now);
 }
 
-/// The budget for repeated sends is one for all hosts: each takes half of its
-/// part, so that the sum stays below even while hosts come and go.
 void Gateway::limitRepeats() {
   if (!State.Plan)
     return;
   const GatewayBounds &bounds = State.Settings.Bounds;
-  const double saved =
-      static_cast<double>(bounds.RepeatSlack) / (2.0 * State.Fleet.hostCount());
+  const RepeatPart part = repeatPart(bounds.RepeatShare, bounds.RepeatSlack,
+                                     State.Fleet.hostCount());
   for (const ServingService &it : State.Plan->plan().Services) {
     const auto [budget, isNew] = State.Repeats.try_emplace(
-        it.Name, bounds.RepeatShare * RepeatPart, saved);
-    if (!isNew)
-      budget->second.limitSaved(saved);
+        it.Name, part.Share, part.MostSaved, part.Begin);
+    budget->second.limitSaved(part.MostSaved);
   }
 }
 
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -16,18 +16,14 @@
 constexpr int FirstSearchCount = 3;
 /// Between two reports that name all members and carry what changes slowly.
 constexpr Duration WholeInterval = seconds(1);
-/// Windows of usage that reports carry.
-constexpr std::size_t ReportedWindows = 3;
 /// Larger changes are asked for by each host: passed on to a whole zone they
 /// would hold up the reports behind them.
 constexpr std::size_t MostPassedOn = 48UL * 1024;
 
-/// The newest few windows.
-std::map<WindowNumber, TeamCounts>
-newest(std::map<WindowNumber, TeamCounts> windows) {
-  while (windows.size() > ReportedWindows)
-    windows.erase(windows.begin());
-  return windows;
+void logSource(const FleetReport &report, bool counts) {
+  LogLine(Severity::Info, counts ? "peer heard" : "peer no longer counted")
+      .field("peer", sourceOf(report).text())
+      .field("teller", report.Teller.text());
 }
 
 std::size_t sizeOf(const KindChanges &changes) {
@@ -41,7 +37,10 @@
 
 GatewayFleet::GatewayFleet(GatewayState &state, GatewayFleetHooks hooks)
     : State(state), Hooks(std::move(hooks)), SearchTimer(state.Loop),
-      BornAt(bootNow()) {}
+      BornAt(bootNow()),
+      Counting(state.Fleet,
+               {state.Replicas, state.Meters, state.Usage, state.Time}, BornAt,
+               logSource) {}
 
 void GatewayFleet::listen() {
   FleetLink::Hooks hooks;
@@ -72,13 +71,7 @@
   report.SentAt = now.time_since_epoch().count();
   report.TrueTimeMs = toEpochMilliseconds(State.Time.own(now));
   report.Members = {self()};
-  report.Open = State.Replicas.ownWork();
-  for (const auto &[team, meter] : State.Meters) {
-    report.Used[team] = meter.used();
-    if (const auto level = meter.knownLevel())
-      report.Levels[team] = *level;
-  }
-  report.Usage = newest(State.Usage.own());
+  Counting.fillOwn(report);
   report.Moves = Hooks.Moves(ReportScope::Host);
   return report;
 }
@@ -88,7 +81,7 @@
     LogLine(Severity::Warning, "peer gone").field("peer", it.text());
     Echoes.erase(it);
   }
-  recount(now);
+  Counting.recount(self(), now);
   keepLinks(now);
   publish(now);
 }
@@ -130,14 +123,12 @@
   for (FleetReport *it : {&zone, &others}) {
     it->Usage.clear();
     it->Moves.clear();
-    if (!isWhole)
+    if (!isWhole) {
       it->Members.clear();
-    else
-      it->Moves = Hooks.Moves(it->Scope);
-  }
-  if (isWhole) {
-    zone.Usage = newest(State.Usage.ownZone());
-    others.Usage = newest(State.Usage.otherZones());
+      continue;
+    }
+    it->Moves = Hooks.Moves(it->Scope);
+    Counting.fillUsage(*it);
   }
   Link->send(State.Fleet.otherSpeakers(now), encodeFleetMessage(zone));
   Link->send(State.Fleet.mates(), encodeFleetMessage(others));
@@ -155,71 +146,8 @@
     return;
   if (report.Scope == ReportScope::Host)
     Echoes[report.Teller] = report.SentAt;
-  take(report, now);
-}
-
-/// Puts what a report says into the tables, unless others tell it as well.
-void GatewayFleet::take(const FleetReport &report, Instant now) {
-  for (const auto &[window, counts] : report.Usage) {
-    if (report.Scope == ReportScope::Host)
-      State.Usage.noteHost(report.Zone, report.Incarnation, window, counts);
-    else if (report.Scope == ReportScope::Zone)
-      State.Usage.noteZone(report.Zone, window, counts);
-    else
-      State.Usage.noteOthers(window, counts);
-  }
   Hooks.HearMoves(report.Moves);
-  const SourceId source = sourceOf(report);
-  if (Counted.count(source) != 0)
-    return count(report, now);
-  recount(now);
-}
-
-void GatewayFleet::count(const FleetReport &report, Instant now) {
-  const SourceId source = sourceOf(report);
-  State.Replicas.notePeer(source, report.Open);
-  const bool isSum = report.Scope != ReportScope::Host;
-  const bool isOlder = isSum || report.Uptime > now - BornAt;
-  for (const auto &[team, used] : report.Used) {
-    PeerUse use{report.Incarnation, used, isOlder, std::nullopt};
-    const auto level = report.Levels.find(team);
-    if (level != report.Levels.end())
-      use.Level = level->second;
-    State.Meters[team].notePeer(source, use, now);
-  }
-  State.Time.notePeer(source, fromEpochMilliseconds(report.TrueTimeMs), now);
-}
-
-void GatewayFleet::dropCounted(const SourceId &source) {
-  State.Replicas.forgetPeer(source);
-  for (auto &[team, meter] : State.Meters)
-    meter.dropPeer(source);
-  State.Time.forgetPeer(source);
-}
-
-/// Whose reports count changes when this host begins or ends to speak for its
-/// zone, when the fleet grows large, and when hosts go.
-void GatewayFleet::recount(Instant now) {
-  std::set<SourceId> counting;
-  for (const FleetReport *it : State.Fleet.counted(self(), now)) {
-    const SourceId source = sourceOf(*it);
-    counting.insert(source);
-    if (Counted.insert(source).second) {
-      LogLine(Severity::Info, "peer heard")
-          .field("peer", source.text())
-          .field("teller", it->Teller.text());
-      count(*it, now);
-    }
-  }
-  for (auto it = Counted.begin(); it != Counted.end();) {
-    if (counting.count(*it) != 0) {
-      ++it;
-      continue;
-    }
-    LogLine(Severity::Info, "peer no longer counted").field("peer", it->text());
-    dropCounted(*it);
-    it = Counted.erase(it);
-  }
+  Counting.take(report, self(), now);
 }
 
 void GatewayFleet::passOn(StoreKind kind, std::uint64_t from,
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -2,12 +2,11 @@
 
 #include "GatewayState.h"
 #include "LibPeer/FleetLink.h"
-#include "LibServing/FleetView.h"
+#include "LibServing/FleetCounting.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 
 namespace sorrelbay {
@@ -52,10 +51,6 @@
 
 private:
   void heard(const FleetReport &report);
-  void take(const FleetReport &report, Instant now);
-  void count(const FleetReport &report, Instant now);
-  void recount(Instant now);
-  void dropCounted(const SourceId &source);
   FleetReport ownReport(Instant now) const;
   void publishSums(const FleetReport &own, Instant now);
   void keepLinks(Instant now);
@@ -67,13 +62,12 @@
   std::unique_ptr<FleetLink> Link;
   boost::asio::steady_timer SearchTimer;
   Instant BornAt;
+  FleetCounting Counting;
   std::uint64_t Sequence = 0;
   Instant PublishedAt{};
   /// When a report last named all members, and who they were.
   Instant NamedAt{};
   std::map<ReportScope, std::vector<FleetMember>> Named;
-  /// Whose reports are in this host's tables.
-  std::set<SourceId> Counted;
   /// What each peer's clock showed when it last spoke.
   std::map<HostId, std::int64_t> Echoes;
   int Searches = 0;
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -16,8 +16,8 @@
       Incarnation(newIncarnation(Settings.Host)),
       Client(loop, {milliseconds(250), seconds(4), 32UL * 1024}),
       Usage(Incarnation, Settings.Zone, Settings.Bounds.UsageWindow),
-      Fleet({Settings.Host, Settings.Zone}), Time(sorrelbay::now(), bootNow()),
-      Random(std::random_device()()) {}
+      Fleet({Settings.Host, Settings.Zone, bootNow()}),
+      Time(sorrelbay::now(), bootNow()), Random(std::random_device()()) {}
 
 double GatewayState::draw() {
   return std::uniform_real_distribution<double>(0, 1)(Random);
--- /dev/null
+++ b/Tests/LibServing/FleetWorld.cpp
@@ -0,0 +1,332 @@
+#include "FleetWorld.h"
+#include <algorithm>
+#include <numeric>
+
+namespace sorrelbay {
+
+namespace {
+
+constexpr Duration Tick = milliseconds(50);
+constexpr Duration ReportEvery = milliseconds(250);
+const TeamId Team("team");
+constexpr std::int64_t Rate = 40000;
+constexpr std::int64_t Burst = 40000;
+constexpr std::int64_t Slack = 30000;
+constexpr std::int64_t SlackUsed = 4;
+constexpr std::int64_t MostUnits = 1500;
+constexpr Duration AllotmentWindow = seconds(8);
+constexpr double Overshoot = 1.1;
+constexpr double RepeatShare = 0.2;
+constexpr std::int64_t RepeatSlack = 54;
+constexpr Duration RepeatWindow = seconds(10);
+constexpr Duration LeaseBound = seconds(3);
+constexpr Duration UsageWindow = seconds(5);
+constexpr double UsageOff = 0.05;
+
+} // namespace
+
+FleetWorld::FleetWorld(const FleetPlan &plan)
+    : Plan(plan), Random(plan.Seed), Now(Start) {
+  for (int n = 0; n < Plan.Hosts; ++n) {
+    Host host;
+    host.Member.Host = HostId("h" + std::to_string(100 + n));
+    host.Member.Zone = ZoneId("z" + std::to_string(n % Plan.Zones));
+    host.Member.PeerAddress = host.Member.Host.text();
+    host.Member.IsReady = true;
+    host.Member.Capacity = n % 5 == 0 ? 2 : 1;
+    Registered.push_back(host.Member);
+    Hosts.push_back(std::move(host));
+  }
+  for (Host &it : Hosts)
+    boot(it);
+}
+
+double FleetWorld::draw() {
+  return std::uniform_real_distribution<double>(0, 1)(Random);
+}
+
+std::size_t FleetWorld::drawHost() {
+  return static_cast<std::size_t>(draw() * static_cast<double>(Hosts.size()));
+}
+
+void FleetWorld::fail(const std::string &rule) {
+  if (Broken.empty())
+    Broken =
+        rule + " at " + std::to_string(toMilliseconds(Now - Start)) + " ms";
+}
+
+/// A new process: it knows nothing of before.
+void FleetWorld::boot(Host &host) {
+  host.IsDown = false;
+  host.BornAt = Now;
+  host.Sequence = 0;
+  host.Incarnation =
+      IncarnationId(host.Member.Host.text() + "/" + std::to_string(Random()));
+  host.View = std::make_unique<FleetView>(
+      FleetViewSettings{host.Member.Host, host.Member.Zone, Now});
+  host.View->noteRegistered(Registered);
+  host.Replicas = std::make_unique<ReplicaTable>();
+  host.Meters.clear();
+  host.Usage = std::make_unique<UsageCounts>(host.Incarnation, host.Member.Zone,
+                                             UsageWindow);
+  host.Time = std::make_unique<TrueTime>(Now, Now);
+  host.Counting = std::make_unique<FleetCounting>(
+      *host.View,
+      FleetTables{*host.Replicas, host.Meters, *host.Usage, *host.Time}, Now);
+  host.Repeats.reset();
+  MoverLeaseSettings lease;
+  lease.Term = LeaseBound + seconds(1);
+  lease.OrderTimeout = Duration::zero();
+  if (Plan.Without == FleetOmission::LeaseEnd)
+    lease.Margin = -10;
+  host.Lease = std::make_unique<MoverLease>(host.Incarnation, lease);
+  host.WasHeld = false;
+}
+
+bool FleetWorld::works(const Host &host) const {
+  return !host.IsDown && Now >= host.FrozenUntil;
+}
+
+bool FleetWorld::reaches(const Host &from, const Host &to) const {
+  return Now >= from.CutFromPeersUntil && Now >= to.CutFromPeersUntil;
+}
+
+/// Something goes wrong, about once in two seconds.
+void FleetWorld::strike() {
+  if (!Plan.HasFaults || draw() > toSeconds(Tick) / 2)
+    return;
+  Host &host = Hosts[drawHost()];
+  const Duration span = fromSeconds(0.3 + 4 * draw());
+  const double kind = draw();
+  ++Faults;
+  LastFaultAt = std::max(LastFaultAt, Now + span * 2);
+  if (kind < 0.35) {
+    host.IsDown = true;
+    host.BackAt = Now + span;
+  } else if (kind < 0.55) {
+    host.FrozenUntil = Now + span * 2;
+  } else if (kind < 0.8) {
+    host.CutFromStoreUntil = Now + span * 2;
+  } else {
+    // Cut off from all others, but not from callers or the store.
+    host.CutFromPeersUntil = Now + std::min<Duration>(span, seconds(1));
+  }
+}
+
+void FleetWorld::post(std::size_t from, const std::vector<HostId> &to,
+                      const FleetReport &report) {
+  for (const HostId &it : to) {
+    const auto found =
+        std::find_if(Hosts.begin(), Hosts.end(),
+                     [&](const Host &host) { return host.Member.Host == it; });
+    if (found == Hosts.end() || !reaches(Hosts[from], *found))
+      continue;
+    const auto index = static_cast<std::size_t>(found - Hosts.begin());
+    Waiting.push_back(
+        {Now + fromSeconds(0.001 + 0.03 * draw()), index, report});
+  }
+}
+
+void FleetWorld::tell(Host &host) {
+  const auto index = static_cast<std::size_t>(&host - Hosts.data());
+  host.Member.IsCutOff = Now < host.CutFromStoreUntil;
+  host.Member.HoldsDuties = host.Lease->isHeld(Now);
+  host.View->forgetSilent(Now);
+  host.Counting->recount(host.Member, Now);
+  FleetReport own;
+  own.Teller = host.Member.Host;
+  own.Zone = host.Member.Zone;
+  own.Incarnation = host.Incarnation;
+  own.Sequence = ++host.Sequence;
+  own.Uptime = Now - host.BornAt;
+  own.TrueTimeMs = toEpochMilliseconds(Now);
+  own.Members = {host.Member};
+  host.Counting->fillOwn(own);
+  host.View->noteOwn(own);
+  post(index, host.View->mates(), own);
+  if (!host.View->isZoned() || !host.View->speaks(host.Member, Now))
+    return;
+  FleetReport zone = host.View->zoneReport(own, Now);
+  FleetReport others = host.View->othersReport(own, Now);
+  host.Counting->fillUsage(zone);
+  host.Counting->fillUsage(others);
+  post(index, host.View->otherSpeakers(Now), zone);
+  post(index, host.View->mates(), others);
+}
+
+void FleetWorld::deliver() {
+  std::vector<Message> due;
+  const auto isDue = [&](const Message &it) {
+    return it.At <= Now && Now >= Hosts[it.To].FrozenUntil;
+  };
+  const auto middle =
+      std::stable_partition(Waiting.begin(), Waiting.end(),
+                            [&](const Message &it) { return !isDue(it); });
+  due.assign(std::make_move_iterator(middle),
+             std::make_move_iterator(Waiting.end()));
+  Waiting.erase(middle, Waiting.end());
+  for (const Message &it : due) {
+    Host &host = Hosts[it.To];
+    FleetReport report = it.Report;
+    if (Plan.Without == FleetOmission::PeersUse)
+      report.Used.clear();
+    if (!host.IsDown && host.View->hear(report, Now))
+      host.Counting->take(report, host.Member, Now);
+  }
+}
+
+/// One caller: its units, and a repeat if its first send fails.
+void FleetWorld::call() {
+  Host &host = Hosts[drawHost()];
+  if (!works(host))
+    return;
+  const auto units =
+      static_cast<std::int64_t>(1 + draw() * static_cast<double>(MostUnits));
+  if (!host.Meters[Team].take(units, Rate, Burst + Slack / SlackUsed, Now))
+    return;
+  ++Calls;
+  LetIn.emplace_back(Now, units);
+  Called.push_back(Now);
+  host.Usage->noteBegun(Team, Now);
+  ++Begun[host.Usage->windowAt(Now)];
+  const RepeatPart part =
+      repeatPart(RepeatShare, RepeatSlack, host.View->hostCount());
+  if (!host.Repeats)
+    host.Repeats =
+        std::make_unique<RetryBudget>(part.Share, part.MostSaved, part.Begin);
+  host.Repeats->limitSaved(part.MostSaved);
+  host.Repeats->noteCall();
+  const bool mayRepeat = Plan.Without == FleetOmission::Budget ||
+                         host.Repeats->takeRetry(RetryLayer::EntryHost);
+  if (draw() < 0.6 && mayRepeat)
+    Repeated.push_back(Now);
+}
+
+/// The store keeps the lease; a reply may be lost after the write was done.
+void FleetWorld::stepLease(Host &host) {
+  const bool isHeld = host.Lease->isHeld(Now);
+  const bool mayStandBy = !host.View->holdsDuties(Now) &&
+                          host.View->isAmongFirst(host.Member, 3, Now);
+  if (!isHeld && !mayStandBy)
+    return;
+  const bool isReached = Now >= host.CutFromStoreUntil;
+  switch (host.Lease->step(Now)) {
+  case LeaseStep::None:
+    return;
+  case LeaseStep::Read:
+    if (isReached)
+      host.Lease->noteRead(Stored, Now);
+    return;
+  case LeaseStep::Write:
+    break;
+  }
+  if (!isReached)
+    return;
+  if (host.Lease->expectedVersion() != Stored.Version) {
+    host.Lease->noteConflict(Now);
+    return;
+  }
+  Stored = {host.Incarnation, ++Revision};
+  if (Plan.HasFaults && draw() < 0.1)
+    host.Lease->noteUnknown(Now, Now);
+  else
+    host.Lease->noteWritten(Stored.Version, Now, Now);
+}
+
+/// A holder exercises its duty.
+void FleetWorld::act(Host &host) {
+  const bool isHeld = host.Lease->isHeld(Now);
+  Holders += isHeld && !host.WasHeld ? 1 : 0;
+  host.WasHeld = isHeld;
+  if (!isHeld)
+    return;
+  const std::string self = host.Incarnation.text();
+  while (!Acts.empty() && Now - Acts.front().first > LeaseBound)
+    Acts.pop_front();
+  bool hasOther = false;
+  for (auto it = Acts.rbegin(); it != Acts.rend(); ++it) {
+    hasOther = hasOther || it->second != self;
+    if (hasOther && it->second == self)
+      fail("ONE: two holders acted by turns");
+  }
+  Acts.emplace_back(Now, self);
+}
+
+void FleetWorld::checkWindows() {
+  while (!LetIn.empty() && Now - LetIn.front().first > AllotmentWindow)
+    LetIn.pop_front();
+  std::int64_t units = 0;
+  for (const auto &[at, it] : LetIn)
+    units += it;
+  const auto allowed =
+      static_cast<double>(Rate) * toSeconds(AllotmentWindow) + Burst;
+  // The slack covers what is let in while hosts don't hear of each other.
+  if (static_cast<double>(units) > allowed * Overshoot + 2 * Slack)
+    fail("QUOTA: " + std::to_string(units) + " units in a window");
+  while (!Called.empty() && Now - Called.front() > RepeatWindow * 2)
+    Called.pop_front();
+  while (!Repeated.empty() && Now - Repeated.front() > RepeatWindow)
+    Repeated.pop_front();
+  // Calls count in the window, the one before or between; a half is the least
+  // that the best of them can hold.
+  const double calls = static_cast<double>(Called.size()) / 2;
+  if (static_cast<double>(Repeated.size()) >
+      RepeatShare * calls + static_cast<double>(RepeatSlack))
+    fail("BUDGET: " + std::to_string(Repeated.size()) + " repeats");
+}
+
+/// What a live host knows of a window whose reports have settled.
+void FleetWorld::checkUsage() {
+  const WindowNumber window = Hosts[0].Usage->windowAt(Now) - 1;
+  const auto truth = Begun.find(window);
+  const Instant end = Hosts[0].Usage->endOf(window);
+  if (truth == Begun.end() || Now < end + seconds(2))
+    return;
+  const auto begun = static_cast<double>(truth->second);
+  const bool isCalm = LastFaultAt < end - UsageWindow;
+  for (const Host &it : Hosts) {
+    if (!works(it))
+      continue;
+    const auto known = static_cast<double>(it.Usage->sum(window)[Team]);
+    if (known > begun)
+      fail("usage: a team is billed for calls that it did not make");
+    if (isCalm && it.BornAt < end - UsageWindow * 2 &&
+        known < begun * (1 - UsageOff))
+      fail("usage: calls are missing");
+  }
+}
+
+std::string FleetWorld::play(int length) {
+  const Instant end = Start + seconds(length);
+  Instant reportedAt = Now;
+  for (; Now < end && Broken.empty(); Now += Tick) {
+    strike();
+    for (Host &it : Hosts)
+      if (it.IsDown && Now >= it.BackAt)
+        boot(it);
+    deliver();
+    // Three times what the team may use.
+    const double wanted = 3.0 * Rate / (MostUnits / 2.0) * toSeconds(Tick);
+    const auto callers = static_cast<int>(wanted + draw());
+    for (int n = 0; n < callers; ++n)
+      call();
+    const bool isReport = Now - reportedAt >= ReportEvery;
+    for (Host &it : Hosts) {
+      if (!works(it))
+        continue;
+      act(it);
+      if (!isReport)
+        continue;
+      stepLease(it);
+      tell(it);
+    }
+    if (isReport) {
+      reportedAt = Now;
+      checkWindows();
+      checkUsage();
+    }
+  }
+  return Broken;
+}
+
+} // namespace sorrelbay
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -198,14 +198,22 @@
 BOOST_AUTO_TEST_CASE(a_sum_never_falls_and_counts_nothing_twice) {
   UsedSum sum;
   const TeamId team("t");
-  sum.note(SourceId("a"), IncarnationId("1"), {{team, 500}}, true);
-  BOOST_TEST(sum.total().at(team) == 0);
-  sum.note(SourceId("a"), IncarnationId("1"), {{team, 600}}, true);
-  BOOST_TEST(sum.total().at(team) == 100);
-  sum.note(SourceId("a"), IncarnationId("2"), {{team, 30}}, false);
-  BOOST_TEST(sum.total().at(team) == 130);
-  sum.note(SourceId("a"), IncarnationId("2"), {}, false);
-  BOOST_TEST(sum.total().at(team) == 130);
+  const SourceId host("a");
+  sum.note(host, IncarnationId("1"), {{team, 500}}, CountFrom::Zero);
+  BOOST_TEST(sum.total().at(team) == 500);
+  sum.note(host, IncarnationId("1"), {{team, 600}}, CountFrom::Zero);
+  BOOST_TEST(sum.total().at(team) == 600);
+  sum.note(host, IncarnationId("2"), {{team, 30}}, CountFrom::Zero);
+  BOOST_TEST(sum.total().at(team) == 630);
+  sum.note(host, IncarnationId("2"), {}, CountFrom::Zero);
+  BOOST_TEST(sum.total().at(team) == 630);
+  const SourceId zone("z");
+  sum.note(zone, IncarnationId("1"), {{team, 100}}, CountFrom::Known);
+  sum.note(zone, IncarnationId("2"), {{team, 120}}, CountFrom::Known);
+  BOOST_TEST(sum.total().at(team) == 750);
+  sum.note(zone, IncarnationId("3"), {{team, 9000}}, CountFrom::Now);
+  sum.note(zone, IncarnationId("3"), {{team, 9010}}, CountFrom::Now);
+  BOOST_TEST(sum.total().at(team) == 760);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/TestTeamMeter.cpp
+++ b/Tests/LibServing/TestTeamMeter.cpp
@@ -82,26 +82,63 @@
 BOOST_AUTO_TEST_CASE(a_host_that_starts_anew_takes_the_level_from_its_peers) {
   TeamMeter meter;
   const Instant now{seconds(10)};
-  meter.notePeer(SourceId("a"), {IncarnationId("1"), 50 * Rate, true, 600},
-                 now);
-  meter.notePeer(SourceId("b"), {IncarnationId("1"), 40 * Rate, true, 700},
-                 now);
+  meter.notePeer(SourceId("a"),
+                 {IncarnationId("1"), 50 * Rate, true, false, 600}, now);
+  meter.notePeer(SourceId("b"),
+                 {IncarnationId("1"), 40 * Rate, true, false, 700}, now);
   BOOST_TEST(meter.take(100, Rate, Burst, now));
   BOOST_TEST(meter.knownLevel().value() == 500);
   // What they let in from then on counts.
-  meter.notePeer(SourceId("a"), {IncarnationId("1"), 50 * Rate + 200, true, 0},
-                 now);
+  meter.notePeer(SourceId("a"),
+                 {IncarnationId("1"), 50 * Rate + 200, true, false, 0}, now);
   BOOST_TEST(meter.level() == 300);
 }
 
+// In a large fleet a host gets its first call of a team seconds after others
+// did. It knew what they had let in, but not what had come in since: callers
+// well within the allotment were turned away.
+BOOST_AUTO_TEST_CASE(a_late_first_call_finds_what_has_come_in_meanwhile) {
+  TeamMeter meter;
+  Instant now{seconds(10)};
+  UsedUnits used = 0;
+  for (int n = 0; n < 20; ++n, now += milliseconds(250)) {
+    used += Rate / 8;
+    meter.notePeer(SourceId("a"), {IncarnationId("1"), used}, now);
+  }
+  BOOST_TEST(meter.take(100, Rate, Burst, now));
+  BOOST_TEST(meter.level() > Burst / 2);
+}
+
+// The host that speaks for a zone changes. What the new one counted before, the
+// team was charged with already; what was let in between must not be lost.
+BOOST_AUTO_TEST_CASE(a_sum_goes_on_with_another_speaker) {
+  TeamMeter meter;
+  Instant now{seconds(10)};
+  const SourceId zone("zone");
+  BOOST_TEST(meter.take(1, 0, Burst, now));
+  UsedUnits used = 0;
+  for (int n = 0; n < 8; ++n, now += milliseconds(250))
+    meter.notePeer(zone, {IncarnationId("1"), used += 100, false, true}, now);
+  const double before = meter.level();
+  // It has counted since long before the first one did.
+  meter.notePeer(zone, {IncarnationId("2"), 90000, true, true}, now);
+  BOOST_TEST(meter.level() < before - 50);
+  BOOST_TEST(meter.level() > before - 500);
+  // It has only just begun to count.
+  meter.notePeer(zone, {IncarnationId("3"), 20, true, true}, now);
+  meter.notePeer(zone, {IncarnationId("3"), 120, true, true},
+                 now + milliseconds(250));
+  BOOST_TEST(meter.level() > before - 1200);
+}
+
 // Two hosts start anew together: nobody knows the level, and nothing has been
 // let in.
 BOOST_AUTO_TEST_CASE(without_older_peers_the_bucket_is_full) {
   TeamMeter meter;
   const Instant now{seconds(10)};
   BOOST_TEST(!meter.knownLevel().has_value());
-  meter.notePeer(SourceId("a"), {IncarnationId("1"), 300, false, Burst - 300},
-                 now);
+  meter.notePeer(SourceId("a"),
+                 {IncarnationId("1"), 300, false, false, Burst - 300}, now);
   BOOST_TEST(meter.take(1, Rate, Burst, now));
   BOOST_TEST(meter.level() == Burst - 301);
 }
