sorrelbayd: Find the next holder of the duties in one term

Ruled out: the reporter (it took its steps within 50 ms once it held the lease), the record of the window (read at once).

Change: a holder tells its peers the lease's revision and fencing number, which then count as seen; a write still expects that revision. A holder that can't reach the store says so and is no longer waited for. Changes that come together are asked for together (a twentieth of the bound after a return with changes).

--- a/Libraries/LibDecision/MoverLease.cpp
+++ b/Libraries/LibDecision/MoverLease.cpp
@@ -48,6 +48,16 @@
   ReadAt = now;
 }
 
+void MoverLease::noteTold(const LeaseState &state, Instant now) {
+  if (state.Version <= Seen.Version || UnknownSentAt != Instant{})
+    return;
+  Seen = state;
+  SeenSince = now;
+  HasRead = true;
+  MustRead = false;
+  ReadAt = now;
+}
+
 void MoverLease::noteWritten(std::uint64_t version, Instant sentAt,
                              Instant now) {
   const bool wasHeld = isHeld(now);
--- /dev/null
+++ b/Libraries/LibObjectApi/CountedStore.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "LibObjectApi/KindStore.h"
+#include <functional>
+#include <optional>
+
+namespace sorrelbay {
+
+/// Told of each call to the store when it has ended: what was called for which
+/// kind, and why it gave nothing, if so.
+using StoreCallHook = std::function<void(const char *call, StoreKind kind,
+                                         std::optional<StoreFailure> failure)>;
+
+/// The same store, with each call told to the hook before its caller hears of
+/// it.
+KindStore countedStore(KindStore store, StoreCallHook onCall);
+
+/// Whether a call that ended so did not reach the store, or its answer did not
+/// come back. A refusal for what the store holds is an answer.
+bool isUnreached(std::optional<StoreFailure> failure);
+
+} // namespace sorrelbay
--- a/Libraries/LibObjectApi/KindStore.h
+++ b/Libraries/LibObjectApi/KindStore.h
@@ -29,6 +29,9 @@
 /// The number of objects above, for tables by kind.
 constexpr std::size_t StoreKindCount = 6;
 
+/// The kind's word in logs and metrics.
+const char *toText(StoreKind kind);
+
 /// One object as the store holds it.
 struct KeptObject {
   std::string Name;
@@ -86,6 +89,9 @@
   HistoryGone,
 };
 
+/// The failure's word in logs and metrics.
+const char *toText(StoreFailure failure);
+
 /// Either a value or why there is none.
 template <typename Value> struct StoreResult {
   std::optional<Value> Got;
--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -17,6 +17,7 @@
   void list();
   void watch();
   void next(Instant now);
+  void gather();
   bool mustAsk(Instant now) const;
   void apply(const KindChanges &changes);
   void confirm(Instant begun);
@@ -94,10 +95,23 @@
                 self->apply(*result.Got);
                 self->confirm(begun);
                 self->Hooks.OnWatched(from, *result.Got, begun);
-                self->next(bootNow());
+                if (result.Got->Changes.empty())
+                  self->next(bootNow());
+                else
+                  self->gather();
               });
 }
 
+void KindWatcher::Impl::gather() {
+  if (Settings.GatherTime == Duration::zero())
+    return next(bootNow());
+  Timer.expires_after(Settings.GatherTime);
+  Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    if (!ec && !self->IsStopped)
+      self->next(bootNow());
+  });
+}
+
 void KindWatcher::Impl::apply(const KindChanges &changes) {
   for (const KindChange &it : changes.Changes) {
     if (it.IsRemoved)
@@ -149,8 +163,8 @@
 void KindWatcher::Impl::retry(StoreFailure why, bool mustList) {
   if (++Failures == 1)
     LogLine(Severity::Warning, "store view failed")
-        .field("kind", static_cast<std::int64_t>(Kind))
-        .field("why", static_cast<std::int64_t>(why))
+        .field("kind", toText(Kind))
+        .field("why", toText(why))
         .field("revision", static_cast<std::int64_t>(AsOf));
   // History that is gone needs a list at once: the view is already behind.
   const Duration delay =
@@ -174,7 +188,7 @@
     HoldUntil = now + Settings.ReturnTime;
   if (Failures != 0)
     LogLine(Severity::Info, "store view regained")
-        .field("kind", static_cast<std::int64_t>(Kind))
+        .field("kind", toText(Kind))
         .field("failures", static_cast<std::int64_t>(Failures))
         .field("silent_ms", HasListed ? toMilliseconds(now - LastSuccess) : 0);
   Failures = 0;
@@ -239,8 +253,6 @@
     All->next(now);
 }
 
-bool KindWatcher::isFailing() const { return All->Failures != 0; }
-
 void KindWatcher::stop() {
   All->IsStopped = true;
   All->Timer.cancel();
--- a/Libraries/LibObjectApi/KindWatcher.h
+++ b/Libraries/LibObjectApi/KindWatcher.h
@@ -14,6 +14,9 @@
 struct KindWatcherSettings {
   /// How long one watch waits. A view is confirmed only when it returns.
   Duration Patience = seconds(1);
+  /// After changes and before the next watch: what changes together is told
+  /// together. Each return of a watch is a call that is paid for.
+  Duration GatherTime = Duration::zero();
   /// Between a failed call and the next.
   Duration RetryDelay = milliseconds(150);
   /// After silence of the store for longer than this, objects may be missing
@@ -60,8 +63,6 @@
   void hear(const KindNews &news, Instant now);
   /// To be called several times a second.
   void tick(Instant now);
-  /// The last call to the store failed.
-  bool isFailing() const;
 
   struct Impl;
 
--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -19,9 +19,9 @@
 }
 
 json fromMember(const FleetMember &it) {
-  return {it.Host.text(),   it.Zone.text(), it.PeerAddress,
-          it.CallerAddress, it.IsReady,     it.IsLeaving,
-          it.IsCutOff,      it.HoldsDuties, it.Capacity};
+  return {it.Host.text(),   it.Zone.text(), it.PeerAddress, it.CallerAddress,
+          it.IsReady,       it.IsLeaving,   it.IsCutOff,    it.HoldsDuties,
+          it.LeaseRevision, it.Fencing,     it.Capacity};
 }
 
 FleetMember toMember(const json &from) {
@@ -34,7 +34,9 @@
   from.at(5).get_to(out.IsLeaving);
   from.at(6).get_to(out.IsCutOff);
   from.at(7).get_to(out.HoldsDuties);
-  from.at(8).get_to(out.Capacity);
+  from.at(8).get_to(out.LeaseRevision);
+  from.at(9).get_to(out.Fencing);
+  from.at(10).get_to(out.Capacity);
   return out;
 }
 
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -33,14 +33,20 @@
   /// Its last call to the store has failed.
   bool IsCutOff = false;
   bool HoldsDuties = false;
+  /// Of the lease that it holds: the revision in the store, and the fencing
+  /// number; 0 without one.
+  std::uint64_t LeaseRevision = 0;
+  std::uint64_t Fencing = 0;
   /// Cores that it may use; the largest speak for their zones.
   double Capacity = 0;
 
   friend bool operator==(const FleetMember &a, const FleetMember &b) {
     return std::tie(a.Host, a.Zone, a.PeerAddress, a.CallerAddress, a.IsReady,
-                    a.IsLeaving, a.IsCutOff, a.HoldsDuties, a.Capacity) ==
+                    a.IsLeaving, a.IsCutOff, a.HoldsDuties, a.LeaseRevision,
+                    a.Fencing, a.Capacity) ==
            std::tie(b.Host, b.Zone, b.PeerAddress, b.CallerAddress, b.IsReady,
-                    b.IsLeaving, b.IsCutOff, b.HoldsDuties, b.Capacity);
+                    b.IsLeaving, b.IsCutOff, b.HoldsDuties, b.LeaseRevision,
+                    b.Fencing, b.Capacity);
   }
 };
 
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -320,7 +320,9 @@
 
 bool FleetView::holdsDuties(Instant now) const {
   return std::any_of(Known.begin(), Known.end(), [&](const auto &it) {
-    return it.second.Member.HoldsDuties && isAnswering(it.second, now);
+    const FleetMember &member = it.second.Member;
+    return member.HoldsDuties && !member.IsCutOff &&
+           isAnswering(it.second, now);
   });
 }
 
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -89,7 +89,9 @@
   int hostCount() const;
   /// Whether the host was heard of lately enough for callers to be sent there.
   bool isAnswering(const HeardMember &it, Instant now) const;
-  /// Whether another host says that it holds the duties.
+  /// Whether another host says that it holds the duties and can use them: one
+  /// that is cut off from the store will lose them, and the next holder has to
+  /// see the lease unchanged for a whole term.
   bool holdsDuties(Instant now) const;
   /// Whether any other host was heard of, not longer ago.
   bool hearsAny(Duration notLonger, Instant now) const;
--- a/Services/sorrelbayd/DutyKeeper.cpp
+++ b/Services/sorrelbayd/DutyKeeper.cpp
@@ -38,6 +38,7 @@
         .field("fencing", static_cast<std::int64_t>(Fencing))
         .field("revision", static_cast<std::int64_t>(Lease.fencing()));
   }
+  hearHolders(now);
   if (IsWaiting)
     return;
   if (!WasHeld && !mayStandBy(now))
@@ -56,6 +57,24 @@
   }
 }
 
+void DutyKeeper::tell(FleetMember &self, Instant now) const {
+  self.HoldsDuties = isHeld(now);
+  if (!self.HoldsDuties)
+    return;
+  self.LeaseRevision = Lease.fencing();
+  self.Fencing = Fencing;
+}
+
+void DutyKeeper::hearHolders(Instant now) {
+  for (const HeardMember &it : State.Fleet.members()) {
+    if (it.Member.LeaseRevision == 0)
+      continue;
+    SeenFencing = std::max(SeenFencing, it.Member.Fencing);
+    Lease.noteTold(
+        {IncarnationId(it.Member.Host.text()), it.Member.LeaseRevision}, now);
+  }
+}
+
 void DutyKeeper::read(Instant /*now*/) {
   IsWaiting = true;
   State.Hooks.Store.Read(
--- a/Services/sorrelbayd/DutyKeeper.h
+++ b/Services/sorrelbayd/DutyKeeper.h
@@ -18,10 +18,13 @@
   /// Whether duties may be exercised now.
   bool isHeld(Instant now) const { return Lease.isHeld(now); }
   DutyStamp stamp() const;
+  /// Puts the lease that is held into what peers are told.
+  void tell(FleetMember &self, Instant now) const;
   /// Grows each time that the lease is taken anew.
   std::uint64_t term() const { return Fencing; }
 
 private:
+  void hearHolders(Instant now);
   void read(Instant now);
   void write(Instant now);
   bool mayStandBy(Instant now) const;
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -25,6 +25,8 @@
 /// tightest bound on its age.
 constexpr int ConfirmsPerBound = 4;
 constexpr Duration LongestWatch = milliseconds(500);
+/// What changes within this share of the tightest bound is asked for together.
+constexpr int GathersPerBound = 20;
 /// By which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
 /// How long a watch for moves waits; orders are rare and no view's age hangs on
@@ -130,6 +132,7 @@
       std::min(State.Settings.Bounds.PlanInForce, State.Settings.Bounds.Drain);
   settings.Patience =
       std::min<Duration>(LongestWatch, bound / ConfirmsPerBound);
+  settings.GatherTime = bound / GathersPerBound;
   // News may come from another host, and be as old as that allows.
   State.PlanFreshFor = settings.Patience * settings.OldPatiences + WatchDelay;
   KindWatcherHooks plans;
@@ -168,7 +171,10 @@
                                  Instant begun) {
     Fleet.passOn(kind, from, changes, begun);
   };
-  hooks.AsksAlways = [this] { return Fleet.speaks(bootNow()); };
+  // One that was cut off finds out by asking that it no longer is.
+  hooks.AsksAlways = [this] {
+    return State.IsStoreUnreached || Fleet.speaks(bootNow());
+  };
   return std::make_unique<KindWatcher>(Loop, State.Hooks.Store, kind, settings,
                                        std::move(hooks));
 }
@@ -272,8 +278,8 @@
   self.CallerAddress = Callers->address();
   self.IsReady = isReady(now);
   self.IsLeaving = State.isStopping();
-  self.IsCutOff = Plans->isFailing() || Replicas->isFailing();
-  self.HoldsDuties = Duties.isHeld(now);
+  self.IsCutOff = State.IsStoreUnreached;
+  Duties.tell(self, now);
   return self;
 }
 
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -31,10 +31,13 @@
 
   boost::asio::io_context &Loop;
   const GatewaySettings Settings;
+  /// The platform; each call to its store is counted.
   const GatewayHooks Hooks;
   const IncarnationId Incarnation;
   AsyncHttpClient Client;
 
+  /// The last call to the store did not reach it, or its answer was lost.
+  bool IsStoreUnreached = false;
   /// Nothing until the store has shown one.
   std::shared_ptr<const PlanIndex> Plan;
   /// When the call began that last confirmed the plan.
@@ -71,6 +74,8 @@
 
   /// How old the plan may be at most, by what is known.
   Duration planAge(Instant now) const { return now - PlanConfirmedAt; }
+  void noteStoreCall(const char *call, StoreKind kind,
+                     std::optional<StoreFailure> failure);
   /// A fraction in [0, 1).
   double draw();
 };
--- a/Tests/LibDecision/TestMover.cpp
+++ b/Tests/LibDecision/TestMover.cpp
@@ -139,6 +139,24 @@
     BOOST_CHECK(!parseToken(text, token));
 }
 
+// The holder of a lease is cut off while the store is down. When the store is
+// back, the others would wait a whole term more for what the holder has told
+// them already, and a window of usage would be missed.
+BOOST_AUTO_TEST_CASE(what_the_holder_told_of_its_lease_counts_as_seen) {
+  MoverLeaseSettings settings;
+  settings.Term = seconds(4);
+  MoverLease lease(IncarnationId("me"), settings);
+  const Instant now{seconds(100)};
+  lease.noteRead({IncarnationId("first"), 5}, now);
+  lease.noteTold({IncarnationId("second"), 7}, now + seconds(1));
+  lease.noteTold({IncarnationId("first"), 5}, now + seconds(2));
+  BOOST_TEST((lease.step(now + seconds(2)) == LeaseStep::None));
+  BOOST_TEST((lease.step(now + seconds(4)) != LeaseStep::Write));
+  BOOST_TEST((lease.step(now + seconds(5)) == LeaseStep::Write));
+  BOOST_TEST(lease.expectedVersion() == 7);
+  BOOST_TEST(!lease.isHeld(now + seconds(5)));
+}
+
 // A holder's renewal takes effect but its reply is lost. Reading back must find
 // that the lease is still its own, counted from the lost write's sending.
 BOOST_AUTO_TEST_CASE(a_lost_renewal_is_found_by_reading) {
--- a/Tests/LibObjectApi/TestKindWatcher.cpp
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -13,7 +13,7 @@
 /// A watcher of one kind whose store is played by the test: a call stays open
 /// until the test answers it.
 struct World {
-  explicit World(bool asksAlways) {
+  explicit World(bool asksAlways, Duration gatherTime = Duration::zero()) {
     KindStore store;
     store.List = [this](StoreKind, const StoreCallback<KindListing> &done) {
       ++Lists;
@@ -25,13 +25,15 @@
       After = after;
       Watched = done;
     };
+    KindWatcherSettings settings;
+    settings.GatherTime = gatherTime;
     KindWatcherHooks hooks;
     hooks.OnObject = [this](const KeptObject &it) { Seen[it.Name] = it.Body; };
     hooks.OnRemoved = [this](const std::string &name) { Seen.erase(name); };
     hooks.OnConfirmed = [this](Instant begun) { Confirmed = begun; };
     hooks.AsksAlways = [asksAlways] { return asksAlways; };
     Watcher = std::make_unique<KindWatcher>(Loop, store, StoreKind::Replicas,
-                                            KindWatcherSettings{}, hooks);
+                                            settings, hooks);
     Watcher->start();
     StoreResult<KindListing> listing;
     listing.Got = KindListing{{{"a", "1", "", 5}}, 10};
@@ -141,6 +143,20 @@
   BOOST_TEST(world.Seen.count("a") == 0);
 }
 
+// Ninety replicas are replaced one after the other. Each of them would end a
+// watch, and the calls to the store would cost more than the replicas.
+BOOST_AUTO_TEST_CASE(what_changes_together_is_asked_for_together) {
+  World world(true, milliseconds(20));
+  world.Watched({KindChanges{{changed("b", "1", 12)}, 12}, {}});
+  BOOST_TEST(world.Watches == 1);
+  world.Loop.run();
+  BOOST_TEST(world.Watches == 2);
+  BOOST_TEST(world.After == 12);
+  // Nothing has changed: there is nothing to wait for.
+  world.Watched({KindChanges{{}, 13}, {}});
+  BOOST_TEST(world.Watches == 3);
+}
+
 BOOST_AUTO_TEST_CASE(the_host_that_speaks_asks_all_the_time) {
   World world(true);
   for (int n = 0; n < 3; ++n) {
--- a/Tests/LibServing/FleetWorld.cpp
+++ b/Tests/LibServing/FleetWorld.cpp
@@ -131,6 +131,8 @@
   const auto index = static_cast<std::size_t>(&host - Hosts.data());
   host.Member.IsCutOff = Now < host.CutFromStoreUntil;
   host.Member.HoldsDuties = host.Lease->isHeld(Now);
+  host.Member.LeaseRevision =
+      host.Member.HoldsDuties ? host.Lease->fencing() : 0;
   host.View->forgetSilent(Now);
   host.Counting->recount(host.Member, Now);
   FleetReport own;
@@ -204,6 +206,10 @@
 
 /// The store keeps the lease; a reply may be lost after the write was done.
 void FleetWorld::stepLease(Host &host) {
+  for (const HeardMember &it : host.View->members())
+    if (it.Member.LeaseRevision != 0)
+      host.Lease->noteTold(
+          {IncarnationId(it.Member.Host.text()), it.Member.LeaseRevision}, Now);
   const bool isHeld = host.Lease->isHeld(Now);
   const bool mayStandBy = !host.View->holdsDuties(Now) &&
                           host.View->isAmongFirst(host.Member, 3, Now);
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -174,6 +174,18 @@
   BOOST_TEST(fleet.Views[1].speaks(fleet.Members[1], fleet.Now));
 }
 
+// The holder of the duties loses its way to the store, not to its peers. While
+// they leave the lease alone for its sake, a window of usage goes unreported.
+BOOST_AUTO_TEST_CASE(a_holder_that_is_cut_off_is_not_waited_for) {
+  Fleet fleet(7, 4);
+  fleet.Members[2].HoldsDuties = true;
+  fleet.rounds(4);
+  BOOST_TEST(fleet.Views[0].holdsDuties(fleet.Now));
+  fleet.Members[2].IsCutOff = true;
+  fleet.rounds(2);
+  BOOST_TEST(!fleet.Views[0].holdsDuties(fleet.Now));
+}
+
 BOOST_AUTO_TEST_CASE(a_second_speaker_is_not_believed_while_the_first_speaks) {
   FleetView view({HostId("h"), ZoneId("z0")});
   FleetReport sum;
