sorrelbayd: Give all orders that are due at the pace of the cloud

Ruled out: the cloud (each order was accepted within 10 ms).

Change: the next order waits for the gap, not for the tick; two shortest gaps apart, as the pace is for all duties together.

Test: orders_that_are_due_do_not_wait_for_the_next_tick, red without the change (one order of four), green with it.

--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -6,9 +6,11 @@
 
 /// Between two lines about a service's load.
 static constexpr Duration LogInterval = seconds(2);
+/// How many times the cloud's shortest gap lies between two orders.
+static constexpr double PacePart = 2;
 
 ReplicaOrders::ReplicaOrders(GatewayState &state, const DutyKeeper &duties)
-    : State(state), Duties(duties) {}
+    : State(state), Duties(duties), PaceTimer(state.Loop) {}
 
 void ReplicaOrders::tick(Instant now) {
   if (!Duties.isHeld(now) || !State.Plan) {
@@ -72,13 +74,26 @@
   }
 }
 
+/// Goes on as soon as the pace allows. At a reclaim the orders for all zones
+/// are due at the same time, and each quarter of a second that one waits for
+/// the next tick is a quarter more without its replicas.
+void ReplicaOrders::sendAt(Instant at) {
+  PaceTimer.expires_after(at - bootNow());
+  PaceTimer.async_wait([this](boost::system::error_code ec) {
+    const Instant now = bootNow();
+    if (!ec && Duties.isHeld(now))
+      send(now);
+  });
+}
+
 void ReplicaOrders::send(Instant now) {
   if (IsSending || Waiting.empty())
     return;
-  // The cloud refuses what comes faster; the next tick goes on.
-  const Duration gap = fromSeconds(1 / State.Settings.DutyCallsPerSecond);
+  // The cloud refuses what comes faster; its pace is for all duties together.
+  const Duration gap =
+      fromSeconds(PacePart / State.Settings.DutyCallsPerSecond);
   if (now - SentAt < gap)
-    return;
+    return sendAt(SentAt + gap);
   SentAt = now;
   const ReplicaOrder order = Waiting.front();
   Waiting.pop_front();
--- a/Services/sorrelbayd/ReplicaOrders.h
+++ b/Services/sorrelbayd/ReplicaOrders.h
@@ -3,6 +3,7 @@
 #include "DutyKeeper.h"
 #include "GatewayState.h"
 #include "LibServing/ReplicaPlan.h"
+#include <boost/asio/steady_timer.hpp>
 #include <deque>
 #include <map>
 
@@ -21,6 +22,7 @@
 private:
   void plan(Instant now);
   void send(Instant now);
+  void sendAt(Instant at);
   ServiceLoad loadOf(const ServiceId &service, Instant now) const;
 
   GatewayState &State;
@@ -29,6 +31,7 @@
   /// The term of the lease that the plans were made in.
   std::uint64_t MadeInTerm = 0;
   std::deque<ReplicaOrder> Waiting;
+  boost::asio::steady_timer PaceTimer;
   bool IsSending = false;
   Instant SentAt{};
   Instant LoggedAt{};
--- /dev/null
+++ b/Tests/sorrelbayd/TestReplicaOrders.cpp
@@ -0,0 +1,93 @@
+#include "GatewayWorld.h"
+#include "LibBase/BootClock.h"
+#include "ReplicaOrders.h"
+#include <boost/asio/post.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+namespace {
+
+GatewaySettings holderSettings() {
+  GatewaySettings settings;
+  settings.Host = HostId("host");
+  settings.Zone = ZoneId("a");
+  settings.DutyCallsPerSecond = 100;
+  settings.Bounds.Lease = seconds(3);
+  settings.Bounds.UsageWindow = seconds(5);
+  return settings;
+}
+
+/// A holder of the duties before a cloud that accepts all orders, with a
+/// service of engines in four zones.
+struct OrdersWorld {
+  OrdersWorld() : State(Loop, holderSettings(), hooks()) {
+    State.Self = [] {
+      FleetMember self;
+      self.Host = HostId("host");
+      return self;
+    };
+    State.IsMoving = [](const ServiceId &) { return false; };
+    ServingPlan plan;
+    ServingService service;
+    service.Name = ServiceId("model");
+    service.Engine = EngineShape{16, 100000, false, {}};
+    service.Scaling = ScalingBounds{1, 8, seconds(4), 0.2, {}};
+    for (const char *zone : {"a", "b", "c", "d"}) {
+      service.Scaling->ZonePrices[ZoneId(zone)] = 1;
+      ReplicaRecord record;
+      record.Id = UpstreamId(std::string("replica-") + zone);
+      record.OfService = service.Name;
+      record.InZone = ZoneId(zone);
+      State.Replicas.note(record, bootNow());
+    }
+    plan.Services.push_back(service);
+    State.Plan = std::make_shared<const PlanIndex>(plan);
+  }
+
+  GatewayHooks hooks() {
+    GatewayHooks out;
+    out.Store = Store.hooks(Loop);
+    out.Cloud.Order = [this](const DutyStamp &, const ReplicaOrder &order,
+                             const CloudCallback &done) {
+      Ordered.push_back(order);
+      boost::asio::post(Loop, [done] { done(CloudResult::Accepted); });
+    };
+    return out;
+  }
+
+  void takeDuties() {
+    for (int n = 0; n < 100 && !Duties.isHeld(bootNow()); ++n) {
+      Duties.tick(bootNow());
+      Loop.restart();
+      Loop.run_for(milliseconds(2));
+    }
+  }
+
+  boost::asio::io_context Loop;
+  FakeStore Store;
+  std::vector<ReplicaOrder> Ordered;
+  GatewayState State;
+  DutyKeeper Duties{State};
+  ReplicaOrders Orders{State, Duties};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(replica_orders)
+
+// Two zones are reclaimed. The orders for all zones are due at once; given one
+// at each tick the last comes a second late, and callers wait as much longer.
+BOOST_AUTO_TEST_CASE(orders_that_are_due_do_not_wait_for_the_next_tick) {
+  OrdersWorld world;
+  world.takeDuties();
+  BOOST_TEST_REQUIRE(world.Duties.isHeld(bootNow()));
+  world.Orders.tick(bootNow());
+  for (int n = 0; n < 200 && world.Ordered.size() < 4; ++n) {
+    world.Loop.restart();
+    world.Loop.run_for(milliseconds(10));
+  }
+  BOOST_TEST(world.Ordered.size() >= 4U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
