LibServing: Keep a little of an allotment for small calls

Ruled out: a larger bucket (all of the bound's slack is needed while hosts have not heard of each other).

Change: a call of less than 0.01 s of the rate may take the bucket down to -0.3 s of it, the more the smaller it is.

One check of team_meter/units_of_a_call_that_did_not_run_come_back was that one unit of a bucket of 2,000 is refused once it is empty; that is now let in on purpose. The check uses a call of the usual size instead, as strict otherwise; small_calls_are_let_in_a_little_longer bounds what small ones may take.

--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -8,6 +8,10 @@
 /// A silent peer's pace is counted on for so long: it may be cut off and still
 /// let calls in.
 static constexpr Duration LongestAhead = seconds(2);
+/// Seconds of the rate that are kept for small calls, the more the smaller.
+static constexpr double KeptSeconds = 0.3;
+/// A call that takes so many seconds of the rate is not small.
+static constexpr double SmallCallSeconds = 0.01;
 /// How much more than by its pace a sum may have grown between two speakers.
 static constexpr double LikelyGrowth = 3;
 
@@ -86,6 +90,17 @@
   Level = std::min(Level, most);
 }
 
+/// How far below zero the bucket may be for a call of that size. Large prompts
+/// use an allotment up at once, and a booking that takes as much as one word of
+/// them would be refused for their sake; what small calls take besides is soon
+/// in again.
+static double leastLevelFor(std::int64_t units, std::int64_t rate) {
+  const auto perSecond = static_cast<double>(rate);
+  const double size =
+      static_cast<double>(units) / (SmallCallSeconds * perSecond);
+  return -KeptSeconds * perSecond * std::max(0.0, 1 - size);
+}
+
 bool TeamMeter::take(std::int64_t units, std::int64_t rate, std::int64_t burst,
                      Instant now) {
   if (rate <= 0) {
@@ -93,7 +108,7 @@
     return true;
   }
   fill(rate, burst, now);
-  if (Level <= 0)
+  if (Level <= leastLevelFor(units, rate))
     return false;
   Level -= static_cast<double>(units);
   OwnUsed += units;
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -46,7 +46,8 @@
   void dropPeer(const SourceId &peer) { Peers.erase(peer); }
 
   /// Takes the units out of the bucket, or says that the team is beyond its
-  /// allotment. A rate of 0 allows everything.
+  /// allotment. A rate of 0 allows everything. A little is kept for calls that
+  /// are small by the rate.
   bool take(std::int64_t units, std::int64_t rate, std::int64_t burst,
             Instant now);
   /// Gives back what was taken for a call that did not run.
--- a/Tests/LibServing/TestTeamMeter.cpp
+++ b/Tests/LibServing/TestTeamMeter.cpp
@@ -131,6 +131,22 @@
   BOOST_TEST(meter.level() > before - 1200);
 }
 
+// A team's large prompts have used its allotment up. Its bookings, which take
+// next to nothing, would all be refused for as long as prompts keep coming.
+BOOST_AUTO_TEST_CASE(small_calls_are_let_in_a_little_longer) {
+  constexpr std::int64_t LargeRate = 100000;
+  TeamMeter meter;
+  const Instant now{seconds(10)};
+  BOOST_TEST(meter.take(LargeRate + 5000, LargeRate, LargeRate, now));
+  BOOST_TEST(!meter.take(5000, LargeRate, LargeRate, now));
+  BOOST_TEST(meter.take(200, LargeRate, LargeRate, now));
+  // Not without end.
+  int more = 0;
+  while (meter.take(200, LargeRate, LargeRate, now))
+    ++more;
+  BOOST_TEST(more * 200 < LargeRate * 3 / 10);
+}
+
 // Two hosts start anew together: nobody knows the level, and nothing has been
 // let in.
 BOOST_AUTO_TEST_CASE(without_older_peers_the_bucket_is_full) {
@@ -147,11 +163,11 @@
   TeamMeter meter;
   const Instant now{seconds(10)};
   BOOST_TEST(meter.take(Burst, Rate, Burst, now));
-  BOOST_TEST(!meter.take(1, Rate, Burst, now));
+  BOOST_TEST(!meter.take(CallUnits, Rate, Burst, now));
   BOOST_TEST((meter.wait(Rate) == Duration::zero()));
   meter.giveBack(Burst);
-  BOOST_TEST(meter.take(1, Rate, Burst, now));
-  BOOST_TEST(meter.used() == 1);
+  BOOST_TEST(meter.take(CallUnits, Rate, Burst, now));
+  BOOST_TEST(meter.used() == CallUnits);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
