--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -1,5 +1,6 @@
 #include "LibServing/TeamMeter.h"
 #include <algorithm>
+#include <cmath>
 
 namespace sorrelbay {
 
@@ -8,6 +9,15 @@
 /// A silent peer's pace is counted on for so long: it may be cut off and still
 /// let calls in.
 static constexpr Duration LongestAhead = seconds(2);
+/// How the part that is let in after the bucket was empty changes by each step
+/// of time, and when the bucket counts as full enough for it to grow fast.
+static constexpr Duration PaceStep = milliseconds(250);
+static constexpr Duration LongestPaceStep = seconds(1);
+static constexpr double ShrinkByStep = 0.8;
+static constexpr double GrowthByStep = 0.04;
+static constexpr double CalmGrowthByStep = 0.25;
+static constexpr double CalmSeconds = 0.5;
+static constexpr double LeastPart = 0.02;
 /// Seconds of the rate that are kept for small calls, the more the smaller.
 static constexpr double KeptSeconds = 0.3;
 /// A call that takes so many seconds of the rate is not small.
@@ -101,6 +111,33 @@
   return -KeptSeconds * perSecond * std::max(0.0, 1 - size);
 }
 
+/// Hosts hear of each other a fraction of a second late. Were all of them to
+/// open at the moment at which the bucket holds something again, a team that
+/// asks for several times its allotment would overdraw it by as much again
+/// before the first report. So after the bucket was empty only a part is let
+/// in, which shrinks while it is empty and grows slowly while it isn't.
+void TeamMeter::pace(std::int64_t rate, Instant now) {
+  const Duration span = std::min(now - PacedAt, LongestPaceStep);
+  PacedAt = now;
+  const double steps = toSeconds(span) / toSeconds(PaceStep);
+  if (Level <= 0)
+    Part = std::max(LeastPart, Part * std::pow(ShrinkByStep, steps));
+  else if (Level >= CalmSeconds * static_cast<double>(rate))
+    Part += CalmGrowthByStep * steps;
+  else
+    Part += GrowthByStep * steps;
+  Part = std::min(1.0, Part);
+}
+
+/// Spreads the part evenly over calls.
+bool TeamMeter::isThinnedIn() {
+  Credit += Part;
+  if (Credit < 1)
+    return false;
+  Credit -= 1;
+  return true;
+}
+
 bool TeamMeter::take(std::int64_t units, std::int64_t rate, std::int64_t burst,
                      Instant now) {
   if (rate <= 0) {
@@ -108,7 +145,12 @@
     return true;
   }
   fill(rate, burst, now);
-  if (Level <= leastLevelFor(units, rate))
+  pace(rate, now);
+  const double least = leastLevelFor(units, rate);
+  if (Level <= least)
+    return false;
+  // Small calls weigh too little to overshoot.
+  if (least == 0 && !isThinnedIn())
     return false;
   Level -= static_cast<double>(units);
   OwnUsed += units;
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -77,6 +77,8 @@
   };
 
   void begin(Peer &peer, const PeerUse &use, Instant now);
+  void pace(std::int64_t rate, Instant now);
+  bool isThinnedIn();
   void fill(std::int64_t rate, std::int64_t burst, Instant now);
 
   std::map<SourceId, Peer> Peers;
@@ -88,6 +90,11 @@
   /// of.
   Instant FilledAt{};
   UsedUnits OwnUsed = 0;
+  /// The part of the calls that is let in while the bucket holds something.
+  double Part = 1;
+  Instant PacedAt{};
+  /// What calls that were thinned out have gathered for the next.
+  double Credit = 0;
 };
 
 } // namespace sorrelbay
--- a/Tests/LibServing/FleetWorld.cpp
+++ b/Tests/LibServing/FleetWorld.cpp
@@ -266,6 +266,7 @@
     units += it;
   const auto allowed =
       static_cast<double>(Rate) * toSeconds(AllotmentWindow) + Burst;
+  MostUsed = std::max(MostUsed, static_cast<double>(units) / allowed);
   // The slack covers what is let in while hosts don't hear of each other.
   if (static_cast<double>(units) > allowed * Overshoot + 2 * Slack)
     fail("QUOTA: " + std::to_string(units) + " units in a window");
--- a/Tests/LibServing/FleetWorld.h
+++ b/Tests/LibServing/FleetWorld.h
@@ -53,6 +53,8 @@
   int faults() const { return Faults; }
   std::int64_t calls() const { return Calls; }
   int holders() const { return Holders; }
+  /// The most that a window held, of what the allotment gives in it.
+  double mostUsed() const { return MostUsed; }
 
 private:
   struct Host {
@@ -110,6 +112,7 @@
   int Faults = 0;
   std::int64_t Calls = 0;
   int Holders = 0;
+  double MostUsed = 0;
   std::string Broken;
   /// Units let in, calls and repeats of all hosts, with their times.
   std::deque<std::pair<Instant, std::int64_t>> LetIn;
--- a/Tests/LibServing/TestFleetSoak.cpp
+++ b/Tests/LibServing/TestFleetSoak.cpp
@@ -50,6 +50,7 @@
   std::int64_t calls = 0;
   int faults = 0;
   int holders = 0;
+  double mostUsed = 0;
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
     FleetWorld world({seed, size.Hosts, size.Zones});
     const std::string broken = world.play(Seconds);
@@ -57,9 +58,11 @@
     calls += world.calls();
     faults += world.faults();
     holders += world.holders();
+    mostUsed = std::max(mostUsed, world.mostUsed());
   }
   BOOST_TEST_MESSAGE(size << ": " << seeds << " seeds, " << calls << " calls, "
-                          << faults << " faults, " << holders << " holders");
+                          << faults << " faults, " << holders << " holders, "
+                          << mostUsed << " of the allotment");
   BOOST_TEST(holders > 0);
 }
 
--- /dev/null
+++ b/Tests/sorrelbayd/TestDutyKeeper.cpp
@@ -0,0 +1,81 @@
+#include "DutyKeeper.h"
+#include "GatewayWorld.h"
+#include "LibBase/BootClock.h"
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace sorrelbay;
+
+namespace {
+
+GatewaySettings keeperSettings() {
+  GatewaySettings settings;
+  settings.Host = HostId("host");
+  settings.Zone = ZoneId("z");
+  settings.Bounds.Lease = milliseconds(300);
+  settings.Bounds.UsageWindow = seconds(5);
+  return settings;
+}
+
+/// One host that stands by for the duties, with a store that can lose its
+/// answer to the next write.
+struct KeeperWorld {
+  KeeperWorld() : State(Loop, keeperSettings(), hooks()) {
+    State.Self = [] {
+      FleetMember self;
+      self.Host = HostId("host");
+      return self;
+    };
+  }
+
+  GatewayHooks hooks() {
+    GatewayHooks out;
+    out.Store = Store.hooks(Loop);
+    out.Store.Replace = [this, inner = out.Store.Replace](
+                            StoreKind kind, const KeptObject &object,
+                            const StoreCallback<KeptObject> &done) {
+      inner(kind, object, [this, done](const StoreResult<KeptObject> &result) {
+        const bool isLost = IsNextLost;
+        IsNextLost = false;
+        done(isLost ? StoreResult<KeptObject>{{}, StoreFailure::Unknown}
+                    : result);
+      });
+    };
+    return out;
+  }
+
+  bool waitForDuties() {
+    for (int n = 0; n < 2000 && !Duties.isHeld(bootNow()); ++n) {
+      Duties.tick(bootNow());
+      Loop.restart();
+      Loop.run_for(milliseconds(5));
+      std::this_thread::sleep_for(milliseconds(2));
+    }
+    return Duties.isHeld(bootNow());
+  }
+
+  boost::asio::io_context Loop;
+  FakeStore Store;
+  bool IsNextLost = false;
+  GatewayState State;
+  DutyKeeper Duties{State};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(duty_keeper)
+
+// The store takes the write that makes this host the holder, and its answer is
+// lost. The host finds out by reading; if it then went on with the number of
+// an earlier term, its orders would be those of a holder that is long gone.
+BOOST_AUTO_TEST_CASE(a_lease_whose_answer_was_lost_has_its_own_number) {
+  KeeperWorld world;
+  world.Store.put(StoreKind::Duties, "duties",
+                  R"({"holder":"another","host":"b","fencing":7})");
+  world.IsNextLost = true;
+  BOOST_TEST_REQUIRE(world.waitForDuties());
+  BOOST_TEST(world.Duties.stamp().Fencing == 8U);
+  BOOST_TEST(world.Duties.term() == 8U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
