--- a/Libraries/LibObjectApi/CountedStore.cpp
+++ b/Libraries/LibObjectApi/CountedStore.cpp
@@ -19,7 +19,7 @@
          failure == StoreFailure::Unknown;
 }
 
-KindStore countedStore(KindStore store, StoreCallHook onCall) {
+KindStore countedStore(const KindStore &store, const StoreCallHook &onCall) {
   KindStore out;
   out.List = [store, onCall](StoreKind kind, StoreCallback<KindListing> done) {
     store.List(kind, told(onCall, "list", kind, std::move(done)));
--- a/Libraries/LibObjectApi/CountedStore.h
+++ b/Libraries/LibObjectApi/CountedStore.h
@@ -13,7 +13,7 @@
 
 /// The same store, with each call told to the hook before its caller hears of
 /// it.
-KindStore countedStore(KindStore store, StoreCallHook onCall);
+KindStore countedStore(const KindStore &store, const StoreCallHook &onCall);
 
 /// Whether a call that ended so did not reach the store, or its answer did not
 /// come back. A refusal for what the store holds is an answer.
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -13,11 +13,11 @@
 
 /// The hooks with each call to the store told to the state.
 static GatewayHooks counted(GatewayHooks hooks, GatewayState &state) {
-  hooks.Store = countedStore(std::move(hooks.Store),
-                             [&state](const char *call, StoreKind kind,
-                                      std::optional<StoreFailure> failure) {
-                               state.noteStoreCall(call, kind, failure);
-                             });
+  hooks.Store =
+      countedStore(hooks.Store, [&state](const char *call, StoreKind kind,
+                                         std::optional<StoreFailure> failure) {
+        state.noteStoreCall(call, kind, failure);
+      });
   return hooks;
 }
 
