sorrelbayd: Let each renewal of the lease show in the store

Cause: the store gives no new revision to a PUT that changes nothing, and a renewal wrote the same body. To other hosts a lease that was renewed for a minute looked like one that nobody renews: with its holder cut off from its peers, or silent for a second, another took it over while the holder went on.

Ruled out: the number of a lost answer (the lower number was that of the holder that had gone on); the told revision by itself (a write expects it).

Change: the body counts its writes. The store of our tests, which gave each write a new revision and so hid this, now behaves as the platform's page says.

Test: each_renewal_is_seen_by_others, red without the change.

--- a/Services/sorrelbayd/DutyKeeper.cpp
+++ b/Services/sorrelbayd/DutyKeeper.cpp
@@ -114,6 +114,9 @@
   object.Body = nlohmann::json{
       {"holder", State.Incarnation.text()},
       {"host", State.Settings.Host.text()},
+      // A write that changes nothing leaves the revision as it is: the others
+      // would see a lease that nobody renews.
+      {"renewals", ++Renewals},
       {"fencing",
        fencing}}.dump();
   IsWaiting = true;
--- a/Services/sorrelbayd/DutyKeeper.h
+++ b/Services/sorrelbayd/DutyKeeper.h
@@ -34,6 +34,8 @@
   /// The number of the holder that the store last showed, and of this one.
   std::uint64_t SeenFencing = 0;
   std::uint64_t Fencing = 0;
+  /// Writes of the lease by this process.
+  std::uint64_t Renewals = 0;
   bool IsWaiting = false;
   bool WasHeld = false;
 };
--- a/Tests/sorrelbayd/GatewayWorld.cpp
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -157,7 +157,10 @@
     result.Failure = conflicts ? StoreFailure::Conflict : StoreFailure::Missing;
   } else {
     KeptObject kept = object;
-    kept.Revision = ++Revision;
+    // What changes nothing is no change.
+    const bool isSame = isThere && it->second.Body == object.Body &&
+                        it->second.Status == object.Status;
+    kept.Revision = isSame ? it->second.Revision : ++Revision;
     objects[object.Name] = kept;
     result.Got = kept;
   }
--- a/Tests/sorrelbayd/TestDutyKeeper.cpp
+++ b/Tests/sorrelbayd/TestDutyKeeper.cpp
@@ -78,4 +78,24 @@
   BOOST_TEST(world.Duties.term() == 8U);
 }
 
+// The platform's store gives no new revision to a write that changes nothing.
+// Seen from other hosts a holder that renewed so would look like one that is
+// gone, and two hosts would order replicas by turns.
+BOOST_AUTO_TEST_CASE(each_renewal_is_seen_by_others) {
+  KeeperWorld world;
+  BOOST_TEST_REQUIRE(world.waitForDuties());
+  FleetMember self;
+  world.Duties.tell(self, bootNow());
+  const std::uint64_t taken = self.LeaseRevision;
+  for (int n = 0; n < 1000 && self.LeaseRevision == taken; ++n) {
+    world.Duties.tick(bootNow());
+    world.Loop.restart();
+    world.Loop.run_for(milliseconds(5));
+    std::this_thread::sleep_for(milliseconds(2));
+    world.Duties.tell(self, bootNow());
+  }
+  BOOST_TEST(self.LeaseRevision > taken);
+  BOOST_TEST(self.Fencing == world.Duties.term());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
