LibObjectApi: Take the time of being told for no outage

Cause: a host that is told of changes noted no success of its own.

Ruled out: the gathering of changes (100 ms at most); the teller, whose news had reached the other hosts within 3 ms.

Change: news counts as an answer of the store. Test: being_told_is_no_outage, red without the change.

--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -154,6 +154,9 @@
     return;
   }
   HeardAt = now;
+  // The store has answered the teller. The time since this host last asked by
+  // itself is no outage, after which removals would have to wait.
+  succeeded(now);
   // Told later than the echo was sent; it may have been on its way for long.
   const Instant begun = Instant(microseconds(news.Echo)) - news.Age;
   apply(news.Changes);
--- a/Tests/LibObjectApi/TestKindWatcher.cpp
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <map>
+#include <thread>
 
 using namespace sorrelbay;
 
@@ -13,7 +14,7 @@
 /// A watcher of one kind whose store is played by the test: a call stays open
 /// until the test answers it.
 struct World {
-  explicit World(bool asksAlways, Duration gatherTime = Duration::zero()) {
+  explicit World(bool asksAlways, KindWatcherSettings settings = {}) {
     KindStore store;
     store.List = [this](StoreKind, const StoreCallback<KindListing> &done) {
       ++Lists;
@@ -25,8 +26,6 @@
       After = after;
       Watched = done;
     };
-    KindWatcherSettings settings;
-    settings.GatherTime = gatherTime;
     KindWatcherHooks hooks;
     hooks.OnObject = [this](const KeptObject &it) { Seen[it.Name] = it.Body; };
     hooks.OnRemoved = [this](const std::string &name) { Seen.erase(name); };
@@ -129,6 +128,31 @@
   BOOST_TEST(world.After == 12);
 }
 
+// A host was told of changes for a long time and then has to ask by itself. It
+// took the time in between for an outage of the store, after which entries may
+// be missing that come back, and went on to send calls to a replica that had
+// left.
+BOOST_AUTO_TEST_CASE(being_told_is_no_outage) {
+  KindWatcherSettings settings;
+  settings.Patience = milliseconds(200);
+  settings.OutageAfter = milliseconds(300);
+  settings.SilentPatiences = 100;
+  settings.OldPatiences = 100;
+  World world(false, settings);
+  world.Watcher->hear(World::news(10, 12, {}), bootNow());
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  for (std::uint64_t n = 12; n < 18; ++n) {
+    std::this_thread::sleep_for(milliseconds(100));
+    world.Watcher->hear(World::news(n, n + 1, {}), bootNow());
+  }
+  KindNews large = World::news(18, 20, {});
+  large.IsLeftOut = true;
+  world.Watcher->hear(large, bootNow());
+  BOOST_TEST(world.Watches == 2);
+  world.Watched({KindChanges{{removed("a", 19)}, 20}, {}});
+  BOOST_TEST(world.Seen.count("a") == 0);
+}
+
 // A replica's entry was removed and is there again; the teller is behind and
 // passes the removal on. The replica would get nothing more.
 BOOST_AUTO_TEST_CASE(an_old_removal_undoes_nothing) {
@@ -146,7 +170,9 @@
 // Ninety replicas are replaced one after the other. Each of them would end a
 // watch, and the calls to the store would cost more than the replicas.
 BOOST_AUTO_TEST_CASE(what_changes_together_is_asked_for_together) {
-  World world(true, milliseconds(20));
+  KindWatcherSettings settings;
+  settings.GatherTime = milliseconds(20);
+  World world(true, settings);
   world.Watched({KindChanges{{changed("b", "1", 12)}, 12}, {}});
   BOOST_TEST(world.Watches == 1);
   world.Loop.run();
