sorrelbayd: Say why a daemon could not start, and give no test port twice

The kept settings show the same port for callers and for peers: the tests asked twice for a free port and were given the same one. The daemon then died without a line: start() threw, and the destructor drained a daemon whose peer link did not exist (SIGSEGV, exit code 139).

Ruled out: a lost log line at the end (the flush runs at exit; the process never got there); SO_REUSEPORT (the server sets SO_REUSEADDR only).

Change: only a daemon that has begun to serve is drained. The tests remember the ports that they gave. BadInput/a_daemon_whose_port_is_taken_says_so fails before the change for both ports (exit code -11, no 'daemon failed').

Before: exit by SIGSEGV, empty log. After: 'daemon failed' with the address, exit code 1.

Conclusion: a fault of the product and one of the tests.

--- a/Services/sorrelbayd/Daemon.cpp
+++ b/Services/sorrelbayd/Daemon.cpp
@@ -50,7 +50,12 @@
       Callers(Settings, Bundles, Upstreams, Models, Desks, Open, Counts),
       Server(serverLimits(Settings)) {}
 
-Daemon::~Daemon() { stop(); }
+// A daemon that could not listen has nothing to drain, and parts of it that
+// draining asks are not there yet.
+Daemon::~Daemon() {
+  if (HasStarted)
+    stop();
+}
 
 void Daemon::start() {
   Peers.onBundle([this] { followBundle(); });
@@ -69,6 +74,7 @@
   Peers.start(address);
   // Only now, since callers' handlers use all of the above.
   Server.serve();
+  HasStarted = true;
   LogLine(Severity::Info, "listening").field("address", address);
   addWorker(&Daemon::watchBundle);
   addWorker(&Daemon::keepPeersInformed);
--- a/Services/sorrelbayd/Daemon.h
+++ b/Services/sorrelbayd/Daemon.h
@@ -36,7 +36,8 @@
   Daemon(const Daemon &) = delete;
   Daemon &operator=(const Daemon &) = delete;
 
-  /// Starts to listen and to work. Throws HttpListenFailed.
+  /// Starts to listen and to work. Throws HttpListenFailed, and
+  /// PeerListenFailed where peers are to connect.
   void start();
   /// A planned stop: unlists the daemon, refuses new calls with other addresses
   /// for as long as callers may keep this one, and returns when all in flight
@@ -91,6 +92,8 @@
   std::vector<std::thread> Workers;
   std::mutex StopMutex;
   std::condition_variable StopChanged;
+  /// Callers are served; belongs to the thread that starts and stops.
+  bool HasStarted = false;
   /// A planned stop has begun; workers go on while calls are in flight.
   bool IsDraining = false;
   /// All calls have ended; workers end too.
--- a/Tests/Integration/Deployment.cpp
+++ b/Tests/Integration/Deployment.cpp
@@ -5,6 +5,7 @@
 #include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <sstream>
 #include <unistd.h>
 
@@ -88,17 +89,25 @@
   return sendOnce(address, out);
 }
 
+/// A port of this test process that no daemon was given before. A free port
+/// is only free until somebody takes it: two daemons that are started one
+/// after the other, or the two ports of one, were now and then given the same
+/// one, and the daemon that came second died.
 static std::string freePort() {
+  static std::set<std::string> given;
   const std::string command =
       std::string(SORRELBAY_BINARY_DIR) + "/free-port " + ownHost(11);
-  FILE *pipe = popen(command.c_str(), "r");
-  char buf[64] = {};
-  if (pipe == nullptr || fgets(buf, sizeof(buf), pipe) == nullptr)
-    throw NeverCameTrue("no free port");
-  pclose(pipe);
-  std::string out(buf);
-  out.erase(out.find_last_not_of('\n') + 1);
-  return out;
+  for (;;) {
+    FILE *pipe = popen(command.c_str(), "r");
+    char buf[64] = {};
+    if (pipe == nullptr || fgets(buf, sizeof(buf), pipe) == nullptr)
+      throw NeverCameTrue("no free port");
+    pclose(pipe);
+    std::string out(buf);
+    out.erase(out.find_last_not_of('\n') + 1);
+    if (given.insert(out).second)
+      return out;
+  }
 }
 
 void TestProxy::setMode(const std::string &mode, int delayMs) const {
@@ -140,7 +149,7 @@
     std::filesystem::remove_all(Folder);
 }
 
-std::string Deployment::logPath(const std::string &name) {
+std::string Deployment::logPath(const std::string &name) const {
   return Folder + "/" + name + ".log";
 }
 
@@ -193,6 +202,23 @@
   return *Upstreams.back();
 }
 
+std::string Deployment::writeSettings(const std::string &name,
+                                      const TestDaemon &daemon) const {
+  std::string path = Folder + "/" + name + ".toml";
+  std::ofstream settings(path);
+  settings << "host = \"" << name << "\"\nzone = \"" << daemon.Zone
+           << "\"\nlisten = \"" << daemon.Address << "\"\nplatform = \""
+           << daemon.Platform << "\"\noperator_keys = [\"" << OperatorKey
+           << "\"]\n[peer]\nlisten = \"" << daemon.PeerAddress
+           << "\"\nsecret = \"a secret of the tests\"\nseeds = [";
+  for (std::size_t n = 0; n < Daemons.size(); ++n)
+    settings << (n == 0 ? "" : ", ") << "\"" << Daemons[n]->PeerAddress << "\"";
+  settings << "]\n[times]\npoll_interval_ms = 50\nobject_api_timeout_ms = "
+              "500\nengine_silence_ms = 1000\naddress_ttl_ms = "
+              "500\nwatch_patience_ms = 500\n";
+  return path;
+}
+
 TestDaemon &Deployment::addDaemon(const std::string &zone,
                                   const std::string &platform) {
   auto out = std::make_unique<TestDaemon>();
@@ -201,19 +227,7 @@
   out->PeerAddress = freePort();
   out->Zone = zone;
   out->Platform = platform.empty() ? PlatformAddress : platform;
-  out->SettingsPath = Folder + "/" + name + ".toml";
-  std::ofstream settings(out->SettingsPath);
-  settings << "host = \"" << name << "\"\nzone = \"" << zone
-           << "\"\nlisten = \"" << out->Address << "\"\nplatform = \""
-           << out->Platform << "\"\noperator_keys = [\"" << OperatorKey
-           << "\"]\n[peer]\nlisten = \"" << out->PeerAddress
-           << "\"\nsecret = \"a secret of the tests\"\nseeds = [";
-  for (std::size_t n = 0; n < Daemons.size(); ++n)
-    settings << (n == 0 ? "" : ", ") << "\"" << Daemons[n]->PeerAddress << "\"";
-  settings << "]\n[times]\npoll_interval_ms = 50\nobject_api_timeout_ms = "
-              "500\nengine_silence_ms = 1000\naddress_ttl_ms = "
-              "500\nwatch_patience_ms = 500\n";
-  settings.close();
+  out->SettingsPath = writeSettings(name, *out);
   restart(*out);
   listEntry(*out);
   Daemons.push_back(std::move(out));
--- a/Tests/Integration/Deployment.h
+++ b/Tests/Integration/Deployment.h
@@ -58,6 +58,12 @@
   /// platform's address may be a proxy's.
   TestDaemon &addDaemon(const std::string &zone,
                         const std::string &platform = "");
+  /// Writes settings for a daemon that listens at the addresses given and
+  /// reaches the platform where it says; returns the file's path.
+  std::string writeSettings(const std::string &name,
+                            const TestDaemon &daemon) const;
+  /// Where a process of that name writes what it prints.
+  std::string logPath(const std::string &name) const;
   /// Starts the daemon again with the same settings.
   void restart(TestDaemon &daemon);
   TestProxy &addProxy(const std::string &target);
@@ -84,7 +90,6 @@
   std::vector<std::unique_ptr<TestProxy>> Proxies;
 
 private:
-  std::string logPath(const std::string &name);
   void listEntry(const TestDaemon &daemon) const;
 
   std::string Folder;
--- a/Tests/Integration/TestBadInput.cpp
+++ b/Tests/Integration/TestBadInput.cpp
@@ -183,4 +183,29 @@
   BOOST_TEST(daemon.Process->isRunning());
 }
 
+static const bool TakenPortRows[] = {false, true};
+
+// An operator starts a daemon beside one that still holds its port, or gives
+// the same port twice. One that dies without a word leaves the operator to
+// guess; callers find one host fewer.
+BOOST_DATA_TEST_CASE(a_daemon_whose_port_is_taken_says_so,
+                     boost::unit_test::data::make(TakenPortRows), isPeerPort) {
+  const Deployment &whole = ServingDaemon::instance();
+  const TestDaemon &first = *whole.Daemons[0];
+  BOOST_TEST_REQUIRE(first.Process->isRunning());
+  TestDaemon place;
+  place.Zone = first.Zone;
+  place.Platform = first.Platform;
+  const std::string host = first.Address.substr(0, first.Address.find(':'));
+  place.Address = isPeerPort ? host + ":0" : first.Address;
+  place.PeerAddress = isPeerPort ? first.PeerAddress : host + ":0";
+  ChildProcess second("sorrelbayd",
+                      {"--settings", whole.writeSettings("second", place)},
+                      whole.logPath("second"));
+  BOOST_TEST(second.wait() == 1);
+  BOOST_TEST(second.hasLogged("daemon failed"));
+  const std::string &taken = isPeerPort ? first.PeerAddress : first.Address;
+  BOOST_TEST(second.hasLogged(taken), taken);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
