sorrelbayd: Say why a desk call was not done

Change: 'desk call not done' with key, outcome and reason, and a line for each way to it: no desk to send to (none left, or the view of desks is stale), a desk that did not take the call or lost it, a ticket's owner that was not reached. At most 50 lines a second; what is left out is counted. The tests print the refusal that they got.

Conclusion: no behaviour of calls changed. The next failure of the test will name its reason.

--- a/Libraries/LibCaller/DeskCallReply.cpp
+++ b/Libraries/LibCaller/DeskCallReply.cpp
@@ -47,6 +47,10 @@
      "the deadline passed before an answer"},
 };
 
+const char *toText(RefusalReason reason) {
+  return Renderings[static_cast<std::size_t>(reason)].Type;
+}
+
 static Outcome toOutcome(CallOutcome outcome) {
   switch (outcome) {
   case CallOutcome::Done:
--- a/Libraries/LibCaller/DeskCallReply.h
+++ b/Libraries/LibCaller/DeskCallReply.h
@@ -10,6 +10,9 @@
 /// one of ours.
 constexpr const char *OutcomeHeader = "X-Outcome";
 
+/// The word for the reason in answers and logs.
+const char *toText(RefusalReason reason);
+
 /// The answer of `POST /v1/desk/{operation}` for a call that may not be
 /// repeated: the desk's own, or a problem document with outcome and reason.
 HttpResponse renderDeskCall(const DeskCallAnswer &answer);
--- a/Services/sorrelbayd/DeskCalls.cpp
+++ b/Services/sorrelbayd/DeskCalls.cpp
@@ -2,6 +2,7 @@
 #include "CallChecks.h"
 #include "LibBase/Hash.h"
 #include "LibBase/Invariant.h"
+#include "LibBase/LogLine.h"
 #include "LibCaller/DeskCallReply.h"
 #include "LibCaller/RefusalOutcome.h"
 #include "LibHttp/HttpClient.h"
@@ -11,6 +12,8 @@
 namespace sorrelbay {
 
 static constexpr int MaxAttempts = 3;
+/// Lines of failures a second; what is left out is counted in the next.
+static constexpr double FailureLinesPerSecond = 50;
 static constexpr Duration ComeBackSoon = milliseconds(500);
 static constexpr int FirstServerFault = 500;
 static constexpr int StatusMisdirected = 421;
@@ -38,7 +41,20 @@
                      UpstreamTable &upstreams, MoveKeeper &moves,
                      OpenCalls &open, Metrics &metrics, ObjectApi objects)
     : Settings(settings), Bundles(bundles), Upstreams(upstreams), Moves(moves),
-      Open(open), Counts(metrics), Once(std::move(objects), settings.Workers) {}
+      Open(open), Counts(metrics), Once(std::move(objects), settings.Workers),
+      FailureLines(FailureLinesPerSecond) {}
+
+void DeskCalls::logFailure(const char *event, const CallKey &key,
+                           const char *outcome, const std::string &why) {
+  const std::lock_guard<std::mutex> lock(LogMutex);
+  if (!FailureLines.take(now()))
+    return;
+  LogLine(Severity::Warning, event)
+      .field("key", key.text())
+      .field("outcome", outcome)
+      .field("why", why)
+      .field("left_out", FailureLines.takeLeftOut());
+}
 
 static CallAttempt attemptOf(const CallContext &context) {
   return static_cast<CallAttempt>(context.Attempt);
@@ -124,8 +140,12 @@
   const Span span("desk call", work.Context.Trace);
   work.Placing.Seed = stableHash(work.RequestId, work.Placing.Tried.size());
   const PlacementChoice choice = Upstreams.begin(work.Placing, now());
-  if (!choice.Upstream)
+  if (!choice.Upstream) {
+    logFailure("no desk to send to", work.Context.Key, "not_sent",
+               Upstreams.isViewFresh(now()) ? "none is left to try"
+                                            : "the view of desks is stale");
     throw DeskRejected("no desk is left to try");
+  }
   work.Placing.Tried.push_back(*choice.Upstream);
   DeskRequest request;
   request.RequestId = work.RequestId;
@@ -146,11 +166,15 @@
                  outcomeOf(answer, now() - sentAt, work.Operation));
     Counts.countCall(work.Operation.Id.text(), "ok");
     return answer;
-  } catch (const DeskRejected &) {
+  } catch (const DeskRejected &error) {
     finish();
+    logFailure("desk did not take the call", work.Context.Key, "not_run",
+               choice.Upstream->text() + ": " + error.what());
     throw;
-  } catch (const DeskOutcomeUnknown &) {
+  } catch (const DeskOutcomeUnknown &error) {
     finish();
+    logFailure("desk lost the call", work.Context.Key, "unknown",
+               choice.Upstream->text() + ": " + error.what());
     Counts.countCall(work.Operation.Id.text(), "unknown");
     if (!Upstreams.isLeaving(*choice.Upstream))
       Moves.record({work.Version, work.Operation.Id}, UpstreamOutcome::Failed);
@@ -179,6 +203,10 @@
       entrance, id, attemptOf(work->Context), deadline, std::move(hooks));
   if (answer.Outcome == CallOutcome::NotRun)
     Counts.countCall(work->Operation.Id.text(), "not_run");
+  if (answer.Outcome != CallOutcome::Done)
+    logFailure("desk call not done", work->Context.Key,
+               answer.Outcome == CallOutcome::NotRun ? "not_run" : "unknown",
+               toText(answer.Reason));
   return renderDeskCall(answer);
 }
 
@@ -231,8 +259,11 @@
       std::any_of(entries.begin(), entries.end(), [&](const HostListEntry &it) {
         return it.Address == ticket.Address;
       });
-  if (!isEntry)
+  if (!isEntry) {
+    logFailure("ticket's owner not reached", context.Key, "not_sent",
+               ticket.Address + " is no entry host");
     throw OwnerNotReached("the ticket names no entry host");
+  }
   const Span span("forward to ticket owner", context.Trace);
   const Duration left = std::max(context.Deadline - now(), Duration(1000));
   call.ReadTimeout = left + ForwardSlack;
@@ -252,6 +283,8 @@
       throw OwnerNotReached("another process has the owner's address");
     return isQuery ? parseCallQuery(reply) : parseDeskCall(reply);
   } catch (const HttpNotSent &error) {
+    logFailure("ticket's owner not reached", context.Key, "not_sent",
+               ticket.Address + ": " + error.what());
     throw OwnerNotReached(error.what());
   }
 }
--- a/Services/sorrelbayd/DeskCalls.h
+++ b/Services/sorrelbayd/DeskCalls.h
@@ -2,6 +2,7 @@
 
 #include "BundleKeeper.h"
 #include "DaemonSettings.h"
+#include "LibBase/LogBudget.h"
 #include "LibCaller/CallContext.h"
 #include "LibDesk/DeskClient.h"
 #include "LibHttp/HttpMessage.h"
@@ -11,6 +12,7 @@
 #include "OnceCalls.h"
 #include "OpenCalls.h"
 #include "UpstreamTable.h"
+#include <mutex>
 
 namespace sorrelbay {
 
@@ -38,6 +40,9 @@
   DeskAnswer sendNext(Work &work);
   DeskCallAnswer forward(const CallContext &context, HttpCall call,
                          const CallTicket &ticket, bool isQuery);
+  /// A line for a call that was not done, or for one try that came to nothing.
+  void logFailure(const char *event, const CallKey &key, const char *outcome,
+                  const std::string &why);
   void refuseIfMisdirected(const HttpRequest &request,
                            const CallKey &key) const;
 
@@ -48,6 +53,9 @@
   OpenCalls &Open;
   Metrics &Counts;
   OnceCalls Once;
+  /// A leaf lock; belongs to the budget.
+  std::mutex LogMutex;
+  LogBudget FailureLines;
 };
 
 } // namespace sorrelbay
--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -38,7 +38,13 @@
   }
   DeskCallAnswer book(std::size_t n, const std::string &key,
                       std::uint64_t attempt) const {
-    return parseDeskCall(callDeskAt(entry(n), "booking", key, attempt));
+    const HttpReply reply = callDeskAt(entry(n), "booking", key, attempt);
+    DeskCallAnswer answer = parseDeskCall(reply);
+    // Which of the ways to this answer was taken, for a test that fails.
+    if (answer.Outcome != CallOutcome::Done)
+      BOOST_TEST_MESSAGE(key << " at daemon " << n << ": " << reply.Status
+                             << " " << reply.Body);
+    return answer;
   }
   DeskCallAnswer ask(std::size_t n, const std::string &key,
                      std::uint64_t attempt) const {
