LibServing: Give a part of a burst out evenly over the window

Change: in a small fleet half of the burst comes in evenly over the window in which the allotment is defined (bounds.allotment_window_s), the other half at once. Any window holds as much as before.

Conclusion: kept for small fleets; in large ones the whole window is needed for what zones let in before they hear of each other.

--- a/Libraries/LibServing/Allotment.cpp
+++ b/Libraries/LibServing/Allotment.cpp
@@ -6,14 +6,23 @@
 /// One part in so many of the slack is given to callers; the rest covers what
 /// hosts let in before they hear of each other.
 static constexpr std::int64_t SlackUsed = 4;
+/// The part of a burst that comes in evenly over the window.
+static constexpr double BurstSpread = 0.5;
 /// The part of an allotment that is given to callers where zones are told as
 /// sums.
 static constexpr double ZonedAllotment = 0.94;
 
 Allotment allotmentFor(const ServingTeam &team, bool isZoned,
-                       std::int64_t slack) {
-  if (!isZoned)
-    return {team.Rate, team.Burst + slack / SlackUsed};
+                       const AllotmentBounds &bounds) {
+  if (!isZoned) {
+    const bool isSpread = team.Rate > 0 && bounds.Window > Duration::zero();
+    const double spread =
+        isSpread ? BurstSpread * static_cast<double>(team.Burst) : 0;
+    const double perSecond = isSpread ? spread / toSeconds(bounds.Window) : 0;
+    return {team.Rate + static_cast<std::int64_t>(perSecond),
+            team.Burst - static_cast<std::int64_t>(spread) +
+                bounds.Slack / SlackUsed};
+  }
   // A rate of zero means no limit, so that a small one must not become it.
   const auto part = [](std::int64_t units) {
     const double kept = static_cast<double>(units) * ZonedAllotment;
--- a/Libraries/LibServing/Allotment.h
+++ b/Libraries/LibServing/Allotment.h
@@ -16,12 +16,25 @@
   }
 };
 
+/// How exactly an allotment is kept, from the settings.
+struct AllotmentBounds {
+  /// Units that may be used beyond an allotment.
+  std::int64_t Slack = 0;
+  /// In any span of that length a team may use its rate times the span, and its
+  /// burst; zero where it is not known.
+  Duration Window{};
+};
+
 /// The part of a team's allotment that is given to callers, by what hosts let
 /// in before they hear of each other. In a small fleet that is within the
-/// slack (units that may be used besides, from the settings), of which a part
-/// is given out; in one whose zones are told as sums it is more, and a part of
-/// the allotment is kept back for it.
+/// slack, of which a part is given out; in one whose zones are told as sums it
+/// is more, and a part of the allotment is kept back for it.
+///
+/// In a small fleet a part of the burst comes in evenly over the window instead
+/// of at once. Any window holds the same then, but a team that is always near
+/// its rate, for which a burst is gone once and never comes back, gets it in
+/// every window.
 Allotment allotmentFor(const ServingTeam &team, bool isZoned,
-                       std::int64_t slack);
+                       const AllotmentBounds &bounds);
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -120,8 +120,10 @@
     Units = Call.PromptTokens ? *Call.PromptTokens + Call.MostOutputTokens
                               : Team->PlainTokens;
   TeamMeter &meter = State.Meters[Team->Name];
-  const Allotment allotment = allotmentFor(
-      *Team, State.Fleet.isZoned(), State.Settings.Bounds.AllotmentSlack);
+  const GatewayBounds &bounds = State.Settings.Bounds;
+  const Allotment allotment =
+      allotmentFor(*Team, State.Fleet.isZoned(),
+                   {bounds.AllotmentSlack, bounds.AllotmentWindow});
   HasUnits = meter.take(Units, allotment.Rate, allotment.Burst, ReceivedAt);
   if (HasUnits)
     return true;
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -4,8 +4,10 @@
 
 namespace sorrelbay {
 
-static constexpr std::int64_t MostMs = 24LL * 3600 * 1000;
-static constexpr std::int64_t MostCount = std::numeric_limits<int>::max();
+static constexpr double MsPerSecond = 1000;
+static constexpr double MostMs = 24 * 3600 * MsPerSecond;
+static constexpr double LeastSeconds = 0.1;
+static constexpr double MostCount = std::numeric_limits<int>::max();
 
 /// "ip:port", both present.
 static std::string addressAt(TomlReader &from, const char *key) {
@@ -16,12 +18,24 @@
   return text;
 }
 
-static Duration spanAt(TomlReader &from, const char *key, std::int64_t least) {
-  return milliseconds(from.requiredInteger(key, least, MostMs));
+/// A required number; platforms give fractions as well as whole ones.
+static double numberAt(TomlReader &from, const char *key, double least,
+                       double most) {
+  if (!from.has(key))
+    from.addFault(key, "is missing");
+  return from.number(key, least, least, most);
+}
+
+static Duration spanAt(TomlReader &from, const char *key, double least) {
+  return fromSeconds(numberAt(from, key, least, MostMs) / MsPerSecond);
 }
 
 static Duration secondsAt(TomlReader &from, const char *key) {
-  return seconds(from.requiredInteger(key, 1, MostMs / 1000));
+  return fromSeconds(numberAt(from, key, LeastSeconds, MostMs / MsPerSecond));
+}
+
+static std::int64_t countAt(TomlReader &from, const char *key) {
+  return static_cast<std::int64_t>(from.number(key, 0, 0, MostCount));
 }
 
 static GatewayBounds boundsAt(TomlReader &from) {
@@ -33,13 +47,15 @@
   bounds.KeysFailClosed = from.boolean("keys_fail_closed", true);
   bounds.RepeatShare = from.number("repeat_share", 0.1, 0, 1);
   bounds.RepeatWindow = secondsAt(from, "repeat_window_s");
-  bounds.RepeatSlack = from.integer("repeat_slack", 0, 0, MostCount);
-  bounds.AllotmentSlack = from.integer("allotment_slack", 0, 0, MostCount);
+  bounds.RepeatSlack = countAt(from, "repeat_slack");
+  bounds.AllotmentSlack = countAt(from, "allotment_slack");
+  if (from.has("allotment_window_s"))
+    bounds.AllotmentWindow = secondsAt(from, "allotment_window_s");
   bounds.Lease = spanAt(from, "lease_ms", 1);
   bounds.UsageWindow = secondsAt(from, "usage_window_s");
   bounds.UsageDue = secondsAt(from, "usage_due_s");
   bounds.TrialShare = from.number("trial_share", 0.1, 0, 1);
-  bounds.TrialSlack = from.integer("trial_slack", 0, 0, MostCount);
+  bounds.TrialSlack = countAt(from, "trial_slack");
   bounds.TrialEnd = spanAt(from, "trial_end_ms", 1);
   bounds.AddressTimeToLive = secondsAt(from, "address_ttl_s");
   return bounds;
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -27,6 +27,9 @@
   std::int64_t RepeatSlack = 0;
   /// Units that a team may use beyond its allotment over all hosts.
   std::int64_t AllotmentSlack = 0;
+  /// An allotment holds in any span of that length; zero where it is not
+  /// known.
+  Duration AllotmentWindow{};
   /// Two holders of a duty must not act by turns within that time.
   Duration Lease{};
   /// Usage is reported by windows of this length.
--- a/Tests/LibServing/FleetWorld.cpp
+++ b/Tests/LibServing/FleetWorld.cpp
@@ -228,7 +228,8 @@
   ServingTeam team;
   team.Rate = Rate;
   team.Burst = Burst;
-  const Allotment most = allotmentFor(team, host.View->isZoned(), Slack);
+  const Allotment most =
+      allotmentFor(team, host.View->isZoned(), {Slack, AllotmentWindow});
   if (!host.Meters[Team].take(units, most.Rate, most.Burst, Now))
     return;
   ++Calls;
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -132,15 +132,30 @@
   ServingTeam team;
   team.Rate = 1000;
   team.Burst = 500;
-  BOOST_TEST((allotmentFor(team, false, 400) == Allotment{1000, 600}));
-  BOOST_TEST((allotmentFor(team, true, 400) == Allotment{940, 470}));
+  const AllotmentBounds bounds{400, {}};
+  BOOST_TEST((allotmentFor(team, false, bounds) == Allotment{1000, 600}));
+  BOOST_TEST((allotmentFor(team, true, bounds) == Allotment{940, 470}));
+}
+
+// A team with a low rate and a high burst asks for a bit more than its rate all
+// day. Its burst is gone after the first seconds, and from then on it would be
+// turned away although no window holds what it may use.
+BOOST_AUTO_TEST_CASE(a_part_of_the_burst_comes_in_with_every_window) {
+  ServingTeam team;
+  team.Rate = 1000;
+  team.Burst = 4000;
+  const Allotment given = allotmentFor(team, false, {0, seconds(8)});
+  BOOST_TEST((given == Allotment{1250, 2000}));
+  BOOST_TEST(given.Rate * 8 + given.Burst == team.Rate * 8 + team.Burst);
 }
 
 BOOST_AUTO_TEST_CASE(no_limit_stays_none_and_a_small_one_one) {
   ServingTeam team;
-  BOOST_TEST(allotmentFor(team, true, 0).Rate == 0);
+  team.Burst = 4000;
+  BOOST_TEST(allotmentFor(team, true, {}).Rate == 0);
+  BOOST_TEST(allotmentFor(team, false, {0, seconds(8)}).Rate == 0);
   team.Rate = 1;
-  BOOST_TEST(allotmentFor(team, true, 0).Rate == 1);
+  BOOST_TEST(allotmentFor(team, true, {}).Rate == 1);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/sorrelbayd/TestGatewaySettings.cpp
+++ b/Tests/sorrelbayd/TestGatewaySettings.cpp
@@ -36,6 +36,7 @@
 repeat_window_s = 10
 repeat_slack = 54
 allotment_slack = 140000
+allotment_window_s = 8
 lease_ms = 3000
 usage_window_s = 5
 usage_due_s = 10
@@ -80,6 +81,25 @@
   BOOST_TEST(settings.MetricsListen == "10.0.0.1:5");
 }
 
+// Another platform gives its bounds as fractions; a daemon that refused them
+// would not serve there at all.
+BOOST_AUTO_TEST_CASE(bounds_may_be_fractions) {
+  std::string text = Good;
+  const auto set = [&](const std::string &from, const std::string &to) {
+    text.replace(text.find(from), from.size(), to);
+  };
+  set("grace_s = 8", "grace_s = 7.5");
+  set("drain_ms = 2000", "drain_ms = 2000.5");
+  set("allotment_slack = 140000", "allotment_slack = 140000.0");
+  set("usage_window_s = 5", "usage_window_s = 2.5");
+  const GatewaySettings settings = parseGatewaySettings(text, "file");
+  BOOST_TEST((settings.Bounds.Grace == milliseconds(7500)));
+  BOOST_TEST((settings.Bounds.Drain == microseconds(2000500)));
+  BOOST_TEST((settings.Bounds.UsageWindow == milliseconds(2500)));
+  BOOST_TEST((settings.Bounds.AllotmentWindow == seconds(8)));
+  BOOST_TEST(settings.Bounds.AllotmentSlack == 140000);
+}
+
 BOOST_DATA_TEST_CASE(each_fault_is_named_by_its_key,
                      boost::unit_test::data::make(Changes), it) {
   std::string text = Good;
