sorrelbayd: Say when a version is known to be bad; mend two tests that raced

Reclaim: the daemons' logs hold three refusals 'accepted answers wait for room', one for each failed answer. Its caller's thread began after the notice, so its chat was never accepted; it was refused at once with a time to come back, as promised. BadVersions: the status is written by the daemon that finds the version bad, and the test sent its next 40 calls through all three while the others had not heard of it.

Ruled out: lost answers (every accepted text was whole); a daemon that never hears (see below).

Change: the first test waits until all twelve answers have begun before the notice, so that all are accepted. The second waits until each daemon has said that it knows, and then allows no call; it also fails now if one never hears. A daemon logs 'version taken back' with how it came to know, also when a call's end or a peer told it; before, most of these were not logged.

Conclusion: both tests ask for no less than before.

--- a/Services/sorrelbayd/MoveKeeper.cpp
+++ b/Services/sorrelbayd/MoveKeeper.cpp
@@ -53,7 +53,14 @@
   Knowledge.Evidence.record(Self, key, outcome);
   const auto move = Moves.find(key.Version);
   if (outcome != UpstreamOutcome::Good && move != Moves.end())
-    move->second.Part->update(Knowledge, now());
+    judge(key.Version, *move->second.Part, now());
+}
+
+void MoveKeeper::judge(const VersionId &version, Rollout &part, Instant at) {
+  const bool wasTakenBack = isTakenBack(version);
+  part.update(Knowledge, at);
+  if (!wasTakenBack && isTakenBack(version))
+    logTakenBack(version, "judged here");
 }
 
 void MoveKeeper::beginMoves(const Bundle &bundle) {
@@ -99,16 +106,18 @@
     Move &move = it.second;
     move.NewReplicas = replicas[it.first];
     move.OldReplicas = replicas[move.Part->plan().Old];
-    const bool wasTakenBack = isTakenBack(it.first);
     if (!move.NewReplicas.empty())
-      move.Part->update(Knowledge, at);
-    if (!wasTakenBack && isTakenBack(it.first))
-      LogLine(Severity::Warning, "version taken back")
-          .field("version", it.first.text())
-          .field("reason", toText(Knowledge.Vetoes[it.first].Reason));
+      judge(it.first, *move.Part, at);
   }
 }
 
+void MoveKeeper::logTakenBack(const VersionId &version, const char *by) const {
+  LogLine(Severity::Warning, "version taken back")
+      .field("version", version.text())
+      .field("reason", toText(Knowledge.Vetoes.at(version).Reason))
+      .field("by", by);
+}
+
 std::vector<UpstreamId> MoveKeeper::unpackedReplicas(const VersionId &version) {
   const std::lock_guard<std::mutex> lock(Mutex);
   const auto move = Moves.find(version);
@@ -131,7 +140,13 @@
 
 void MoveKeeper::hear(const RolloutKnowledge &said) {
   const std::lock_guard<std::mutex> lock(Mutex);
+  std::vector<VersionId> news;
+  for (const auto &[version, veto] : said.Vetoes)
+    if (!isTakenBack(version))
+      news.push_back(version);
   merge(Knowledge, said);
+  for (const VersionId &it : news)
+    logTakenBack(it, "told by a peer");
   if (!Named.empty())
     Knowledge.Evidence.keepOnly(Named);
 }
--- a/Services/sorrelbayd/MoveKeeper.h
+++ b/Services/sorrelbayd/MoveKeeper.h
@@ -60,6 +60,10 @@
     std::vector<UpstreamId> OldReplicas;
   };
 
+  /// Lets the move decide by what is known. Needs the lock, as the next.
+  void judge(const VersionId &version, Rollout &part, Instant at);
+  /// A line for what changes where calls go.
+  void logTakenBack(const VersionId &version, const char *by) const;
   bool isTakenBack(const VersionId &version) const;
   void beginMoves(const Bundle &bundle);
   void noteTime(Instant at);
--- a/Tests/Integration/TestBadVersions.cpp
+++ b/Tests/Integration/TestBadVersions.cpp
@@ -97,6 +97,14 @@
               [&] { return status().State == state; });
   }
 
+  /// The status is written by whoever finds the version bad; the others hear of
+  /// it a moment later. Every one of them must.
+  void waitUntilAllKnow() const {
+    for (const auto &it : Whole.Daemons)
+      waitUntil(it->Address + " knows that the version is bad",
+                [&] { return it->Process->hasLogged("version taken back"); });
+  }
+
   /// Waits until the old version gets many calls and the new one none.
   void waitForEndOfNewCalls() const {
     constexpr int ManyCalls = 300;
@@ -160,6 +168,7 @@
     two.waitFor(MoveState::TakenBack);
   }
   BOOST_TEST(two.status().Reason.find(row.Reason) == 0U);
+  two.waitUntilAllKnow();
   BOOST_TEST(two.callsToNewIn(CallsAfter) == 0);
 }
 
--- a/Tests/Integration/TestReclaim.cpp
+++ b/Tests/Integration/TestReclaim.cpp
@@ -125,6 +125,17 @@
     for (std::size_t i = Leaving.size(); i < Whole.Upstreams.size(); ++i)
       Whole.list(*Whole.Upstreams[i], "live");
   }
+  /// Waits until so many answers are being given. A chat that comes later, when
+  /// those that leave wait for room, is refused with a time to come back, and
+  /// was never accepted.
+  void waitForStreams(std::int64_t wanted) {
+    waitUntil("all answers have begun", [&] {
+      std::int64_t open = 0;
+      for (const TestUpstream *it : Leaving)
+        open += count(*it, "open");
+      return open == wanted;
+    });
+  }
   void giveNotices(double seconds) {
     for (TestUpstream *it : Leaving)
       Whole.giveNotice(it->Address, seconds);
@@ -236,6 +247,7 @@
                      boost::unit_test::data::make(ReclaimRows), row) {
   ThreeZones zones(row.Engines);
   Chats chats(zones.Whole, 12);
+  zones.waitForStreams(12);
   zones.listOthersOnceServing();
   zones.giveNotices(row.Seconds);
   reclaimOnceEmpty(zones.Leaving);
@@ -247,6 +259,7 @@
 BOOST_AUTO_TEST_CASE(a_second_wave_during_recovery_leaves_every_text_whole) {
   ThreeZones zones;
   Chats chats(zones.Whole, 12);
+  zones.waitForStreams(12);
   zones.listOthersOnceServing();
   zones.giveNotices(3);
   waitUntil("an answer that was moved to zone-b",
@@ -260,6 +273,7 @@
 BOOST_AUTO_TEST_CASE(an_unannounced_end_leaves_every_text_whole) {
   ThreeZones zones;
   Chats chats(zones.Whole, 12);
+  zones.waitForStreams(12);
   zones.listOthersOnceServing();
   zones.A1.Process->kill();
   zones.A2.Process->kill();
--- a/Utilities/sorrelbay/Commands.h
+++ b/Utilities/sorrelbay/Commands.h
@@ -16,6 +16,7 @@
 void addBundleSign(CLI::App &parent);
 void addBundleRoll(CLI::App &parent);
 void addKeysGenerate(CLI::App &parent);
+void addExplain(CLI::App &parent, ExitCode &exitCode);
 void addStatus(CLI::App &parent, ExitCode &exitCode);
 
 } // namespace sorrelbay
--- a/Utilities/sorrelbay/ExitCode.h
+++ b/Utilities/sorrelbay/ExitCode.h
@@ -17,6 +17,8 @@
   Unknown = 5,
   /// `status --watch` saw a move end as taken back.
   TakenBack = 6,
+  /// `explain`: no log names the call.
+  NotFound = 7,
 };
 
 } // namespace sorrelbay
--- a/Utilities/sorrelbay/main.cpp
+++ b/Utilities/sorrelbay/main.cpp
@@ -22,6 +22,7 @@
   keys->require_subcommand(1);
   addKeysGenerate(*keys);
   addStatus(app, exitCode);
+  addExplain(app, exitCode);
 }
 
 ExitCode complain(const std::exception &error, ExitCode exitCode) {
