TestTeamMeter, TestReplicaPlan: Say twice-told set-ups once

Two pairs of tests of this change began with the same lines: a speaker that tells a sum for two seconds, and a cloud that loses half of its zones. TeamMeter::FirstAt gets its comment.

--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -100,6 +100,7 @@
   /// Up to when the bucket has gained; first when a peer or a call was heard
   /// of.
   Instant FilledAt{};
+  /// When that was for the first time.
   Instant FirstAt{};
   /// The allotment that the last call was measured by.
   std::int64_t Rate = 0;
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -47,6 +47,16 @@
       step(plan, load);
   }
 
+  /// Two of the four zones lose their reclaimable replicas, and no others are
+  /// to be had.
+  void reclaimHalf() {
+    IsDry = true;
+    for (const char *zone : {"c", "d"}) {
+      Seen[ZoneId(zone)].Reclaimable = 0;
+      Seen[ZoneId(zone)].IsReclaimed = true;
+    }
+  }
+
   int countOf(const ReplicaOrder &it) {
     return it.IsReclaimable ? Seen[it.Zone].Reclaimable
                             : Seen[it.Zone].OnDemand;
@@ -118,11 +128,7 @@
   const ServiceLoad load{110, 700000};
   cloud.run(plan, load, seconds(40));
   BOOST_TEST(cloud.total(false) == 0);
-  cloud.IsDry = true;
-  for (const char *zone : {"c", "d"}) {
-    cloud.Seen[ZoneId(zone)].Reclaimable = 0;
-    cloud.Seen[ZoneId(zone)].IsReclaimed = true;
-  }
+  cloud.reclaimHalf();
   cloud.run(plan, load, cloud.Bounds.BootTime + milliseconds(500));
   BOOST_TEST(cloud.total(false) > 0);
 }
@@ -137,11 +143,7 @@
   ReplicaPlan plan(cloud.Bounds, cloud.Shape);
   cloud.run(plan, {400, 2600000}, seconds(40));
   const int before = plan.needed();
-  cloud.IsDry = true;
-  for (const char *zone : {"c", "d"}) {
-    cloud.Seen[ZoneId(zone)].Reclaimable = 0;
-    cloud.Seen[ZoneId(zone)].IsReclaimed = true;
-  }
+  cloud.reclaimHalf();
   for (int pile = 1; pile <= 8; ++pile)
     cloud.run(plan, {400 + pile * 200, 2600000 + pile * 1300000},
               milliseconds(500));
--- a/Tests/LibServing/TestTeamMeter.cpp
+++ b/Tests/LibServing/TestTeamMeter.cpp
@@ -46,6 +46,17 @@
   std::vector<TeamMeter> Meters;
 };
 
+/// Lets the first speaker "1" tell a zone's sum for two seconds, growing by so
+/// many units each time.
+void hearSum(TeamMeter &meter, const SourceId &zone, UsedUnits growth,
+             Instant &now) {
+  BOOST_TEST(meter.take(1, 0, Burst, now));
+  UsedUnits used = 0;
+  for (int n = 0; n < 8; ++n, now += milliseconds(250))
+    meter.notePeer(zone, {IncarnationId("1"), used += growth, false, true},
+                   now);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(team_meter)
@@ -116,10 +127,7 @@
   TeamMeter meter;
   Instant now{seconds(10)};
   const SourceId zone("zone");
-  BOOST_TEST(meter.take(1, 0, Burst, now));
-  UsedUnits used = 0;
-  for (int n = 0; n < 8; ++n, now += milliseconds(250))
-    meter.notePeer(zone, {IncarnationId("1"), used += 100, false, true}, now);
+  hearSum(meter, zone, 100, now);
   const double before = meter.level();
   // It has counted since long before the first one did.
   meter.notePeer(zone, {IncarnationId("2"), 90000, true, true}, now);
@@ -138,10 +146,7 @@
   TeamMeter meter;
   Instant now{seconds(10)};
   const SourceId zone("zone");
-  BOOST_TEST(meter.take(1, 0, Burst, now));
-  UsedUnits used = 0;
-  for (int n = 0; n < 8; ++n, now += milliseconds(250))
-    meter.notePeer(zone, {IncarnationId("1"), used += 10, false, true}, now);
+  hearSum(meter, zone, 10, now);
   const double before = meter.level();
   now += milliseconds(750);
   meter.notePeer(zone, {IncarnationId("2"), 90000, true, true, 2000.0}, now);
