TeamMeter: Take no pace from reports that were held up

Cause: a host that was frozen reads the reports of its peers that waited in its sockets within milliseconds. What each adds was divided by the time since the one before, so that a peer's pace came out thousands of times too high; it was counted ahead for two seconds, nothing bounded the level below, and the agreement on levels passed it on to hosts that were well. Ruled out: a fault of the sums (the counters only grow, and are right). Change: a pace needs 100 ms; after a silence of 700 ms what comes in within 500 ms counts over the whole silence; what is counted ahead is bounded by rate and burst; a level lies between the burst and eight seconds of the rate below zero, also one that a peer tells. Before: a_host_that_wakes_does_not_empty_the_bucket fails 14 checks, and a_level_that_cannot_be_is_not_taken_over one. After: all of TestLibServing is green.

--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -23,6 +23,18 @@
 static constexpr double KeptSeconds = 0.3;
 /// A call that takes so many seconds of the rate is not small.
 static constexpr double SmallCallSeconds = 0.01;
+/// Reports that come closer together than that were held up on the way, or the
+/// host was: what they add up to is true, but the span between them is not the
+/// time in which it was let in.
+static constexpr Duration ShortestPaceSpan = milliseconds(100);
+/// After a silence of that length reports that were held up may still be coming
+/// in for so long; what all of them add up to was let in over the whole time.
+static constexpr Duration Silence = milliseconds(700);
+static constexpr Duration CatchUp = milliseconds(500);
+/// A team is never charged with more than its allotment gives in so long:
+/// refusing its calls for longer makes up for nothing that any span of its
+/// allotment still holds.
+static constexpr Duration LongestDebt = seconds(8);
 /// How far a host's level moves towards its peers' with each step. Downwards
 /// more: hosts that believe too much overdraw the allotment. Upwards little:
 /// peers' levels are a report old, and while all fall they are higher than what
@@ -59,6 +71,8 @@
   // A new process has let in what it reports; the old one's are counted.
   peer.Used = use.IsOlder ? use.Used : 0;
   peer.ReportedAt = now;
+  peer.PacedAt = now;
+  peer.Unpaced = 0;
   peer.Ahead = 0;
   peer.AheadAt = now;
   if (!use.IsOlder || !use.Level)
@@ -77,17 +91,39 @@
   if (it.Incarnation != use.Incarnation)
     begin(it, use, now);
   const auto fresh = static_cast<double>(use.Used - it.Used);
-  const double span = toSeconds(now - it.ReportedAt);
-  if (span > 0) {
-    it.Pace =
-        PaceMemory * it.Pace + (1 - PaceMemory) * std::max(0.0, fresh) / span;
-    it.ReportedAt = now;
-  }
+  learnPace(it, fresh, now);
   it.Used = use.Used;
   it.Level = use.Level;
   Level -= fresh - it.Ahead;
   it.Ahead = 0;
   it.AheadAt = now;
+  keepInRange();
+}
+
+void TeamMeter::learnPace(Peer &peer, double fresh, Instant now) {
+  if (now - peer.ReportedAt > Silence)
+    peer.CaughtUpAt = now + CatchUp;
+  peer.Unpaced += std::max(0.0, fresh);
+  peer.ReportedAt = now;
+  if (now < peer.CaughtUpAt || now - peer.PacedAt < ShortestPaceSpan)
+    return;
+  const double span = toSeconds(now - peer.PacedAt);
+  peer.Pace = PaceMemory * peer.Pace + (1 - PaceMemory) * peer.Unpaced / span;
+  peer.PacedAt = now;
+  peer.Unpaced = 0;
+}
+
+/// What a level can be at the least and at the most. A figure beyond it comes
+/// from a mistake, and told to peers it would turn the team away everywhere.
+double TeamMeter::inRange(double level) const {
+  const double least = -toSeconds(LongestDebt) * static_cast<double>(Rate) -
+                       static_cast<double>(Burst);
+  return std::clamp(level, least, static_cast<double>(Burst));
+}
+
+void TeamMeter::keepInRange() {
+  if (IsFilled && Rate > 0)
+    Level = inRange(Level);
 }
 
 void TeamMeter::forgetPeer(const SourceId &peer) {
@@ -103,7 +139,7 @@
   std::vector<double> told;
   for (const auto &[name, it] : Peers)
     if (it.Level && now - it.ReportedAt <= LevelMemory)
-      told.push_back(*it.Level);
+      told.push_back(inRange(*it.Level));
   if (told.empty())
     return;
   const auto middle = told.begin() + static_cast<long>(told.size() / 2);
@@ -130,12 +166,13 @@
     const Instant until = std::min(now, it.ReportedAt + LongestAhead);
     if (until <= it.AheadAt)
       continue;
-    const double ahead = toSeconds(until - it.AheadAt) * it.Pace;
+    const double pace = std::min(it.Pace, most + static_cast<double>(rate));
+    const double ahead = toSeconds(until - it.AheadAt) * pace;
     it.AheadAt = until;
     it.Ahead += ahead;
     Level -= ahead;
   }
-  Level = std::min(Level, most);
+  keepInRange();
 }
 
 /// How far below zero the bucket may be for a call of that size. Large prompts
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -80,6 +80,11 @@
     /// Units a second.
     double Pace = 0;
     Instant ReportedAt{};
+    /// Up to when the pace is known, and what was let in since.
+    Instant PacedAt{};
+    double Unpaced = 0;
+    /// Until then reports that were held up may still come in.
+    Instant CaughtUpAt{};
     /// Counted ahead of the next report.
     double Ahead = 0;
     Instant AheadAt{};
@@ -88,6 +93,9 @@
   };
 
   void begin(Peer &peer, const PeerUse &use, Instant now);
+  static void learnPace(Peer &peer, double fresh, Instant now);
+  double inRange(double level) const;
+  void keepInRange();
   void pace(std::int64_t rate, Instant now);
   bool isThinnedIn();
   void fill(std::int64_t rate, std::int64_t burst, Instant now);
--- a/Tests/LibServing/TestTeamMeter.cpp
+++ b/Tests/LibServing/TestTeamMeter.cpp
@@ -230,4 +230,50 @@
   BOOST_TEST(meter.used() == CallUnits);
 }
 
+// A host froze for seven seconds under load and wakes. The reports that its
+// peers sent meanwhile wait in its sockets and are read within a few
+// milliseconds. Divided by the time between two of them, what each adds is
+// thousands of times the peers' pace; counted ahead, it empties the team's
+// bucket for minutes, first here and then at all hosts that take over the
+// level.
+BOOST_AUTO_TEST_CASE(a_host_that_wakes_does_not_empty_the_bucket) {
+  TeamMeter meter;
+  Instant now{seconds(10)};
+  std::map<std::string, UsedUnits> used;
+  const auto tell = [&] {
+    for (const char *peer : {"a", "b", "c", "d"})
+      meter.notePeer(SourceId(peer),
+                     {IncarnationId("1"), used[peer] += Rate / 20}, now);
+  };
+  for (int n = 0; n < 12; ++n, now += milliseconds(250)) {
+    tell();
+    BOOST_TEST(meter.take(CallUnits, Rate, Burst, now));
+  }
+  now += seconds(7);
+  for (int n = 0; n < 28; ++n, now += microseconds(700))
+    tell();
+  for (int n = 0; n < 20; ++n, now += milliseconds(150)) {
+    now += milliseconds(100);
+    BOOST_TEST(meter.take(CallUnits / 2, Rate, Burst, now));
+    BOOST_TEST(meter.level() > -Rate / 2);
+    tell();
+  }
+}
+
+// One host's level is wrong, by whatever mistake. The others must not move
+// towards a figure that no allotment can owe.
+BOOST_AUTO_TEST_CASE(a_level_that_cannot_be_is_not_taken_over) {
+  TeamMeter meter;
+  Instant now{seconds(10)};
+  BOOST_TEST(meter.take(1, Rate, Burst, now));
+  for (int n = 0; n < 40; ++n, now += milliseconds(250)) {
+    meter.notePeer(SourceId("a"),
+                   {IncarnationId("1"), 0, false, false, {}, -67000.0 * Rate},
+                   now);
+    meter.agree(now);
+  }
+  BOOST_TEST(meter.take(1, 0, Burst, now));
+  BOOST_TEST(meter.level() >= -8.0 * Rate - Burst);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
