sorrelbay-bench: Play engines that read prompts in chunks under load, and turn away sooner

EngineFleet drives the daemon's placement, model, limits and replica plan before engines that are played; TestOverload replays an overload, a rush with reclaims after a calm, one slow engine, a hot conversation and engines of six makes.

--- a/Libraries/LibLoad/FirstTokenLimits.h
+++ b/Libraries/LibLoad/FirstTokenLimits.h
@@ -26,7 +26,7 @@
 class FirstTokenLimits {
 public:
   /// The part of a latency target that may go by in waiting for others.
-  explicit FirstTokenLimits(double waitingShare = 0.6)
+  explicit FirstTokenLimits(double waitingShare = 0.45)
       : WaitingShare(waitingShare) {}
 
   void add(const PromptUrgency &urgency);
--- /dev/null
+++ b/Tests/LibServing/TestOverload.cpp
@@ -0,0 +1,157 @@
+#include "EngineFleet.h"
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <ostream>
+
+using namespace sorrelbay;
+
+namespace {
+
+/// Three kinds of call with very different prompts.
+std::vector<PromptKind> kinds(double perSecond) {
+  return {
+      {"long", perSecond * 0.26, 2900, 3800, 250, 50, milliseconds(1000), 1},
+      {"middle", perSecond * 0.35, 1800, 550, 40, 25, milliseconds(800), 0},
+      {"short", perSecond * 0.39, 550, 170, 40, 280, milliseconds(600), 2}};
+}
+
+/// Engines whose prompts and not whose slots bind.
+EngineMake slowReader() { return {38, 4.73, 0.014, 40, 2048, 96, 297000}; }
+
+EngineFleetPlan fleet(double perSecond) {
+  EngineFleetPlan plan;
+  plan.Make = slowReader();
+  plan.Kinds = kinds(perSecond);
+  return plan;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(overload)
+
+// Callers ask for nearly twice what the engines can read. Let in all
+// together, each prompt makes those behind it later, until every answer is late
+// and none is of use to its caller; turned away at once, the rest are in time.
+BOOST_AUTO_TEST_CASE(more_prompts_than_engines_can_read) {
+  EngineFleetPlan plan = fleet(80);
+  plan.EnginesPerZone = 1;
+  plan.Load = {{0, 0.5}, {8, 0.9}};
+  const EngineFleetResult limited = EngineFleet(plan).play();
+  plan.WaitingShare = 0;
+  const EngineFleetResult open = EngineFleet(plan).play();
+  BOOST_TEST(open.All.inTimeShare() < 0.5);
+  BOOST_TEST(limited.All.inTimeShare() > 0.5);
+  BOOST_TEST(limited.All.Late + limited.All.Failed < limited.All.InTime / 4);
+}
+
+// In the same overload large prompts of a kind are turned away no more often
+// than its small ones, and urgent kinds no more often than others.
+BOOST_AUTO_TEST_CASE(an_overload_is_shared_by_urgency) {
+  EngineFleetPlan plan = fleet(80);
+  plan.EnginesPerZone = 1;
+  plan.Load = {{0, 0.5}, {8, 0.9}};
+  const EngineFleetResult result = EngineFleet(plan).play();
+  const CallTally &urgent = result.ByKind[1];
+  const CallTally &least = result.ByKind[2];
+  BOOST_TEST(urgent.inTimeShare() > least.inTimeShare() - 0.05);
+  for (const CallTally &it : result.ByKind)
+    BOOST_TEST(it.inTimeShare() > 0.25);
+}
+
+// The calm before a rush: few calls are open, and most replicas seem idle. They
+// are sent away, the rush comes, and a zone is reclaimed in the middle of it.
+// Callers wait for seconds until others have booted.
+BOOST_AUTO_TEST_CASE(a_rush_and_a_reclaim_after_a_calm) {
+  EngineFleetPlan plan = fleet(140);
+  plan.IsScaled = true;
+  plan.Seconds = 50;
+  plan.Load = {{0, 0.7}, {28, 1.3}};
+  plan.Losses = {{30, 2}, {35, 1}};
+  const EngineFleetResult result = EngineFleet(plan).play();
+  plan.Replicas.ReadingShare = 1e9;
+  const EngineFleetResult byCalls = EngineFleet(plan).play();
+  BOOST_TEST(result.All.inTimeShare() > 0.85);
+  BOOST_TEST(result.All.inTimeShare() > byCalls.All.inTimeShare() + 0.05);
+  BOOST_TEST(result.worstSpan() > byCalls.worstSpan());
+}
+
+// Nothing happens for long, and replicas that nobody needs are paid for.
+BOOST_AUTO_TEST_CASE(replicas_that_are_not_needed_go) {
+  EngineFleetPlan plan = fleet(30);
+  plan.IsScaled = true;
+  plan.Seconds = 60;
+  const EngineFleetResult result = EngineFleet(plan).play();
+  BOOST_TEST(result.All.inTimeShare() > 0.95);
+  BOOST_TEST(result.EngineSeconds < 0.7 * 18 * 60);
+}
+
+// One engine of many turns five times slower. Its calls are late for as long as
+// it gets its part of them.
+BOOST_AUTO_TEST_CASE(one_slow_engine_among_good_ones) {
+  EngineFleetPlan plan = fleet(60);
+  plan.EnginesPerZone = 3;
+  plan.FirstIsSlower = 5;
+  const EngineFleetResult result = EngineFleet(plan).play();
+  BOOST_TEST(result.All.inTimeShare() > 0.9);
+}
+
+// Three in ten of the long calls belong to one conversation. Its home alone
+// can't carry them, and all engines reading its prompt again would cost more
+// than they have.
+BOOST_AUTO_TEST_CASE(a_hot_conversation_spreads_as_far_as_it_must) {
+  EngineFleetPlan plan = fleet(100);
+  plan.Kinds.push_back({"hot", 18, 2900, 3800, 1, 50, milliseconds(1000), 1});
+  const EngineFleetResult result = EngineFleet(plan).play();
+  BOOST_TEST(result.ByKind.back().inTimeShare() > 0.85);
+  BOOST_TEST(result.All.inTimeShare() > 0.85);
+}
+
+namespace {
+
+struct Shape {
+  const char *Name;
+  EngineMake Make;
+  int Zones;
+  int EnginesPerZone;
+  int Hosts;
+  double PerSecond;
+};
+
+std::ostream &operator<<(std::ostream &out, const Shape &it) {
+  return out << it.Name;
+}
+
+const Shape Shapes[] = {
+    {"four times slower", {9.6, 19, 0.05, 160, 2048, 96, 297000}, 3, 6, 6, 28},
+    {"as measured", {38, 4.73, 0.014, 40, 2048, 96, 297000}, 3, 6, 9, 110},
+    {"four times faster", {150, 2.2, 0.0, 53, 2048, 48, 444000}, 4, 2, 7, 120},
+    {"few places", {140, 2.2, 0.0, 53, 2048, 16, 444000}, 4, 4, 7, 110},
+    {"one zone", {38, 4.73, 0.014, 40, 2048, 32, 274000}, 1, 12, 6, 80},
+    {"six zones", {38, 4.73, 0.014, 40, 512, 64, 274000}, 6, 3, 12, 110},
+};
+
+} // namespace
+
+// A deployment that nobody has tuned for: its engines are several times faster
+// or slower, with other places, chunks and zones. Below its capacity nearly all
+// of its calls are in time, and far above it some still are.
+BOOST_DATA_TEST_CASE(engines_of_any_make, boost::unit_test::data::make(Shapes),
+                     shape) {
+  EngineFleetPlan plan;
+  plan.Make = shape.Make;
+  plan.Zones = shape.Zones;
+  plan.EnginesPerZone = shape.EnginesPerZone;
+  plan.Hosts = shape.Hosts;
+  plan.Kinds = kinds(shape.PerSecond);
+  if (shape.Make.TokensPerMs < 10)
+    for (PromptKind &it : plan.Kinds)
+      it.Target *= 4;
+  const EngineFleetResult below = EngineFleet(plan).play();
+  BOOST_TEST(below.All.inTimeShare() > 0.9);
+  plan.Load = {{0, 1}, {10, 4}};
+  const EngineFleetResult above = EngineFleet(plan).play();
+  BOOST_TEST(above.All.inTimeShare() > 0.2);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/Utilities/sorrelbay-bench/EngineFleet.cpp
@@ -0,0 +1,378 @@
+#include "EngineFleet.h"
+#include <algorithm>
+#include <cmath>
+
+namespace sorrelbay {
+
+namespace {
+
+const ServiceId Service("model");
+constexpr Duration Tick = milliseconds(5);
+constexpr Duration ReportInterval = milliseconds(250);
+constexpr Duration BootTime = seconds(4);
+constexpr double SpanSeconds = 2;
+/// Calls wait no longer for their first token.
+constexpr Duration Patience = seconds(6);
+/// The tail of sizes.
+constexpr double SizeSpread = 0.8;
+
+ZoneId zoneName(int zone) { return ZoneId("zone" + std::to_string(zone)); }
+
+ScalingBounds boundsOf(const EngineFleetPlan &plan) {
+  ScalingBounds bounds;
+  bounds.Least = 1;
+  bounds.Most = plan.EnginesPerZone * 2;
+  bounds.BootTime = BootTime;
+  bounds.ReclaimablePrice = 0.22;
+  return bounds;
+}
+
+EngineShape shapeOf(const EngineMake &make) {
+  EngineShape shape;
+  shape.Slots = make.Slots;
+  shape.MemoryTokens = make.MemoryTokens;
+  return shape;
+}
+
+} // namespace
+
+double EngineFleetResult::worstSpan() const {
+  double worst = 1;
+  for (const CallTally &it : BySpan)
+    worst = std::min(worst, it.inTimeShare());
+  return worst;
+}
+
+EngineFleet::EngineFleet(const EngineFleetPlan &plan)
+    : Plan(plan), Random(plan.Seed),
+      Replicas(boundsOf(plan), shapeOf(plan.Make), plan.Replicas),
+      Limits(plan.WaitingShare) {
+  for (int n = 0; n < plan.Hosts; ++n)
+    Hosts.push_back(std::make_unique<Host>(plan.Table));
+  for (int n = 0; n < plan.EnginesPerZone; ++n)
+    for (int zone = 0; zone < plan.Zones; ++zone)
+      addEngine(zone, true);
+  Engines.front().Slower = plan.FirstIsSlower;
+  for (const PromptKind &it : plan.Kinds)
+    Limits.add({Service, it.Priority, it.Target});
+  Result.ByKind.resize(plan.Kinds.size());
+  Result.BySpan.resize(
+      static_cast<std::size_t>(std::ceil(plan.Seconds / SpanSeconds)));
+}
+
+void EngineFleet::addEngine(int zone, bool isReclaimable) {
+  Engine engine;
+  engine.Id = UpstreamId("engine" + std::to_string(Made++));
+  engine.Zone = zone;
+  engine.IsReclaimable = isReclaimable;
+  tell(engine);
+  Engines.push_back(std::move(engine));
+}
+
+void EngineFleet::tell(const Engine &engine) {
+  ReplicaRecord record;
+  record.Id = engine.Id;
+  record.OfService = Service;
+  record.InZone = zoneName(engine.Zone);
+  record.Slots = Plan.Make.Slots;
+  record.IsLeaving = engine.IsLeaving;
+  record.IsReclaimable = engine.IsReclaimable;
+  for (const auto &host : Hosts)
+    host->Table.note(record, Now);
+}
+
+double EngineFleet::timesNow() const {
+  double times = 1;
+  for (const LoadStep &it : Plan.Load)
+    if (Now - Start >= fromSeconds(it.AtSeconds))
+      times = it.Times;
+  return times;
+}
+
+void EngineFleet::arrive(std::size_t kind) {
+  const PromptKind &it = Plan.Kinds[kind];
+  Call call;
+  call.Kind = kind;
+  call.Host = Random() % Hosts.size();
+  call.Span = static_cast<std::size_t>(toSeconds(Now - Start) / SpanSeconds);
+  call.SentAt = Now;
+  std::lognormal_distribution<double> size(-SizeSpread * SizeSpread / 2,
+                                           SizeSpread);
+  const auto own =
+      std::max<std::int64_t>(1, std::llround(it.OwnTokens * size(Random)));
+  call.Tokens = own + it.SharedTokens;
+  const auto conversation =
+      Random() % static_cast<std::uint64_t>(it.Conversations);
+  if (it.SharedTokens > 0)
+    call.Prompt.push_back(
+        {it.Name + std::to_string(conversation), it.SharedTokens});
+  call.Prompt.push_back({"own", own});
+  call.LeftToWrite =
+      std::max(1, static_cast<int>(it.OutputTokens * size(Random)));
+  for (CallTally *tally :
+       {&Result.All, &Result.ByKind[kind], &Result.BySpan[call.Span]})
+    ++tally->Asked;
+
+  Host &host = *Hosts[call.Host];
+  ReplicaRequest request;
+  request.ForService = Service;
+  request.Prompt = call.Prompt;
+  request.PromptTokens = call.Tokens;
+  request.Seed = Random();
+  request.Hosts = Plan.Hosts;
+  const auto choice = host.Table.choose(request, Now);
+  if (!choice) {
+    finish(Engines.front(), call, false);
+    return;
+  }
+  const EngineModel &model = host.Table.modelOf(Service);
+  host.Demand.note(Service,
+                   model.readingTime(static_cast<double>(choice->ToRead)), Now);
+  const Duration longest =
+      Limits.longestWait({Service, it.Priority, it.Target});
+  const bool isLimited = Plan.WaitingShare > 0 && model.isSure();
+  if (isLimited && choice->Wait > longest) {
+    for (CallTally *tally :
+         {&Result.All, &Result.ByKind[kind], &Result.BySpan[call.Span]})
+      ++tally->Refused;
+    return;
+  }
+  call.Choice = *choice;
+  call.Work = {choice->ToRead, call.Tokens};
+  host.Table.noteSent(choice->Id, call.Work);
+  host.Table.notePrompt(choice->Id, call.Prompt, Now);
+  for (Engine &engine : Engines)
+    if (engine.Id == choice->Id)
+      engine.Reading.push_back(std::move(call));
+}
+
+/// Prompt tokens that the engine has to read; what it reads is cached then.
+double EngineFleet::tokensUncached(Engine &engine, const Call &call) {
+  double left = static_cast<double>(call.Tokens);
+  for (std::size_t n = 0; n + 1 < call.Prompt.size(); ++n) {
+    const PromptPart &part = call.Prompt[n];
+    const auto [it, isNew] =
+        engine.Cached.emplace(part.Id, std::make_pair(Now, part.Tokens));
+    it->second.first = Now;
+    if (!isNew) {
+      left -= static_cast<double>(part.Tokens);
+      continue;
+    }
+    Result.ReadAgain += part.Tokens;
+    engine.CachedTokens += part.Tokens;
+  }
+  while (engine.CachedTokens > Plan.Make.MemoryTokens) {
+    const auto oldest = std::min_element(
+        engine.Cached.begin(), engine.Cached.end(),
+        [](const auto &a, const auto &b) { return a.second < b.second; });
+    engine.CachedTokens -= oldest->second.second;
+    engine.Cached.erase(oldest);
+  }
+  return left;
+}
+
+void EngineFleet::begin(Engine &engine, Call &call) {
+  call.FirstAt = Now + fromSeconds(Plan.Make.FirstMs / 1000);
+  Host &host = *Hosts[call.Host];
+  host.Table.noteFirstByte(engine.Id, call.Work);
+  const FirstTokenSeen seen{call.Choice.ToRead + call.Choice.Ahead,
+                            call.FirstAt - call.SentAt};
+  host.Table.noteFirstToken(engine.Id, seen, Now);
+}
+
+void EngineFleet::finish(Engine &engine, Call &call, bool isWhole) {
+  const bool hasFirst = call.FirstAt != Instant{};
+  if (call.Choice.Id == engine.Id)
+    Hosts[call.Host]->Table.noteEnded(
+        engine.Id, call.Work, hasFirst,
+        isWhole ? SendResult::Answered : SendResult::Broken, Now);
+  const bool isInTime =
+      isWhole && call.FirstAt - call.SentAt <= Plan.Kinds[call.Kind].Target;
+  for (CallTally *tally :
+       {&Result.All, &Result.ByKind[call.Kind], &Result.BySpan[call.Span]})
+    ++(isInTime ? tally->InTime : isWhole ? tally->Late : tally->Failed);
+}
+
+/// One step of the engine: a chunk of the prompts in turn, and a token for each
+/// stream.
+void EngineFleet::step(Engine &engine) {
+  for (auto it = engine.Writing.begin(); it != engine.Writing.end();) {
+    ++Tokens;
+    if (--it->LeftToWrite > 0) {
+      ++it;
+      continue;
+    }
+    finish(engine, *it, true);
+    it = engine.Writing.erase(it);
+  }
+  double room = Plan.Make.Chunk;
+  double read = 0;
+  auto it = engine.Reading.begin();
+  while (it != engine.Reading.end() && room > 0 &&
+         engine.Writing.size() < static_cast<std::size_t>(Plan.Make.Slots)) {
+    if (Now - it->SentAt > Patience) {
+      finish(engine, *it, false);
+      it = engine.Reading.erase(it);
+      continue;
+    }
+    if (it->LeftToRead < 0)
+      it->LeftToRead = tokensUncached(engine, *it);
+    const double part = std::min(room, it->LeftToRead);
+    it->LeftToRead -= part;
+    room -= part;
+    read += part;
+    if (it->LeftToRead > 0)
+      break;
+    begin(engine, *it);
+    engine.Writing.push_back(std::move(*it));
+    it = engine.Reading.erase(it);
+  }
+  if (engine.Writing.empty() && read == 0)
+    return;
+  const double took =
+      engine.Slower *
+      (Plan.Make.StepMs + read / Plan.Make.TokensPerMs +
+       Plan.Make.StepMsPerStream * static_cast<double>(engine.Writing.size()));
+  TokenMs += took * static_cast<double>(engine.Writing.size());
+  engine.StepEnds = std::max(engine.StepEnds, Now) + fromSeconds(took / 1000);
+}
+
+void EngineFleet::removeEngine(Engine &engine, bool isLost) {
+  for (auto *calls : {&engine.Reading, &engine.Writing})
+    for (Call &it : *calls)
+      finish(engine, it, !isLost);
+  for (const auto &host : Hosts)
+    host->Table.remove(engine.Id);
+}
+
+void EngineFleet::tellPeers() {
+  for (std::size_t from = 0; from < Hosts.size(); ++from)
+    for (std::size_t to = 0; to < Hosts.size(); ++to) {
+      if (from == to)
+        continue;
+      const SourceId source(std::to_string(from));
+      Hosts[to]->Table.notePeer(source, Hosts[from]->Table.ownWork());
+      Hosts[to]->Demand.notePeer(source, Hosts[from]->Demand.own(Now));
+    }
+}
+
+bool EngineFleet::isDry(int zone) const {
+  return std::any_of(Plan.Losses.begin(), Plan.Losses.end(),
+                     [&](const ZoneLoss &it) {
+                       const double at = toSeconds(Now - Start);
+                       return it.Zone == zone && at >= it.AtSeconds &&
+                              at < it.AtSeconds + it.DrySeconds;
+                     });
+}
+
+/// Engines of zones with a notice leave, and are gone when its time is over.
+void EngineFleet::loseZones() {
+  for (const ZoneLoss &loss : Plan.Losses) {
+    const double at = toSeconds(Now - Start) - loss.AtSeconds;
+    for (auto it = Engines.begin(); it != Engines.end();) {
+      const bool isHit = it->Zone == loss.Zone && it->IsReclaimable;
+      if (isHit && at >= 0 && !it->IsLeaving) {
+        it->IsLeaving = true;
+        tell(*it);
+      }
+      if (isHit && it->IsLeaving && at >= loss.NoticeSeconds &&
+          at < loss.NoticeSeconds + 1) {
+        removeEngine(*it, true);
+        it = Engines.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+}
+
+void EngineFleet::setCount(const ReplicaOrder &order) {
+  int has = 0;
+  for (Engine &it : Engines)
+    if (zoneName(it.Zone) == order.Zone && !it.IsLeaving &&
+        it.IsReclaimable == order.IsReclaimable && ++has > order.Count) {
+      it.IsLeaving = true;
+      tell(it);
+    }
+  const int zone = std::stoi(order.Zone.text().substr(4));
+  for (; has < order.Count; ++has)
+    addEngine(zone, order.IsReclaimable);
+}
+
+void EngineFleet::scale() {
+  std::map<ZoneId, ZoneReplicas> seen;
+  for (int zone = 0; zone < Plan.Zones; ++zone)
+    seen[zoneName(zone)].IsReclaimed = false;
+  for (const Engine &it : Engines) {
+    ZoneReplicas &zone = seen[zoneName(it.Zone)];
+    if (it.IsLeaving)
+      zone.IsReclaimed =
+          zone.IsReclaimed || (it.IsReclaimable && isDry(it.Zone));
+    else
+      ++(it.IsReclaimable ? zone.Reclaimable : zone.OnDemand);
+  }
+  const auto work = Hosts.front()->Table.serviceWork(Service, Now);
+  ServiceLoad load;
+  load.OpenCalls = work.Calls;
+  load.OpenTokens = work.Tokens;
+  load.EngineSeconds = Hosts.front()->Demand.total(Service, Now);
+  for (const ReplicaOrder &it : Replicas.orders(Service, seen, load, Now)) {
+    const int zone = std::stoi(it.Zone.text().substr(4));
+    const ZoneReplicas &has = seen[it.Zone];
+    const bool isMore =
+        it.Count > (it.IsReclaimable ? has.Reclaimable : has.OnDemand);
+    if (it.IsReclaimable && isMore && isDry(zone)) {
+      Replicas.noteResult(it, CloudResult::NoneAvailable, Now);
+      continue;
+    }
+    Replicas.noteResult(it, CloudResult::Accepted, Now);
+    if (isMore)
+      Orders.push_back({Now + BootTime, it});
+    else
+      setCount(it);
+  }
+}
+
+EngineFleetResult EngineFleet::play() {
+  const Instant end = Start + seconds(Plan.Seconds);
+  Instant reportAt = Now;
+  for (; Now < end; Now += Tick) {
+    for (std::size_t kind = 0; kind < Plan.Kinds.size(); ++kind) {
+      const double mean =
+          Plan.Kinds[kind].PerSecond * timesNow() * toSeconds(Tick);
+      for (int n = std::poisson_distribution<int>(mean)(Random); n > 0; --n)
+        arrive(kind);
+    }
+    loseZones();
+    for (Engine &it : Engines)
+      while (it.StepEnds <= Now && !(it.Reading.empty() && it.Writing.empty()))
+        step(it);
+    for (auto it = Engines.begin(); it != Engines.end();) {
+      const bool isOver = it->IsLeaving && it->Reading.empty() &&
+                          it->Writing.empty() && Engines.size() > 1;
+      if (isOver)
+        removeEngine(*it, false);
+      it = isOver ? Engines.erase(it) : std::next(it);
+    }
+    Result.EngineSeconds +=
+        static_cast<double>(Engines.size()) * toSeconds(Tick);
+    while (!Orders.empty() && Orders.front().At <= Now) {
+      setCount(Orders.front().Order);
+      Orders.pop_front();
+    }
+    if (Now < reportAt)
+      continue;
+    reportAt += ReportInterval;
+    tellPeers();
+    if (Plan.IsScaled)
+      scale();
+  }
+  for (Engine &engine : Engines)
+    for (auto *calls : {&engine.Reading, &engine.Writing})
+      for (Call &it : *calls)
+        finish(engine, it, it.FirstAt != Instant{});
+  Result.MeanTokenMs = Tokens == 0 ? 0 : TokenMs / static_cast<double>(Tokens);
+  return Result;
+}
+
+} // namespace sorrelbay
