UsageReporter: Keep what is known of the windows that go on, and wait for silent hosts

Change: once a second the holder keeps in its record in the store what it knows of each process's counts, and a successor takes it over where it is more; a window is settled later, at most by half of its due time, while a host is silent. Price: one write a second of all hosts together.

--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -344,6 +344,12 @@
   });
 }
 
+bool FleetView::hearsAll(Instant now) const {
+  return std::all_of(Known.begin(), Known.end(), [&](const auto &it) {
+    return it.second.Member.IsLeaving || isAnswering(it.second, now);
+  });
+}
+
 bool FleetView::hearsAny(Duration notLonger, Instant now) const {
   return std::any_of(Known.begin(), Known.end(), [&](const auto &it) {
     return now - it.second.HeardAt < notLonger;
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -95,6 +95,9 @@
   bool holdsDuties(Instant now) const;
   /// Whether any other host was heard of, not longer ago.
   bool hearsAny(Duration notLonger, Instant now) const;
+  /// Whether all other hosts that are known and not leaving were heard of
+  /// lately.
+  bool hearsAll(Instant now) const;
   const FleetViewSettings &settings() const { return Settings; }
 
 private:
--- a/Libraries/LibServing/UsageCounts.cpp
+++ b/Libraries/LibServing/UsageCounts.cpp
@@ -56,6 +56,19 @@
   raise(Windows[window].Others, counts);
 }
 
+std::map<WindowNumber, UsageCounts::Counted>
+UsageCounts::knownFrom(WindowNumber window) const {
+  return {Windows.lower_bound(window), Windows.end()};
+}
+
+void UsageCounts::noteKnown(WindowNumber window, const Counted &known) {
+  for (const auto &[zone, hosts] : known.Hosts)
+    for (const auto &[incarnation, counts] : hosts)
+      noteHost(zone, incarnation, window, counts);
+  for (const auto &[zone, counts] : known.Zones)
+    noteZone(zone, window, counts);
+}
+
 void UsageCounts::forgetBefore(WindowNumber window) {
   Windows.erase(Windows.begin(), Windows.lower_bound(window));
 }
--- a/Libraries/LibServing/UsageCounts.h
+++ b/Libraries/LibServing/UsageCounts.h
@@ -46,13 +46,21 @@
   std::map<WindowNumber, TeamCounts> ownZone() const;
   std::map<WindowNumber, TeamCounts> otherZones() const;
 
-private:
+  /// What is known of one window. A process that is gone tells its counts no
+  /// more, and hosts that start later never hear of it.
   struct Counted {
     std::map<ZoneId, std::map<IncarnationId, TeamCounts>> Hosts;
     std::map<ZoneId, TeamCounts> Zones;
     TeamCounts Others;
   };
+  /// What is known of the windows from that one on, for those that come after
+  /// this process.
+  std::map<WindowNumber, Counted> knownFrom(WindowNumber window) const;
+  /// Takes over what another process knew; what is known already stays where it
+  /// is more. Sums over other zones are its own and not taken.
+  void noteKnown(WindowNumber window, const Counted &known);
 
+private:
   TeamCounts ownZoneOf(const Counted &counted) const;
   TeamCounts otherZonesOf(const Counted &counted) const;
 
--- a/Services/sorrelbayd/UsageReporter.cpp
+++ b/Services/sorrelbayd/UsageReporter.cpp
@@ -1,13 +1,16 @@
 #include "UsageReporter.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
-#include <nlohmann/json.hpp>
 
 namespace sorrelbay {
 
 static constexpr const char *RecordName = "recent";
 /// After a window's end until all hosts' counts of it have arrived.
 static constexpr Duration SettleTime = milliseconds(1200);
+/// A silent host is waited for until this part of the due time has passed.
+static constexpr double LongestSettle = 0.5;
+/// Between two records of what is known of the windows that go on.
+static constexpr Duration KeepInterval = seconds(1);
 /// Windows that are kept in the record.
 static constexpr std::size_t MostRecorded = 12;
 
@@ -22,10 +25,10 @@
     return;
   if (ReadInTerm != Duties.term())
     return read();
-  for (const auto &[window, it] : Recorded)
+  for (const auto &[window, it] : Settled)
     if (!it.IsAccepted)
       return report();
-  record(now);
+  settle(now);
 }
 
 void UsageReporter::read() {
@@ -36,33 +39,50 @@
                            IsWaiting = false;
                            if (result.Got) {
                              Revision = result.Got->Revision;
-                             takeBody(result.Got->Body);
+                             take(result.Got->Body);
                            } else if (result.Failure != StoreFailure::Missing) {
                              return;
                            } else {
                              Revision = 0;
-                             Recorded.clear();
+                             Settled.clear();
                            }
                            ReadInTerm = term;
                            tick(bootNow());
                          });
 }
 
-void UsageReporter::record(Instant now) {
-  const Instant trueNow = State.Time.at(now);
+/// A host that is silent may have been stopped for a while with counts that
+/// nobody has heard of yet; it is waited for as long as the report is not late.
+bool UsageReporter::isSettled(WindowNumber window, Instant now) const {
+  const Duration age = State.Time.at(now) - State.Usage.endOf(window);
+  const Duration longest =
+      fromSeconds(toSeconds(State.Settings.Bounds.UsageDue) * LongestSettle);
+  return age >= SettleTime && (State.Fleet.hearsAll(now) || age >= longest);
+}
+
+void UsageReporter::settle(Instant now) {
   const WindowNumber next =
-      Recorded.empty() ? First : Recorded.rbegin()->first + 1;
-  if (trueNow < State.Usage.endOf(next) + SettleTime)
+      Settled.empty() ? First : Settled.rbegin()->first + 1;
+  if (isSettled(next, now)) {
+    Settled[next].Counts = State.Usage.sum(next);
+    while (Settled.size() > MostRecorded)
+      Settled.erase(Settled.begin());
+  } else if (now - KeptAt < KeepInterval) {
     return;
-  Recorded[next].Counts = State.Usage.sum(next);
-  while (Recorded.size() > MostRecorded)
-    Recorded.erase(Recorded.begin());
+  }
+  keep(now);
+}
+
+void UsageReporter::keep(Instant now) {
+  KeptAt = now;
+  const WindowNumber next =
+      Settled.empty() ? First : Settled.rbegin()->first + 1;
   KeptObject object;
   object.Name = RecordName;
   object.Revision = Revision;
-  object.Body = bodyText();
+  object.Body = encodeUsageRecord({Settled, State.Usage.knownFrom(next)});
   IsWaiting = true;
-  const auto done = [this, next](const StoreResult<KeptObject> &result) {
+  const auto done = [this](const StoreResult<KeptObject> &result) {
     IsWaiting = false;
     if (result.Got) {
       Revision = result.Got->Revision;
@@ -71,7 +91,7 @@
     }
     // Not recorded, or not known to be: nothing may be reported from it before
     // the store has been read again.
-    Recorded.erase(next);
+    Settled.clear();
     ReadInTerm.reset();
   };
   if (Revision == 0)
@@ -82,7 +102,7 @@
 
 void UsageReporter::report() {
   std::vector<WindowNumber> open;
-  for (const auto &[number, it] : Recorded)
+  for (const auto &[number, it] : Settled)
     if (!it.IsAccepted)
       open.push_back(number);
   const GatewayBounds &bounds = State.Settings.Bounds;
@@ -92,7 +112,7 @@
     return;
   const WindowNumber window = *next;
   IsWaiting = true;
-  State.Hooks.Cloud.ReportUsage(Duties.stamp(), window, Recorded[window].Counts,
+  State.Hooks.Cloud.ReportUsage(Duties.stamp(), window, Settled[window].Counts,
                                 [this, window](CloudResult result) {
                                   IsWaiting = false;
                                   LogLine(Severity::Info, "usage reported")
@@ -101,35 +121,20 @@
                                              static_cast<std::int64_t>(result));
                                   if (result != CloudResult::Accepted)
                                     return;
-                                  Recorded[window].IsAccepted = true;
+                                  Settled[window].IsAccepted = true;
                                   // A new holder has windows to catch up with.
                                   tick(bootNow());
                                 });
 }
 
-std::string UsageReporter::bodyText() const {
-  nlohmann::json windows = nlohmann::json::array();
-  for (const auto &[number, it] : Recorded) {
-    nlohmann::json counts = nlohmann::json::object();
-    for (const auto &[team, count] : it.Counts)
-      counts[team.text()] = count;
-    windows.push_back(
-        {{"window", number}, {"counts", counts}, {"accepted", it.IsAccepted}});
-  }
-  return nlohmann::json{{"windows", windows}}.dump();
-}
-
-void UsageReporter::takeBody(const std::string &text) {
-  Recorded.clear();
+void UsageReporter::take(const std::string &text) {
+  Settled.clear();
   try {
-    const auto body = nlohmann::json::parse(text);
-    for (const auto &it : body.at("windows")) {
-      Window &window = Recorded[it.at("window").get<WindowNumber>()];
-      window.IsAccepted = it.at("accepted").get<bool>();
-      for (const auto &count : it.at("counts").items())
-        window.Counts[TeamId(count.key())] = count.value().get<std::int64_t>();
-    }
-  } catch (const nlohmann::json::exception &error) {
+    const UsageRecord record = decodeUsageRecord(text);
+    Settled = record.Settled;
+    for (const auto &[window, known] : record.Known)
+      State.Usage.noteKnown(window, known);
+  } catch (const UsageRecordUnreadable &error) {
     LogLine(Severity::Error, "usage record can't be read")
         .field("why", error.what());
   }
