--- a/Libraries/LibBase/Identifier.h
+++ b/Libraries/LibBase/Identifier.h
@@ -49,7 +49,8 @@
 using CallKey = Identifier<struct CallKeyTag>;
 /// One life of one daemon process; a restarted daemon has a new one.
 using IncarnationId = Identifier<struct IncarnationTag>;
-/// Whose report it is: a host's, or a zone's by the host that speaks for it.
+/// Whose report it is: a host's, or a zone's by the host that aggregates for
+/// it.
 using SourceId = Identifier<struct SourceTag>;
 
 } // namespace sorrelbay
--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -22,6 +22,7 @@
   void apply(const KindChanges &changes);
   void confirm(Instant begun);
   void hear(const KindNews &news, Instant now);
+  Duration retryDelay() const;
   void retry(StoreFailure why, bool mustList);
   void succeeded(Instant begun);
   void take(const KeptObject &object);
@@ -154,7 +155,7 @@
     return;
   }
   HeardAt = now;
-  // The store has answered the teller. The time since this host last asked by
+  // The store has answered the reporter. The time since this host last asked by
   // itself is no outage, after which removals would have to wait.
   succeeded(now);
   // Told later than the echo was sent; it may have been on its way for long.
@@ -163,6 +164,14 @@
   confirm(begun);
 }
 
+/// How long to wait after so many failures in a row.
+Duration KindWatcher::Impl::retryDelay() const {
+  Duration delay = Settings.RetryDelay;
+  for (int n = 1; n < Failures && delay < Settings.LongestRetryDelay; ++n)
+    delay *= 2;
+  return std::min(delay, Settings.LongestRetryDelay);
+}
+
 void KindWatcher::Impl::retry(StoreFailure why, bool mustList) {
   if (++Failures == 1)
     LogLine(Severity::Warning, "store view failed")
@@ -170,9 +179,8 @@
         .field("why", toText(why))
         .field("revision", static_cast<std::int64_t>(AsOf));
   // History that is gone needs a list at once: the view is already behind.
-  const Duration delay =
-      why == StoreFailure::HistoryGone ? Duration::zero() : Settings.RetryDelay;
-  Timer.expires_after(delay);
+  Timer.expires_after(why == StoreFailure::HistoryGone ? Duration::zero()
+                                                       : retryDelay());
   Timer.async_wait(
       [self = shared_from_this(), mustList](boost::system::error_code ec) {
         if (ec || self->IsStopped)
@@ -210,7 +218,7 @@
 void KindWatcher::Impl::removed(const std::string &name,
                                 std::uint64_t revision) {
   const auto known = Known.find(name);
-  // Of two tellers one may be behind: what it saw removed may be back.
+  // Of two reporters one may be behind: what it saw removed may be back.
   if (known == Known.end() || known->second > revision)
     return;
   const Instant now = bootNow();
--- a/Libraries/LibObjectApi/KindWatcher.h
+++ b/Libraries/LibObjectApi/KindWatcher.h
@@ -17,8 +17,11 @@
   /// After changes and before the next watch: what changes together is told
   /// together. Each return of a watch is a call that is paid for.
   Duration GatherTime = Duration::zero();
-  /// Between a failed call and the next.
+  /// Between a failed call and the next; twice as long after each further
+  /// failure, up to the longest. A store that refuses at once would otherwise
+  /// get several calls a second from each host for as long as it is away.
   Duration RetryDelay = milliseconds(150);
+  Duration LongestRetryDelay = milliseconds(600);
   /// After silence of the store for longer than this, objects may be missing
   /// that come back by themselves ...
   Duration OutageAfter = seconds(1);
--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -61,7 +61,7 @@
   if (scope < 0 || scope > static_cast<int>(ReportScope::OtherZones))
     throw PeerMessageRefused("a report of an unknown scope");
   report.Scope = static_cast<ReportScope>(scope);
-  report.Teller = HostId(all.at(3).get<std::string>());
+  report.Reporter = HostId(all.at(3).get<std::string>());
   report.Zone = ZoneId(all.at(4).get<std::string>());
   report.Incarnation = IncarnationId(all.at(5).get<std::string>());
   all.at(6).get_to(report.Sequence);
@@ -126,7 +126,7 @@
   for (const auto &[window, counts] : report.Usage)
     usage.push_back({window, fromTeams(counts)});
   return toBytes({FormatNumber, static_cast<int>(MessageKind::Report),
-                  static_cast<int>(report.Scope), report.Teller.text(),
+                  static_cast<int>(report.Scope), report.Reporter.text(),
                   report.Zone.text(), report.Incarnation.text(),
                   report.Sequence, report.Uptime.count(), report.SentAt,
                   report.TrueTimeMs, members, open, fromTeams(report.Used),
--- a/Libraries/LibServing/FleetCounting.cpp
+++ b/Libraries/LibServing/FleetCounting.cpp
@@ -41,8 +41,8 @@
   Tables.Replicas.notePeer(source, report.Open);
   Tables.Demand.notePeer(source, report.Demand);
   const bool isSum = report.Scope != ReportScope::Host;
-  // What a sum shows when this host begins or ends to speak was charged by way
-  // of other sums before.
+  // What a sum shows when this host begins or ends to aggregate was charged by
+  // way of other sums before.
   const bool isCharged = isSum && HasCountedSum && Counted.count(source) == 0;
   HasCountedSum = HasCountedSum || isSum;
   const bool isOlder = isCharged || report.Uptime > now - BornAt + StartSpread;
@@ -63,7 +63,7 @@
   Tables.Time.notePeer(source, fromEpochMilliseconds(report.TrueTimeMs), now);
   FleetReport &known = Counted[source];
   known.Scope = report.Scope;
-  known.Teller = report.Teller;
+  known.Reporter = report.Reporter;
   known.Zone = report.Zone;
 }
 
--- a/Libraries/LibServing/FleetCounting.h
+++ b/Libraries/LibServing/FleetCounting.h
@@ -23,7 +23,7 @@
 /// Puts what other hosts tell into this host's tables, each host's work once:
 /// by its own report, or within the sum of its zone, or within that of all
 /// other zones. Which of them it is changes when this host begins or ends to
-/// speak for its zone, when the fleet grows large, and when hosts go. Not
+/// aggregate for its zone, when the fleet grows large, and when hosts go. Not
 /// thread-safe.
 class FleetCounting {
 public:
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -38,7 +38,7 @@
   /// number; 0 without one.
   std::uint64_t LeaseRevision = 0;
   std::uint64_t Fencing = 0;
-  /// Cores that it may use; the largest speak for their zones.
+  /// Cores that it may use; the largest aggregate for their zones.
   double Capacity = 0;
 
   friend bool operator==(const FleetMember &a, const FleetMember &b) {
@@ -52,32 +52,32 @@
 };
 
 /// What one entry host tells its peers several times a second, of itself or,
-/// where it speaks for others, of all of them. Each report replaces the one
+/// where it aggregates for others, of all of them. Each report replaces the one
 /// before it of the same scope; counts begin anew with each incarnation.
 struct FleetReport {
   ReportScope Scope = ReportScope::Host;
-  HostId Teller;
+  HostId Reporter;
   ZoneId Zone;
   IncarnationId Incarnation;
   std::uint64_t Sequence = 0;
-  /// How long the teller's process has been running, or the longest of those
+  /// How long the reporter's process has been running, or the longest of those
   /// whose work it adds up.
   Duration Uptime{};
-  /// The teller's boot clock, in microseconds. Peers send it back with what
-  /// they pass on, so that the teller knows how old that is at the most.
+  /// The reporter's boot clock, in microseconds. Peers send it back with what
+  /// they pass on, so that the reporter knows how old that is at the most.
   std::int64_t SentAt = 0;
-  /// The teller's idea of the time since 1970, in milliseconds.
+  /// The reporter's idea of the time since 1970, in milliseconds.
   std::int64_t TrueTimeMs = 0;
-  /// The teller, or all that it speaks for.
+  /// The reporter, or all that it aggregates for.
   std::vector<FleetMember> Members;
   std::map<UpstreamId, OpenWork> Open;
   /// Engine time that callers ask for there.
   DemandByService Demand;
   std::map<TeamId, UsedUnits> Used;
   /// Of a sum, how fast it grew of late, in units a second: with it those that
-  /// heard another teller before go on where that one ended.
+  /// heard another reporter before go on where that one ended.
   std::map<TeamId, double> Pace;
-  /// What the teller believes is left of the teams' allotments.
+  /// What the reporter believes is left of the teams' allotments.
   std::map<TeamId, double> Levels;
   std::map<WindowNumber, TeamCounts> Usage;
   /// What the hosts know of moves, as RolloutCodec writes it; empty without
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -12,13 +12,13 @@
   case ReportScope::Host:
     break;
   }
-  return SourceId("host " + report.Teller.text());
+  return SourceId("host " + report.Reporter.text());
 }
 
-/// The order in which hosts speak: the largest first, those that are cut off
-/// from the store last. Where the store is away all are; somebody has to tell
-/// other zones all the same, or each zone would give out the whole of a team's
-/// allotment.
+/// The order in which hosts aggregate: the largest first, those that are cut
+/// off from the store last. Where the store is away all are; somebody has to
+/// tell other zones all the same, or each zone would give out the whole of a
+/// team's allotment.
 static bool ranksBefore(const FleetMember &a, const FleetMember &b) {
   if (a.IsCutOff != b.IsCutOff)
     return b.IsCutOff;
@@ -46,11 +46,11 @@
 bool FleetView::isForUs(const FleetReport &report) const {
   switch (report.Scope) {
   case ReportScope::Host:
-    return report.Teller != Settings.Self;
+    return report.Reporter != Settings.Self;
   case ReportScope::Zone:
     return report.Zone != Settings.Zone;
   case ReportScope::OtherZones:
-    return report.Zone == Settings.Zone && report.Teller != Settings.Self;
+    return report.Zone == Settings.Zone && report.Reporter != Settings.Self;
   }
   return false;
 }
@@ -63,18 +63,18 @@
   const bool isSameLife = heard.Report.Incarnation == report.Incarnation;
   if (isSameLife && report.Sequence <= heard.Report.Sequence)
     return false;
-  // Of two that speak at the same time the first is believed until it is
+  // Of two that aggregate at the same time the first is believed until it is
   // silent; going to and fro between two sums would charge the teams twice.
   const bool isSum = report.Scope != ReportScope::Host;
-  if (isSum && !isSameLife && now - heard.At < Settings.SpeakerSilence)
+  if (isSum && !isSameLife && now - heard.At < Settings.AggregatorSilence)
     return false;
   noteMembers(report, now);
   if (report.Scope == ReportScope::Host && report.Zone == Settings.Zone)
     ZoneUsed.note(source,
                   {report.Incarnation, report.Used, {}, CountFrom::Zero}, now);
-  // While all hosts are young those that speak change quickly, and each sum
-  // holds the ones before it. Later a new speaker may know of less, or of more
-  // that was let in long ago.
+  // While all hosts are young those that aggregate change quickly, and each sum
+  // holds the ones before it. Later a new aggregator may know of less, or of
+  // more that was let in long ago.
   if (report.Scope == ReportScope::Zone)
     OthersUsed.note(
         source,
@@ -144,7 +144,7 @@
   return gone;
 }
 
-/// The hosts that may speak, of the zone or of all, the first first.
+/// The hosts that may aggregate, of the zone or of all, the first first.
 std::vector<FleetMember> FleetView::ranked(const ZoneId *zone, Duration silence,
                                            Instant now) const {
   std::vector<FleetMember> out;
@@ -160,16 +160,16 @@
 std::size_t FleetView::placeInGroup(const FleetMember &self,
                                     Instant now) const {
   const ZoneId *zone = isZoned() ? &Settings.Zone : nullptr;
-  const auto all = ranked(zone, Settings.SpeakerSilence, now);
+  const auto all = ranked(zone, Settings.AggregatorSilence, now);
   return static_cast<std::size_t>(
       std::count_if(all.begin(), all.end(), [&](const FleetMember &it) {
         return ranksBefore(it, self);
       }));
 }
 
-bool FleetView::speaks(const FleetMember &self, Instant now) const {
+bool FleetView::aggregates(const FleetMember &self, Instant now) const {
   // Before it has heard of the others each host is the first that it knows of.
-  return now - Settings.BornAt >= Settings.SpeakerSilence &&
+  return now - Settings.BornAt >= Settings.AggregatorSilence &&
          isAmongFirst(self, 1, now);
 }
 
@@ -178,7 +178,7 @@
   return !self.IsLeaving && placeInGroup(self, now) < count;
 }
 
-std::vector<HostId> FleetView::mates() const {
+std::vector<HostId> FleetView::groupPeers() const {
   const bool onlyZone = isZoned();
   std::set<HostId> out;
   for (const auto &[host, it] : Registered)
@@ -190,7 +190,7 @@
   return {out.begin(), out.end()};
 }
 
-std::vector<HostId> FleetView::otherSpeakers(Instant now) const {
+std::vector<HostId> FleetView::otherAggregators(Instant now) const {
   std::set<ZoneId> zones;
   for (const auto &[host, it] : Registered)
     zones.insert(it.Zone);
@@ -200,7 +200,8 @@
   std::vector<HostId> out;
   for (const ZoneId &zone : zones) {
     const auto heard = ranked(&zone, Settings.Silence * 2, now);
-    for (std::size_t n = 0; n < heard.size() && n < Settings.SpeakersTold; ++n)
+    for (std::size_t n = 0; n < heard.size() && n < Settings.AggregatorsTold;
+         ++n)
       out.push_back(heard[n].Host);
     const std::vector<HostId> unheard = unheardOf(zone, now);
     out.insert(out.end(), unheard.begin(), unheard.end());
@@ -209,9 +210,9 @@
 }
 
 /// Hosts of the zone that have registered and weren't heard of: the one that
-/// would speak first, and the others by turns. Two zones whose speakers know
-/// only of each other's lesser hosts would never come to know each other; and
-/// entries of hosts that are long gone stay in the store.
+/// would aggregate first, and the others by turns. Two zones whose aggregators
+/// know only of each other's lesser hosts would never come to know each other;
+/// and entries of hosts that are long gone stay in the store.
 std::vector<HostId> FleetView::unheardOf(const ZoneId &zone,
                                          Instant now) const {
   std::vector<FleetMember> hosts;
@@ -245,14 +246,15 @@
 std::vector<const FleetReport *> FleetView::counted(const FleetMember &self,
                                                     Instant now) const {
   const bool isTold = isZoned();
-  const bool isSpeaker = isTold && speaks(self, now);
+  const bool isAggregator = isTold && aggregates(self, now);
   std::vector<const FleetReport *> out;
   for (const auto &[source, heard] : Reports) {
     const FleetReport &it = heard.Report;
     const bool isNear = it.Zone == Settings.Zone;
-    const bool counts = it.Scope == ReportScope::Host   ? !isTold || isNear
-                        : it.Scope == ReportScope::Zone ? isSpeaker
-                                                        : isTold && !isSpeaker;
+    const bool counts = it.Scope == ReportScope::Host ? !isTold || isNear
+                        : it.Scope == ReportScope::Zone
+                            ? isAggregator
+                            : isTold && !isAggregator;
     if (counts)
       out.push_back(&it);
   }
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -16,23 +16,23 @@
   /// When this host's process began.
   Instant BornAt{};
   /// Up to so many hosts all report to all. Beyond it only the hosts of a zone
-  /// do, and one of them speaks for the zone.
+  /// do, and one of them aggregates for the zone.
   std::size_t FullMesh = 16;
-  /// A host that is silent for so long no longer speaks for others ...
-  Duration SpeakerSilence = milliseconds(700);
+  /// A host that is silent for so long no longer aggregates for others ...
+  Duration AggregatorSilence = milliseconds(700);
   /// ... after this time it is left out of address lookups ...
   Duration Silence = milliseconds(1500);
   /// ... and after this time it is forgotten.
   Duration Gone = seconds(15);
-  /// Hosts of each other zone that a speaker reports to: the one that speaks
-  /// there, and the one that would speak next.
-  std::size_t SpeakersTold = 2;
+  /// Hosts of each other zone that an aggregator reports to: the one that
+  /// aggregates there, and the one that would aggregate next.
+  std::size_t AggregatorsTold = 2;
   /// A fleet whose oldest process is younger than that has only just started.
   Duration Young = seconds(3);
 };
 
-/// A host and when it was last heard of, by its own word or by one that speaks
-/// for it.
+/// A host and when it was last heard of, by its own word or by one that
+/// aggregates for it.
 struct HeardMember {
   FleetMember Member;
   Instant HeardAt{};
@@ -42,9 +42,9 @@
 /// small fleet each host reports to all others. In a large one that would cost
 /// each host messages by the square of the fleet; there a host reports to its
 /// own zone, the zone's largest live host adds the reports up and passes the
-/// sum to other zones' speakers, and theirs to its own zone. Nobody agrees on
-/// a speaker: each host ranks those that it hears, and two that speak at the
-/// same time tell the same. Not thread-safe.
+/// sum to other zones' aggregators, and theirs to its own zone. Nobody agrees
+/// on an aggregator: each host ranks those that it hears, and two that
+/// aggregate at the same time tell the same. Not thread-safe.
 class FleetView {
 public:
   explicit FleetView(FleetViewSettings settings);
@@ -59,17 +59,17 @@
 
   /// Whether the fleet is so large that zones are told as sums.
   bool isZoned() const;
-  /// Whether this host speaks for its group: its zone, or in a small fleet all
-  /// hosts. The speaker also asks the store for all of them.
-  bool speaks(const FleetMember &self, Instant now) const;
+  /// Whether this host aggregates for its group: its zone, or in a small fleet
+  /// all hosts. The aggregator also asks the store for all of them.
+  bool aggregates(const FleetMember &self, Instant now) const;
   /// Whether this host is among the first so many of its group.
   bool isAmongFirst(const FleetMember &self, std::size_t count,
                     Instant now) const;
 
   /// The hosts that this host's reports go to.
-  std::vector<HostId> mates() const;
+  std::vector<HostId> groupPeers() const;
   /// The hosts of other zones that a zone's sum goes to.
-  std::vector<HostId> otherSpeakers(Instant now) const;
+  std::vector<HostId> otherAggregators(Instant now) const;
   /// Where a host listens for peers; empty if it isn't known.
   std::string peerAddressOf(const HostId &host) const;
 
--- a/Libraries/LibServing/StoreReach.cpp
+++ b/Libraries/LibServing/StoreReach.cpp
@@ -2,7 +2,7 @@
 
 namespace sorrelbay {
 
-/// Others ask by themselves where the news of one that speaks stop, so that
+/// Others ask by themselves where the news of one that aggregates stop, so that
 /// nothing is lost by this wait.
 static constexpr Duration CutOffAfter = seconds(1);
 
--- a/Libraries/LibServing/StoreReach.h
+++ b/Libraries/LibServing/StoreReach.h
@@ -15,8 +15,8 @@
   bool isUnreached() const { return Since.has_value(); }
   /// No call has for a while. Where the store only breaks its watches off, or
   /// is away for a moment, all hosts that ask it fail at the same time; if each
-  /// of them said at once that it is cut off, all that speak for others would
-  /// change at that moment.
+  /// of them said at once that it is cut off, all that aggregate for others
+  /// would change at that moment.
   bool isCutOff(Instant now) const;
 
 private:
--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -46,9 +46,9 @@
 /// A host that let calls in before it had heard of those that were there before
 /// it believes them for so long.
 static constexpr Duration BeginTime = milliseconds(1500);
-/// How much more than by its pace a sum may have grown between two speakers.
+/// How much more than by its pace a sum may have grown between two aggregators.
 static constexpr double LikelyGrowth = 3;
-/// A sum is believed to have gone on between two speakers for so long.
+/// A sum is believed to have gone on between two aggregators for so long.
 static constexpr Duration LongestGap = seconds(5);
 
 /// Another process tells from now on.
@@ -56,7 +56,7 @@
   const bool isFirst = peer.Incarnation.empty();
   peer.Incarnation = use.Incarnation;
   if (use.IsSum && !isFirst) {
-    // Two speakers may have begun to count at different times, so that the
+    // Two aggregators may have begun to count at different times, so that the
     // difference of their sums says little. The new one knows how fast its sum
     // grew, also where that changed after the last report of the old one.
     const double gap =
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -20,10 +20,10 @@
   /// It has counted before this host could hear of it: what it counted until
   /// the first report is over and says nothing of what is left now.
   bool IsOlder = false;
-  /// The sum over other hosts, by whoever speaks for them now; it goes on about
-  /// where the last speaker's ended.
+  /// The sum over other hosts, by whoever aggregates for them now; it goes on
+  /// about where the last aggregator's ended.
   bool IsSum = false;
-  /// Of a sum, how fast it grew of late by the teller's word, in units a
+  /// Of a sum, how fast it grew of late by the reporter's word, in units a
   /// second.
   std::optional<double> Pace = std::nullopt;
   /// What the peer believes is left in the bucket.
--- a/Libraries/LibServing/UsedSum.cpp
+++ b/Libraries/LibServing/UsedSum.cpp
@@ -6,8 +6,8 @@
 /// The pace is that of so long, looked at so often.
 static constexpr Duration PaceSpan = seconds(1);
 static constexpr Duration SampleGap = milliseconds(200);
-/// Between two tellers a source is believed to have gone on for so long at the
-/// most.
+/// Between two reporters a source is believed to have gone on for so long at
+/// the most.
 static constexpr Duration LongestGap = seconds(5);
 
 /// Another process tells from now on.
--- a/Libraries/LibServing/UsedSum.h
+++ b/Libraries/LibServing/UsedSum.h
@@ -12,10 +12,10 @@
 enum class CountFrom {
   /// They began at zero with the process.
   Zero,
-  /// They go on where the last teller's ended.
+  /// They go on where the last reporter's ended.
   Known,
   /// What they show was told by others before; what came since the last word of
-  /// those is taken from the new teller's pace.
+  /// those is taken from the new reporter's pace.
   Now,
 };
 
@@ -23,7 +23,7 @@
 struct ToldUse {
   IncarnationId Incarnation;
   std::map<TeamId, UsedUnits> Used;
-  /// Units a second of late, where the teller knows them.
+  /// Units a second of late, where the reporter knows them.
   std::map<TeamId, double> Pace;
   CountFrom From = CountFrom::Zero;
 };
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -173,7 +173,7 @@
   };
   // One that was cut off finds out by asking that it no longer is.
   hooks.AsksAlways = [this] {
-    return State.Reach.isUnreached() || Fleet.speaks(bootNow());
+    return State.Reach.isUnreached() || Fleet.aggregates(bootNow());
   };
   return std::make_unique<KindWatcher>(Loop, State.Hooks.Store, kind, settings,
                                        std::move(hooks));
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -13,15 +13,16 @@
 /// all hosts come at once, then rarely.
 constexpr Duration FirstSearches = seconds(1);
 constexpr Duration LaterSearches = seconds(10);
-/// In a large fleet a host that doesn't speak hears of others from its mates
-/// and from its speaker; a new host makes itself known to its mates.
+/// In a large fleet a host that doesn't aggregate hears of others from the
+/// peers of its group and from its aggregator; a new host makes itself known to
+/// the peers of its group.
 constexpr Duration RareSearches = seconds(60);
 constexpr int FirstSearchCount = 3;
 /// Between two reports that name all members and carry what changes slowly.
 constexpr Duration WholeInterval = seconds(1);
-/// For so long those that heard another speaker before may not have heard this
-/// one.
-constexpr Duration NewSpeaker = seconds(3);
+/// For so long those that heard another aggregator before may not have heard
+/// this one.
+constexpr Duration NewAggregator = seconds(3);
 /// Larger changes are asked for by each host: passed on to a whole zone they
 /// would hold up the reports behind them.
 constexpr std::size_t MostPassedOn = 48UL * 1024;
@@ -29,7 +30,7 @@
 void logSource(const FleetReport &report, bool counts) {
   LogLine(Severity::Info, counts ? "peer heard" : "peer no longer counted")
       .field("peer", sourceOf(report).text())
-      .field("teller", report.Teller.text());
+      .field("reporter", report.Reporter.text());
 }
 
 std::size_t sizeOf(const KindChanges &changes) {
@@ -69,7 +70,7 @@
 
 FleetReport GatewayFleet::ownReport(Instant now) const {
   FleetReport report;
-  report.Teller = State.Settings.Host;
+  report.Reporter = State.Settings.Host;
   report.Zone = State.Settings.Zone;
   report.Incarnation = State.Incarnation;
   report.Sequence = Sequence;
@@ -95,10 +96,10 @@
 
 void GatewayFleet::keepLinks(Instant now) {
   std::map<HostId, std::string> wanted;
-  for (const HostId &it : State.Fleet.mates())
+  for (const HostId &it : State.Fleet.groupPeers())
     wanted[it] = State.Fleet.peerAddressOf(it);
-  if (State.Fleet.isZoned() && speaks(now))
-    for (const HostId &it : State.Fleet.otherSpeakers(now))
+  if (State.Fleet.isZoned() && aggregates(now))
+    for (const HostId &it : State.Fleet.otherAggregators(now))
       wanted[it] = State.Fleet.peerAddressOf(it);
   Link->keep(wanted, now);
 }
@@ -108,18 +109,18 @@
   PublishedAt = now;
   const FleetReport own = ownReport(now);
   State.Fleet.noteOwn(own, now);
-  Link->send(State.Fleet.mates(), encodeFleetMessage(own));
-  if (!State.Fleet.isZoned() || !speaks(now)) {
-    SpeaksSince.reset();
+  Link->send(State.Fleet.groupPeers(), encodeFleetMessage(own));
+  if (!State.Fleet.isZoned() || !aggregates(now)) {
+    AggregatesSince.reset();
     return;
   }
-  if (!SpeaksSince)
-    SpeaksSince = now;
+  if (!AggregatesSince)
+    AggregatesSince = now;
   publishSums(own, now);
 }
 
-/// Tells other zones' speakers the sum of this zone, and this zone the sum of
-/// the others. Members, usage and moves change slowly and are many; they go
+/// Tells other zones' aggregators the sum of this zone, and this zone the sum
+/// of the others. Members, usage and moves change slowly and are many; they go
 /// along once a second, or when a member has changed.
 void GatewayFleet::publishSums(const FleetReport &own, Instant now) {
   FleetReport zone = State.Fleet.zoneReport(own, now);
@@ -132,7 +133,7 @@
     Named[zone.Scope] = zone.Members;
     Named[others.Scope] = others.Members;
   }
-  const bool isNew = now - *SpeaksSince < NewSpeaker;
+  const bool isNew = now - *AggregatesSince < NewAggregator;
   for (FleetReport *it : {&zone, &others}) {
     if (!isNew)
       it->Pace.clear();
@@ -145,8 +146,8 @@
     it->Moves = Hooks.Moves(it->Scope);
     Counting.fillUsage(*it);
   }
-  Link->send(State.Fleet.otherSpeakers(now), encodeFleetMessage(zone));
-  Link->send(State.Fleet.mates(), encodeFleetMessage(others));
+  Link->send(State.Fleet.otherAggregators(now), encodeFleetMessage(zone));
+  Link->send(State.Fleet.groupPeers(), encodeFleetMessage(others));
 }
 
 void GatewayFleet::publishSoon() {
@@ -160,7 +161,7 @@
   if (!State.Fleet.hear(report, now))
     return;
   if (report.Scope == ReportScope::Host)
-    Echoes[report.Teller] = report.SentAt;
+    Echoes[report.Reporter] = report.SentAt;
   Hooks.HearMoves(report.Moves);
   Counting.take(report, self(), now);
 }
@@ -168,7 +169,7 @@
 void GatewayFleet::passOn(StoreKind kind, std::uint64_t from,
                           const KindChanges &changes, Instant begun) {
   const Instant now = bootNow();
-  if (!speaks(now))
+  if (!aggregates(now))
     return;
   KindNews news;
   news.Kind = kind;
@@ -178,7 +179,7 @@
   if (!news.IsLeftOut)
     news.Changes.Changes = changes.Changes;
   news.Age = now - begun;
-  for (const HostId &it : State.Fleet.mates()) {
+  for (const HostId &it : State.Fleet.groupPeers()) {
     const auto echo = Echoes.find(it);
     if (echo == Echoes.end())
       continue;
@@ -252,7 +253,7 @@
                            }
                            State.Fleet.noteRegistered(members);
                          });
-  const bool isTold = State.Fleet.isZoned() && !speaks(bootNow());
+  const bool isTold = State.Fleet.isZoned() && !aggregates(bootNow());
   const Duration later = isTold ? RareSearches : LaterSearches;
   SearchTimer.expires_after(++Searches <= FirstSearchCount ? FirstSearches
                                                            : later);
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -24,7 +24,7 @@
 
 /// This host's part in the fleet: finds the others in the store, tells them
 /// what is open here, takes in what they tell, and passes on what the store
-/// told where it speaks for others. Belongs to the loop's thread.
+/// told where it aggregates for others. Belongs to the loop's thread.
 class GatewayFleet {
 public:
   GatewayFleet(GatewayState &state, GatewayFleetHooks hooks);
@@ -41,11 +41,13 @@
   /// Tells the peers at once what is open, but no more than every few
   /// milliseconds.
   void publishSoon();
-  /// The store told this host; it tells those that it speaks for.
+  /// The store told this host; it tells those that it aggregates for.
   void passOn(StoreKind kind, std::uint64_t from, const KindChanges &changes,
               Instant begun);
-  /// Whether this host speaks for others.
-  bool speaks(Instant now) const { return State.Fleet.speaks(self(), now); }
+  /// Whether this host aggregates for others.
+  bool aggregates(Instant now) const {
+    return State.Fleet.aggregates(self(), now);
+  }
   FleetMember self() const;
   std::string address() const { return Link->address(); }
 
@@ -65,8 +67,8 @@
   FleetCounting Counting;
   std::uint64_t Sequence = 0;
   Instant PublishedAt{};
-  /// Since when this host speaks for its zone; nothing while it does not.
-  std::optional<Instant> SpeaksSince;
+  /// Since when this host aggregates for its zone; nothing while it does not.
+  std::optional<Instant> AggregatesSince;
   /// When a report last named all members, and who they were.
   Instant NamedAt{};
   std::map<ReportScope, std::vector<FleetMember>> Named;
--- a/Services/sorrelbayd/GatewayMoves.cpp
+++ b/Services/sorrelbayd/GatewayMoves.cpp
@@ -230,8 +230,8 @@
       });
   if (!hasMove)
     return "";
-  // FIXME: A sum of the evidence by zone. Whoever speaks for others tells all
-  // that it knows, which joins to the same, but grows with the fleet.
+  // FIXME: A sum of the evidence by zone. Whoever aggregates for others tells
+  // all that it knows, which joins to the same, but grows with the fleet.
   return encodeRolloutKnowledge(
       scope == ReportScope::Host ? ownPart(Known, Self) : Known);
 }
--- a/Services/sorrelbayd/GatewayMoves.h
+++ b/Services/sorrelbayd/GatewayMoves.h
@@ -32,8 +32,8 @@
               const RouteId &route, UpstreamOutcome outcome);
   bool isMoving(const ServiceId &service) const;
 
-  /// What this host tells its peers for itself, or where it speaks for others;
-  /// empty if there is no move.
+  /// What this host tells its peers for itself, or where it aggregates for
+  /// others; empty if there is no move.
   std::string news(ReportScope scope) const;
   /// A peer has told what it knows.
   void hear(const std::string &news, Instant now);
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -54,8 +54,8 @@
   HostId Host;
   ZoneId Zone;
   std::string Region;
-  /// Cores, or the part of one, that the daemon may use; the larger hosts speak
-  /// for the others.
+  /// Cores, or the part of one, that the daemon may use; the larger hosts
+  /// aggregate for the others.
   double Cores = 1;
   /// Where callers connect, "ip:port".
   std::string CallerListen;
--- a/Services/sorrelbayd/UsageReporter.cpp
+++ b/Services/sorrelbayd/UsageReporter.cpp
@@ -10,7 +10,7 @@
 /// A silent host is waited for until this part of the due time has passed.
 static constexpr double LongestSettle = 0.5;
 /// Between two records of what is known of the windows that go on.
-static constexpr Duration KeepInterval = milliseconds(200);
+static constexpr Duration KeepInterval = seconds(1);
 /// Windows that are kept in the record.
 static constexpr std::size_t MostRecorded = 12;
 
--- a/Services/sorrelbayd/UsageReporter.h
+++ b/Services/sorrelbayd/UsageReporter.h
@@ -11,7 +11,7 @@
 /// Reports each window's usage once, while this host holds the duties. What is
 /// about to be reported is written to the store first: a successor that finds
 /// it there repeats it to the letter, because two reports of one window that
-/// differ would bill a team twice. With each tick it also keeps there what is
+/// differ would bill a team twice. Once a second it also keeps there what is
 /// known of the windows that go on. Belongs to the loop's thread.
 class UsageReporter {
 public:
--- a/Tests/LibObjectApi/TestKindWatcher.cpp
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -94,7 +94,7 @@
 
 // The host that passes news on dies, and says nothing. A replica that leaves
 // would go on getting calls for as long as this host waits.
-BOOST_AUTO_TEST_CASE(silence_of_the_teller_makes_it_ask_again) {
+BOOST_AUTO_TEST_CASE(silence_of_the_reporter_makes_it_ask_again) {
   World world(false);
   world.Watcher->hear(World::news(10, 12, {}), bootNow());
   world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
@@ -153,7 +153,7 @@
   BOOST_TEST(world.Seen.count("a") == 0);
 }
 
-// A replica's entry was removed and is there again; the teller is behind and
+// A replica's entry was removed and is there again; the reporter is behind and
 // passes the removal on. The replica would get nothing more.
 BOOST_AUTO_TEST_CASE(an_old_removal_undoes_nothing) {
   World world(false);
@@ -183,7 +183,7 @@
   BOOST_TEST(world.Watches == 3);
 }
 
-BOOST_AUTO_TEST_CASE(the_host_that_speaks_asks_all_the_time) {
+BOOST_AUTO_TEST_CASE(the_host_that_aggregates_asks_all_the_time) {
   World world(true);
   for (int n = 0; n < 3; ++n) {
     world.Watcher->hear(World::news(10, 12, {}), bootNow());
@@ -192,4 +192,29 @@
   BOOST_TEST(world.Watches == 4);
 }
 
+// The store is away and refuses each call at once. A hundred hosts that ask on
+// at the same pace send it hundreds of calls a second, each of which is paid
+// for, and meet it with all of them when it is back.
+BOOST_AUTO_TEST_CASE(an_outage_is_asked_about_less_and_less) {
+  boost::asio::io_context loop;
+  int calls = 0;
+  KindStore store;
+  store.List = [&](StoreKind, const StoreCallback<KindListing> &done) {
+    ++calls;
+    boost::asio::post(loop, [done] {
+      done(StoreResult<KindListing>{{}, StoreFailure::Unavailable});
+    });
+  };
+  KindWatcherHooks hooks;
+  hooks.OnObject = [](const KeptObject &) {};
+  hooks.OnRemoved = [](const std::string &) {};
+  hooks.OnConfirmed = [](Instant) {};
+  KindWatcher watcher(loop, store, StoreKind::Plan, {}, hooks);
+  watcher.start();
+  loop.run_for(milliseconds(1600));
+  // At 0, 150, 450, 1050 ms.
+  BOOST_TEST(calls >= 2);
+  BOOST_TEST(calls <= 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/FleetWorld.cpp
+++ b/Tests/LibServing/FleetWorld.cpp
@@ -149,7 +149,7 @@
 
 void FleetWorld::askStore(Host &host) {
   const bool asks =
-      host.Reach.isUnreached() || host.View->speaks(host.Member, Now);
+      host.Reach.isUnreached() || host.View->aggregates(host.Member, Now);
   if (asks)
     host.Reach.note(Now >= host.CutFromStoreUntil && Now >= StoreAwayUntil,
                     Now);
@@ -180,7 +180,7 @@
   host.Counting->recount(host.Member, Now);
   host.Counting->agree(Now);
   FleetReport own;
-  own.Teller = host.Member.Host;
+  own.Reporter = host.Member.Host;
   own.Zone = host.Member.Zone;
   own.Incarnation = host.Incarnation;
   own.Sequence = ++host.Sequence;
@@ -189,15 +189,15 @@
   own.Members = {host.Member};
   host.Counting->fillOwn(own, Now);
   host.View->noteOwn(own, Now);
-  post(index, host.View->mates(), own);
-  if (!host.View->isZoned() || !host.View->speaks(host.Member, Now))
+  post(index, host.View->groupPeers(), own);
+  if (!host.View->isZoned() || !host.View->aggregates(host.Member, Now))
     return;
   FleetReport zone = host.View->zoneReport(own, Now);
   FleetReport others = host.View->othersReport(own, Now);
   host.Counting->fillUsage(zone);
   host.Counting->fillUsage(others);
-  post(index, host.View->otherSpeakers(Now), zone);
-  post(index, host.View->mates(), others);
+  post(index, host.View->otherAggregators(Now), zone);
+  post(index, host.View->groupPeers(), others);
 }
 
 void FleetWorld::deliver() {
--- a/Tests/LibServing/FleetWorld.h
+++ b/Tests/LibServing/FleetWorld.h
@@ -95,7 +95,7 @@
   bool reaches(const Host &from, const Host &to) const;
   void strike();
   void brew();
-  /// Asks the store, as a host does that speaks for others.
+  /// Asks the store, as a host does that aggregates for others.
   void askStore(Host &host);
   /// What the team's callers ask for now, in units a second.
   double demand() const;
--- a/Tests/LibServing/TestFleetSoak.cpp
+++ b/Tests/LibServing/TestFleetSoak.cpp
@@ -69,10 +69,10 @@
 const Size StormSizes[] = {{40, 4}, {80, 5}};
 
 // The store breaks off all its watches while one team begins to send six times
-// its allotment. All hosts that speak for a zone fail to reach the store at the
-// same moment; were others to speak in their place, what zones let in between
-// the two would be charged to nobody, and the team would get more than its
-// part.
+// its allotment. All hosts that aggregate for a zone fail to reach the store at
+// the same moment; were others to aggregate in their place, what zones let in
+// between the two would be charged to nobody, and the team would get more than
+// its part.
 BOOST_DATA_TEST_CASE(randomised_storms_keep_the_allotment,
                      boost::unit_test::data::make(StormSizes), size) {
   const std::uint64_t seeds = soakSeeds(2);
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -38,9 +38,9 @@
 
   FleetReport ownReport(std::size_t n) {
     FleetReport own;
-    own.Teller = Members[n].Host;
+    own.Reporter = Members[n].Host;
     own.Zone = Members[n].Zone;
-    own.Incarnation = IncarnationId(own.Teller.text());
+    own.Incarnation = IncarnationId(own.Reporter.text());
     own.Sequence = Sequence;
     own.Members = {Members[n]};
     own.Open[UpstreamId("u")] = {Work[n], 0, 0};
@@ -66,11 +66,11 @@
       view.forgetSilent(Now);
       const FleetReport own = ownReport(n);
       view.noteOwn(own, Now);
-      tell(view.mates(), own);
-      if (!view.isZoned() || !view.speaks(Members[n], Now))
+      tell(view.groupPeers(), own);
+      if (!view.isZoned() || !view.aggregates(Members[n], Now))
         continue;
-      tell(view.otherSpeakers(Now), view.zoneReport(own, Now));
-      tell(view.mates(), view.othersReport(own, Now));
+      tell(view.otherAggregators(Now), view.zoneReport(own, Now));
+      tell(view.groupPeers(), view.othersReport(own, Now));
     }
   }
 
@@ -90,10 +90,10 @@
     return calls;
   }
 
-  int speakers() const {
+  int aggregators() const {
     int n = 0;
     for (std::size_t it = 0; it < Views.size(); ++it)
-      if (!IsDown[it] && Views[it].speaks(Members[it], Now))
+      if (!IsDown[it] && Views[it].aggregates(Members[it], Now))
         ++n;
     return n;
   }
@@ -120,7 +120,7 @@
     BOOST_TEST(fleet.othersWork(n) == 6 * 3);
     BOOST_TEST(fleet.Views[n].hostCount() == 7);
   }
-  BOOST_TEST(fleet.speakers() == 1);
+  BOOST_TEST(fleet.aggregators() == 1);
 }
 
 // Each host of a large fleet must still know what all others have open, or it
@@ -136,15 +136,15 @@
     BOOST_TEST(fleet.othersWork(n) == all - fleet.Work[n]);
     BOOST_TEST(fleet.Views[n].hostCount() == 80);
   }
-  BOOST_TEST(fleet.speakers() == 4);
+  BOOST_TEST(fleet.aggregators() == 4);
   fleet.Messages = 0;
   fleet.round();
   BOOST_TEST(fleet.Messages < 80 * 79 / 3);
 }
 
-// A speaker loses power. Its zone's hosts would stay unknown to the others, and
-// the others to them.
-BOOST_AUTO_TEST_CASE(another_host_speaks_when_a_speaker_is_silent) {
+// An aggregator loses power. Its zone's hosts would stay unknown to the others,
+// and the others to them.
+BOOST_AUTO_TEST_CASE(another_host_aggregates_when_an_aggregator_is_silent) {
   Fleet fleet(80, 4);
   fleet.Work.assign(80, 2);
   fleet.rounds(8);
@@ -154,7 +154,7 @@
     BOOST_TEST(fleet.othersWork(n) >= 78 * 2);
     BOOST_TEST(fleet.othersWork(n) <= 79 * 2);
   }
-  BOOST_TEST(fleet.speakers() == 4);
+  BOOST_TEST(fleet.aggregators() == 4);
   // No caller is sent to it.
   for (std::size_t n = 1; n < 80; ++n)
     for (const HeardMember &it : fleet.Views[n].members())
@@ -164,26 +164,26 @@
 
 // A host that can't reach the store would pass on nothing, and all that wait
 // for its news would go on by what they knew.
-BOOST_AUTO_TEST_CASE(a_host_that_is_cut_off_does_not_speak) {
+BOOST_AUTO_TEST_CASE(a_host_that_is_cut_off_does_not_aggregate) {
   Fleet fleet(7, 1);
   fleet.rounds(4);
-  BOOST_TEST(fleet.Views[0].speaks(fleet.Members[0], fleet.Now));
+  BOOST_TEST(fleet.Views[0].aggregates(fleet.Members[0], fleet.Now));
   fleet.Members[0].IsCutOff = true;
   fleet.rounds(4);
-  BOOST_TEST(!fleet.Views[0].speaks(fleet.Members[0], fleet.Now));
-  BOOST_TEST(fleet.Views[1].speaks(fleet.Members[1], fleet.Now));
+  BOOST_TEST(!fleet.Views[0].aggregates(fleet.Members[0], fleet.Now));
+  BOOST_TEST(fleet.Views[1].aggregates(fleet.Members[1], fleet.Now));
 }
 
 // The store is away, and with it all hosts are cut off. Were none of them to
-// speak, each zone would know of its own calls only and give out the whole of a
-// team's allotment.
-BOOST_AUTO_TEST_CASE(one_speaks_although_all_are_cut_off) {
+// aggregate, each zone would know of its own calls only and give out the whole
+// of a team's allotment.
+BOOST_AUTO_TEST_CASE(one_aggregates_although_all_are_cut_off) {
   Fleet fleet(80, 4);
   fleet.Work.assign(80, 2);
   for (FleetMember &it : fleet.Members)
     it.IsCutOff = true;
   fleet.rounds(8);
-  BOOST_TEST(fleet.speakers() == 4);
+  BOOST_TEST(fleet.aggregators() == 4);
   for (std::size_t n = 0; n < 80; ++n)
     BOOST_TEST(fleet.othersWork(n) == 79 * 2);
 }
@@ -200,7 +200,8 @@
   BOOST_TEST(!fleet.Views[0].holdsDuties(fleet.Now));
 }
 
-BOOST_AUTO_TEST_CASE(a_second_speaker_is_not_believed_while_the_first_speaks) {
+BOOST_AUTO_TEST_CASE(
+    a_second_aggregator_is_not_believed_while_the_first_aggregates) {
   FleetView view({HostId("h"), ZoneId("z0")});
   FleetReport sum;
   sum.Scope = ReportScope::Zone;
@@ -245,10 +246,10 @@
   BOOST_TEST(sum.total().at(team) == 760);
 }
 
-// The host that speaks for a zone is killed while a team begins to send six
+// The host that aggregates for a zone is killed while a team begins to send six
 // times as much. What the zone let in until another spoke would be charged to
 // nobody.
-BOOST_AUTO_TEST_CASE(what_came_between_two_speakers_is_counted_by_the_pace) {
+BOOST_AUTO_TEST_CASE(what_came_between_two_aggregators_is_counted_by_the_pace) {
   UsedSum sum;
   const TeamId team("t");
   const SourceId zone("z");
@@ -269,7 +270,7 @@
   BOOST_TEST(sum.total().at(team) == 400 + 2500);
 }
 
-// A new speaker hears of hosts that have been there for minutes. Their whole
+// A new aggregator hears of hosts that have been there for minutes. Their whole
 // lives' calls are no pace.
 BOOST_AUTO_TEST_CASE(the_pace_holds_only_what_was_seen_to_come) {
   UsedSum sum;
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -85,7 +85,8 @@
   UsageCounts usage(IncarnationId("self"), ZoneId("z"), seconds(5));
   const TeamId team("t");
   usage.noteBegun(team, Instant(seconds(1)));
-  usage.noteHost(ZoneId("z"), IncarnationId("mate"), 0, {{team, 2}});
+  usage.noteHost(ZoneId("z"), IncarnationId("peer of the group"), 0,
+                 {{team, 2}});
   usage.noteHost(ZoneId("y"), IncarnationId("afar"), 0, {{team, 10}});
   usage.noteZone(ZoneId("y"), 0, {{team, 30}});
   usage.noteZone(ZoneId("y"), 0, {{team, 20}});
@@ -105,8 +106,8 @@
 BOOST_AUTO_TEST_SUITE(store_reach)
 
 // The store breaks all watches off for a moment. If each host that asks it said
-// at once that it is cut off, all hosts that speak for others would change at
-// the same time.
+// at once that it is cut off, all hosts that aggregate for others would change
+// at the same time.
 BOOST_AUTO_TEST_CASE(a_moment_without_the_store_is_not_being_cut_off) {
   StoreReach reach;
   Instant now{seconds(10)};
--- a/Tests/LibServing/TestTeamMeter.cpp
+++ b/Tests/LibServing/TestTeamMeter.cpp
@@ -46,8 +46,8 @@
   std::vector<TeamMeter> Meters;
 };
 
-/// Lets the first speaker "1" tell a zone's sum for two seconds, growing by so
-/// many units each time.
+/// Lets the first aggregator "1" tell a zone's sum for two seconds, growing by
+/// so many units each time.
 void hearSum(TeamMeter &meter, const SourceId &zone, UsedUnits growth,
              Instant &now) {
   BOOST_TEST(meter.take(1, 0, Burst, now));
@@ -121,9 +121,9 @@
   BOOST_TEST(meter.level() > Burst / 2);
 }
 
-// The host that speaks for a zone changes. What the new one counted before, the
-// team was charged with already; what was let in between must not be lost.
-BOOST_AUTO_TEST_CASE(a_sum_goes_on_with_another_speaker) {
+// The host that aggregates for a zone changes. What the new one counted before,
+// the team was charged with already; what was let in between must not be lost.
+BOOST_AUTO_TEST_CASE(a_sum_goes_on_with_another_aggregator) {
   TeamMeter meter;
   Instant now{seconds(10)};
   const SourceId zone("zone");
@@ -140,9 +140,9 @@
   BOOST_TEST(meter.level() > before - 1200);
 }
 
-// The speaker changes just as a team begins to press. The pace of before says
-// too little, and the new speaker knows better.
-BOOST_AUTO_TEST_CASE(a_new_speakers_pace_covers_the_time_between) {
+// The aggregator changes just as a team begins to press. The pace of before
+// says too little, and the new aggregator knows better.
+BOOST_AUTO_TEST_CASE(a_new_aggregators_pace_covers_the_time_between) {
   TeamMeter meter;
   Instant now{seconds(10)};
   const SourceId zone("zone");
--- a/Utilities/sorrelbay-bench/EngineFleet.cpp
+++ b/Utilities/sorrelbay-bench/EngineFleet.cpp
@@ -120,6 +120,9 @@
   request.PromptTokens = call.Tokens;
   request.Seed = Random();
   request.Hosts = Plan.Hosts;
+  if (Plan.CountsUnheard)
+    request.Unheard = host.Demand.arrivingIn(ReportInterval, Service,
+                                             host.Table.ready(Service), Now);
   const auto choice = host.Table.choose(request, Now);
   if (!choice) {
     finish(Engines.front(), call, false);
