--- a/Utilities/sorrelbay-bench/Capacity.cpp
+++ b/Utilities/sorrelbay-bench/Capacity.cpp
@@ -6,6 +6,7 @@
 #include "LibHostList/HostList.h"
 #include "LibOperator/BundleCodec.h"
 #include "LibOperator/SignedBundle.h"
+#include "LibServing/ReplicaTable.h"
 #include "Slope.h"
 #include <nlohmann/json.hpp>
 
@@ -63,6 +64,35 @@
   }
 }
 
+/// One prompt's placement on the platform's path.
+void addPromptPlacement(std::vector<Figure> &figures) {
+  const ServiceId service("model");
+  const Instant at = now();
+  for (const std::size_t count : ReplicaCounts) {
+    ReplicaTable table;
+    for (std::size_t n = 0; n < count; ++n) {
+      ReplicaRecord record;
+      record.Id = UpstreamId(addressOf(n));
+      record.OfService = service;
+      record.InZone = ZoneId("zone-" + std::to_string(n % 4));
+      table.note(record, at);
+    }
+    ReplicaRequest request;
+    request.ForService = service;
+    request.PromptTokens = 9000;
+    const auto place = [&](int n) {
+      request.Prompt = {{"shared", 2500},
+                        {"conversation" + std::to_string(n % 50), 3500},
+                        {"own", 3000}};
+      const auto choice = table.choose(request, at);
+      table.noteSent(choice->Id, {choice->ToRead, 9000});
+      table.notePrompt(choice->Id, request.Prompt, at);
+    };
+    addSlope(figures, "prompts", "place a prompt", {"replicas", count},
+             microsecondsPerCall(Calls, place));
+  }
+}
+
 /// The host list of a region, parsed anew at each look.
 void addHostList(std::vector<Figure> &figures) {
   for (const std::size_t count : ReplicaCounts) {
@@ -173,6 +203,7 @@
   const auto repeats = std::max<std::uint64_t>(1, options.Seeds);
   for (std::uint64_t n = 0; n < repeats; ++n) {
     addPlacement(figures);
+    addPromptPlacement(figures);
     addHostList(figures);
     addLedger(figures);
     addTickets(figures);
--- a/Utilities/sorrelbay-bench/Experiment.h
+++ b/Utilities/sorrelbay-bench/Experiment.h
@@ -42,5 +42,6 @@
 Experiment moverExperiment();
 Experiment recoveryExperiment();
 Experiment capacityExperiment();
+Experiment overloadExperiment();
 
 } // namespace sorrelbay
--- /dev/null
+++ b/Utilities/sorrelbay-bench/Overload.cpp
@@ -0,0 +1,102 @@
+#include "EngineFleet.h"
+#include "Experiment.h"
+
+namespace sorrelbay {
+
+namespace {
+
+/// A deployment and what its callers ask of it.
+struct Pressure {
+  std::string Deployment;
+  EngineFleetPlan Plan;
+};
+
+/// A policy as a change of the plan.
+struct Policy {
+  std::string Name;
+  std::function<void(EngineFleetPlan &)> Apply;
+};
+
+/// Three kinds of call with very different prompts, so many a second.
+std::vector<PromptKind> kindsOf(double perSecond) {
+  return {
+      {"long", perSecond * 0.26, 2900, 3800, 250, 50, milliseconds(1000), 1},
+      {"middle", perSecond * 0.35, 1800, 550, 40, 25, milliseconds(800), 0},
+      {"short", perSecond * 0.39, 550, 170, 40, 280, milliseconds(600), 2}};
+}
+
+EngineFleetPlan planOf(const EngineMake &make, int hosts, int engines,
+                       double perSecond) {
+  EngineFleetPlan plan;
+  plan.Make = make;
+  plan.Hosts = hosts;
+  plan.EnginesPerZone = engines;
+  plan.Kinds = kindsOf(perSecond);
+  return plan;
+}
+
+std::vector<Pressure> pressures() {
+  const EngineMake slow{38, 4.73, 0.014, 40, 2048, 96, 297000};
+  const EngineMake fast{140, 2.2, 0, 53, 2048, 48, 444000};
+  EngineFleetPlan rush = planOf(slow, 6, 6, 140);
+  rush.IsScaled = true;
+  rush.Seconds = 50;
+  rush.Load = {{0, 0.7}, {28, 1.3}};
+  rush.Losses = {{30, 2}, {35, 1}};
+  return {{"below capacity", planOf(slow, 9, 4, 110)},
+          {"near capacity", planOf(slow, 9, 3, 110)},
+          {"1.5 times", planOf(slow, 9, 2, 110)},
+          {"fast engines", planOf(fast, 7, 1, 110)},
+          {"rush, reclaims", rush}};
+}
+
+std::vector<Policy> policies() {
+  return {
+      {"sorrelbay", [](EngineFleetPlan &) {}},
+      {"nothing turned away",
+       [](EngineFleetPlan &plan) { plan.WaitingShare = 0; }},
+      {"no engine time in plan",
+       [](EngineFleetPlan &plan) { plan.Replicas.ReadingShare = 1e9; }},
+      {"no near-equals",
+       [](EngineFleetPlan &plan) {
+         plan.Table.NearEqual = 0;
+         plan.Table.NearEqualShare = 0;
+       }},
+      {"reading weighs once",
+       [](EngineFleetPlan &plan) { plan.Table.ReadingWeight = 1; }},
+      {"open calls weigh nothing",
+       [](EngineFleetPlan &plan) { plan.Table.CallWeight = 0; }},
+  };
+}
+
+std::vector<Figure> run(const ExperimentOptions &options) {
+  std::vector<Figure> figures;
+  for (const Pressure &pressure : pressures())
+    for (const Policy &policy : policies()) {
+      const bool isFirst = policy.Name == "sorrelbay";
+      Figure inTime{pressure.Deployment,  policy.Name, "calls in time", "%", {},
+                    isFirst ? "most" : ""};
+      Figure again{pressure.Deployment, policy.Name, "shared tokens read",
+                   "million",           {},          ""};
+      for (std::uint64_t seed = 1; seed <= options.Seeds; ++seed) {
+        EngineFleetPlan plan = pressure.Plan;
+        plan.Seed = seed;
+        policy.Apply(plan);
+        const EngineFleetResult result = EngineFleet(plan).play();
+        inTime.Values.push_back(100 * result.All.inTimeShare());
+        again.Values.push_back(static_cast<double>(result.ReadAgain) / 1e6);
+      }
+      figures.push_back(inTime);
+      figures.push_back(again);
+    }
+  return figures;
+}
+
+} // namespace
+
+Experiment overloadExperiment() {
+  return {"overload", "Placement, limits and replicas where prompts bind.",
+          run};
+}
+
+} // namespace sorrelbay
--- a/Utilities/sorrelbay-bench/main.cpp
+++ b/Utilities/sorrelbay-bench/main.cpp
@@ -11,6 +11,7 @@
   return {
       canaryExperiment(),    capacityExperiment(), placementExperiment(),
       admissionExperiment(), moverExperiment(),    recoveryExperiment(),
+      overloadExperiment(),
   };
 }
 
