TeamMeter: Take a sum's pace at once

Cause: since paces need 100 ms, and wait for 500 ms after a silence, a zone's sum by a new aggregator was reckoned with too late.

--- a/Libraries/LibDecision/Bundle.h
+++ b/Libraries/LibDecision/Bundle.h
@@ -15,7 +15,7 @@
 enum class DeadlinePolicy {
   /// Go to the full share on the evidence there is (Tablón Sur).
   InTime,
-  /// Take the version back (Caltagirone).
+  /// Take the version back.
   Safe,
 };
 
--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -91,7 +91,7 @@
   if (it.Incarnation != use.Incarnation)
     begin(it, use, now);
   const auto fresh = static_cast<double>(use.Used - it.Used);
-  learnPace(it, fresh, now);
+  learnPace(it, fresh, use.IsSum, now);
   it.Used = use.Used;
   it.Level = use.Level;
   Level -= fresh - it.Ahead;
@@ -100,12 +100,16 @@
   keepInRange();
 }
 
-void TeamMeter::learnPace(Peer &peer, double fresh, Instant now) {
+/// A sum's pace is taken at once: it stands for many hosts, and each report
+/// that it lags behind lets all of them go on for as long.
+void TeamMeter::learnPace(Peer &peer, double fresh, bool isSum, Instant now) {
   if (now - peer.ReportedAt > Silence)
     peer.CaughtUpAt = now + CatchUp;
   peer.Unpaced += std::max(0.0, fresh);
   peer.ReportedAt = now;
-  if (now < peer.CaughtUpAt || now - peer.PacedAt < ShortestPaceSpan)
+  const bool isTrusted =
+      now >= peer.CaughtUpAt && now - peer.PacedAt >= ShortestPaceSpan;
+  if (isSum ? now <= peer.PacedAt : !isTrusted)
     return;
   const double span = toSeconds(now - peer.PacedAt);
   peer.Pace = PaceMemory * peer.Pace + (1 - PaceMemory) * peer.Unpaced / span;
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -93,7 +93,7 @@
   };
 
   void begin(Peer &peer, const PeerUse &use, Instant now);
-  static void learnPace(Peer &peer, double fresh, Instant now);
+  static void learnPace(Peer &peer, double fresh, bool isSum, Instant now);
   double inRange(double level) const;
   void keepInRange();
   void pace(std::int64_t rate, Instant now);
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -136,7 +136,7 @@
 // Two of four zones are reclaimed at once, and calls pile up at what is left
 // until others have booted. Taken for load four times a second, the pile made
 // the plan grow by a third each time: 91 on-demand replicas came for 46
-// reclaimable ones that went (quiet-1 of Tablon Sur at 77 hosts).
+// reclaimable ones that went.
 BOOST_AUTO_TEST_CASE(calls_that_pile_up_in_a_shortage_are_no_load) {
   Cloud cloud;
   cloud.Bounds.Most = 60;
@@ -164,7 +164,7 @@
 
 // Zones are reclaimed one after the other while the load is a little lower than
 // before. Reclaimable replicas that were sent away in the zones that were left
-// could not be had again, and calls piled up (quiet-1 of Tablon Sur).
+// could not be had again, and calls piled up.
 BOOST_AUTO_TEST_CASE(nothing_is_sent_away_while_replicas_are_scarce) {
   Cloud cloud;
   ReplicaPlan plan(cloud.Bounds, cloud.Shape);
@@ -178,7 +178,7 @@
 
 // The holder of the duty is killed while the load is low for a moment. Its
 // successor knew no peak and sent three of four replicas away; the next wave of
-// calls found four where sixteen had been (scale-2 of Caltagirone).
+// calls found four where sixteen had been.
 BOOST_AUTO_TEST_CASE(a_new_holder_keeps_what_it_finds) {
   Cloud cloud;
   for (auto &[zone, it] : cloud.Seen)
