--- a/Libraries/LibDecision/Bundle.h
+++ b/Libraries/LibDecision/Bundle.h
@@ -13,7 +13,7 @@
 
 /// What to do when a move's evidence can't be had before its deadline.
 enum class DeadlinePolicy {
-  /// Go to the full share on the evidence there is (Tablón Sur).
+  /// Go to the full share on the evidence there is.
   InTime,
   /// Take the version back.
   Safe,
