sorrelbay-bench: Say once which prompts are mixed

TestOverload and the overload experiment each had the same table of kinds; both now take mixedPrompts.

--- a/Tests/LibServing/TestOverload.cpp
+++ b/Tests/LibServing/TestOverload.cpp
@@ -8,21 +8,13 @@
 
 namespace {
 
-/// Three kinds of call with very different prompts.
-std::vector<PromptKind> kinds(double perSecond) {
-  return {
-      {"long", perSecond * 0.26, 2900, 3800, 250, 50, milliseconds(1000), 1},
-      {"middle", perSecond * 0.35, 1800, 550, 40, 25, milliseconds(800), 0},
-      {"short", perSecond * 0.39, 550, 170, 40, 280, milliseconds(600), 2}};
-}
-
 /// Engines whose prompts and not whose slots bind.
 EngineMake slowReader() { return {38, 4.73, 0.014, 40, 2048, 96, 297000}; }
 
 EngineFleetPlan fleet(double perSecond) {
   EngineFleetPlan plan;
   plan.Make = slowReader();
-  plan.Kinds = kinds(perSecond);
+  plan.Kinds = mixedPrompts(perSecond);
   return plan;
 }
 
@@ -143,7 +135,7 @@
   plan.Zones = shape.Zones;
   plan.EnginesPerZone = shape.EnginesPerZone;
   plan.Hosts = shape.Hosts;
-  plan.Kinds = kinds(shape.PerSecond);
+  plan.Kinds = mixedPrompts(shape.PerSecond);
   if (shape.Make.TokensPerMs < 10)
     for (PromptKind &it : plan.Kinds)
       it.Target *= 4;
--- a/Utilities/sorrelbay-bench/EngineFleet.cpp
+++ b/Utilities/sorrelbay-bench/EngineFleet.cpp
@@ -36,6 +36,13 @@
 
 } // namespace
 
+std::vector<PromptKind> mixedPrompts(double perSecond) {
+  return {
+      {"long", perSecond * 0.26, 2900, 3800, 250, 50, milliseconds(1000), 1},
+      {"middle", perSecond * 0.35, 1800, 550, 40, 25, milliseconds(800), 0},
+      {"short", perSecond * 0.39, 550, 170, 40, 280, milliseconds(600), 2}};
+}
+
 double EngineFleetResult::worstSpan() const {
   double worst = 1;
   for (const CallTally &it : BySpan)
--- a/Utilities/sorrelbay-bench/EngineFleet.h
+++ b/Utilities/sorrelbay-bench/EngineFleet.h
@@ -39,6 +39,9 @@
   int Priority = 0;
 };
 
+/// Three kinds of call with very different prompts, so many a second in all.
+std::vector<PromptKind> mixedPrompts(double perSecond);
+
 /// From then on so many times the usual calls come.
 struct LoadStep {
   double AtSeconds = 0;
--- a/Utilities/sorrelbay-bench/Overload.cpp
+++ b/Utilities/sorrelbay-bench/Overload.cpp
@@ -17,21 +17,13 @@
   std::function<void(EngineFleetPlan &)> Apply;
 };
 
-/// Three kinds of call with very different prompts, so many a second.
-std::vector<PromptKind> kindsOf(double perSecond) {
-  return {
-      {"long", perSecond * 0.26, 2900, 3800, 250, 50, milliseconds(1000), 1},
-      {"middle", perSecond * 0.35, 1800, 550, 40, 25, milliseconds(800), 0},
-      {"short", perSecond * 0.39, 550, 170, 40, 280, milliseconds(600), 2}};
-}
-
 EngineFleetPlan planOf(const EngineMake &make, int hosts, int engines,
                        double perSecond) {
   EngineFleetPlan plan;
   plan.Make = make;
   plan.Hosts = hosts;
   plan.EnginesPerZone = engines;
-  plan.Kinds = kindsOf(perSecond);
+  plan.Kinds = mixedPrompts(perSecond);
   return plan;
 }
 
