Allotment: Let a part of the burst come in evenly in large fleets, too

Ruled out: the limit on waiting (2 refusals). Change: as in small fleets half of the burst comes in over the window; any window holds as much as before, and 0.94 of it is given out as before.

--- a/Libraries/LibServing/Allotment.cpp
+++ b/Libraries/LibServing/Allotment.cpp
@@ -14,21 +14,21 @@
 
 Allotment allotmentFor(const ServingTeam &team, bool isZoned,
                        const AllotmentBounds &bounds) {
+  const bool isSpread = team.Rate > 0 && bounds.Window > Duration::zero();
+  const double spread =
+      isSpread ? BurstSpread * static_cast<double>(team.Burst) : 0;
+  const double perSecond = isSpread ? spread / toSeconds(bounds.Window) : 0;
   if (!isZoned) {
-    const bool isSpread = team.Rate > 0 && bounds.Window > Duration::zero();
-    const double spread =
-        isSpread ? BurstSpread * static_cast<double>(team.Burst) : 0;
-    const double perSecond = isSpread ? spread / toSeconds(bounds.Window) : 0;
     return {team.Rate + static_cast<std::int64_t>(perSecond),
             team.Burst - static_cast<std::int64_t>(spread) +
                 bounds.Slack / SlackUsed};
   }
   // A rate of zero means no limit, so that a small one must not become it.
-  const auto part = [](std::int64_t units) {
-    const double kept = static_cast<double>(units) * ZonedAllotment;
-    return static_cast<std::int64_t>(std::ceil(kept));
+  const auto part = [](double units) {
+    return static_cast<std::int64_t>(std::ceil(units * ZonedAllotment));
   };
-  return {part(team.Rate), part(team.Burst)};
+  return {part(static_cast<double>(team.Rate) + perSecond),
+          part(static_cast<double>(team.Burst) - spread)};
 }
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/Allotment.h
+++ b/Libraries/LibServing/Allotment.h
@@ -30,10 +30,9 @@
 /// slack, of which a part is given out; in one whose zones are told as sums it
 /// is more, and a part of the allotment is kept back for it.
 ///
-/// In a small fleet a part of the burst comes in evenly over the window instead
-/// of at once. Any window holds the same then, but a team that is always near
-/// its rate, for which a burst is gone once and never comes back, gets it in
-/// every window.
+/// A part of the burst comes in evenly over the window instead of at once. Any
+/// window holds the same then, but a team that is always near its rate, for
+/// which a burst is gone once and never comes back, gets it in every window.
 Allotment allotmentFor(const ServingTeam &team, bool isZoned,
                        const AllotmentBounds &bounds);
 
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -148,6 +148,8 @@
   const Allotment given = allotmentFor(team, false, {0, seconds(8)});
   BOOST_TEST((given == Allotment{1250, 2000}));
   BOOST_TEST(given.Rate * 8 + given.Burst == team.Rate * 8 + team.Burst);
+  const Allotment ofLarge = allotmentFor(team, true, {0, seconds(8)});
+  BOOST_TEST((ofLarge == Allotment{1175, 1880}));
 }
 
 BOOST_AUTO_TEST_CASE(no_limit_stays_none_and_a_small_one_one) {
