--- a/Libraries/LibDecision/Rollout.cpp
+++ b/Libraries/LibDecision/Rollout.cpp
@@ -218,6 +218,17 @@
   finishIfDue(now);
 }
 
+void Rollout::follow(const RolloutKnowledge &knowledge, Instant now) {
+  if (followVeto(knowledge))
+    return;
+  followStage(knowledge, now);
+  const bool isOver = Plan.hasDeadline() && now >= Plan.Deadline;
+  if (State != RolloutState::Moving || !isAtFullShare() || !isOver)
+    return;
+  State = RolloutState::Done;
+  EndedAt = now;
+}
+
 double Rollout::callShare() const {
   constexpr std::uint64_t LeastCalls = 100;
   std::uint64_t calls = 0;
--- a/Libraries/LibDecision/Rollout.h
+++ b/Libraries/LibDecision/Rollout.h
@@ -62,6 +62,11 @@
   /// version back for lack of evidence.
   void update(RolloutKnowledge &knowledge, Instant now);
 
+  /// Takes over the steps and vetoes of others and decides nothing: for a
+  /// daemon that doesn't hear all evidence. At the deadline a move that has its
+  /// full share is done.
+  void follow(const RolloutKnowledge &knowledge, Instant now);
+
   /// The peers have answered a question that was asked at that time, so that
   /// all that they knew then is known here. The time of the question counts,
   /// not that of the answer: after a pause old messages may lie in the socket.
--- a/Libraries/LibDecision/RolloutKnowledge.cpp
+++ b/Libraries/LibDecision/RolloutKnowledge.cpp
@@ -65,18 +65,23 @@
   return changed;
 }
 
-RolloutKnowledge ownPart(const RolloutKnowledge &knowledge,
-                         const EvidenceSource &self) {
+RolloutKnowledge
+partOf(const RolloutKnowledge &knowledge,
+       const std::function<bool(const EvidenceSource &)> &isWanted) {
   RolloutKnowledge out;
   out.Vetoes = knowledge.Vetoes;
   out.Stages = knowledge.Stages;
-  const auto &sources = knowledge.Evidence.sources();
-  const auto own = sources.find(self);
-  if (own == sources.end())
-    return out;
-  for (const auto &[key, count] : own->second)
-    out.Evidence.mergeCount(self, key, count);
+  for (const auto &[source, counts] : knowledge.Evidence.sources())
+    if (isWanted(source))
+      for (const auto &[key, count] : counts)
+        out.Evidence.mergeCount(source, key, count);
   return out;
 }
 
+RolloutKnowledge ownPart(const RolloutKnowledge &knowledge,
+                         const EvidenceSource &self) {
+  return partOf(knowledge,
+                [&](const EvidenceSource &it) { return it == self; });
+}
+
 } // namespace sorrelbay
--- a/Libraries/LibDecision/RolloutKnowledge.h
+++ b/Libraries/LibDecision/RolloutKnowledge.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Time.h"
 #include "LibDecision/EvidencePool.h"
+#include <functional>
 #include <map>
 
 namespace sorrelbay {
@@ -71,6 +72,11 @@
 /// Takes in what another daemon knows; true if anything was new.
 bool merge(RolloutKnowledge &into, const RolloutKnowledge &from);
 
+/// The vetoes and the stages, with the counters of those sources only.
+RolloutKnowledge
+partOf(const RolloutKnowledge &knowledge,
+       const std::function<bool(const EvidenceSource &)> &isWanted);
+
 /// The part that a daemon tells its peers all the time: its own counters, the
 /// vetoes and the stages. The counters of others go along only now and then,
 /// for those that were cut off from them.
--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -15,13 +15,17 @@
         Settings(settings), Hooks(std::move(hooks)) {}
 
   void list();
-  void watch();
+  KindChanges changesTo(const KindListing &listing) const;
+  void watch(Duration patience);
   void next(Instant now);
   void gather();
   bool mustAsk(Instant now) const;
   void apply(const KindChanges &changes);
   void confirm(Instant begun);
   void hear(const KindNews &news, Instant now);
+  Duration restTime() const {
+    return Settings.Patience * Settings.SilentPatiences;
+  }
   Duration retryDelay() const;
   void retry(StoreFailure why, bool mustList);
   void succeeded(Instant begun);
@@ -45,8 +49,12 @@
   /// When another host was last heard, and by what time all is known.
   Instant HeardAt{};
   Instant ConfirmedAt{};
+  /// When this host last asked the store for changes.
+  Instant AskedAt{};
   /// No call to the store is under way or timed.
   bool IsResting = false;
+  /// News was missed, and is asked for.
+  bool HasGap = false;
   int Failures = 0;
   bool HasListed = false;
   bool IsStopped = false;
@@ -61,29 +69,45 @@
     if (!result.Got)
       return self->retry(result.Failure, true);
     self->succeeded(begun);
-    std::set<std::string> present;
-    for (const KeptObject &it : result.Got->Objects) {
-      present.insert(it.Name);
-      self->take(it);
-    }
-    std::set<std::string> missing;
-    for (const auto &[name, revision] : self->Known)
-      if (present.count(name) == 0)
-        missing.insert(name);
-    for (const std::string &name : missing)
-      self->removed(name, self->Known[name]);
+    const KindChanges changes = self->changesTo(*result.Got);
+    const std::uint64_t from = self->AsOf;
+    self->apply(changes);
     self->AsOf = result.Got->AsOf;
-    self->HasListed = true;
+    // What was listed just now is as good as news.
+    self->HeardAt = bootNow();
+    self->HasGap = false;
     self->confirm(begun);
+    // The history is gone for the others, too.
+    if (self->HasListed)
+      self->Hooks.OnWatched(from, changes, begun);
+    self->HasListed = true;
     self->next(bootNow());
   });
 }
 
-void KindWatcher::Impl::watch() {
+/// What has changed from what is known to what was listed.
+KindChanges KindWatcher::Impl::changesTo(const KindListing &listing) const {
+  KindChanges out;
+  out.AsOf = listing.AsOf;
+  std::set<std::string> present;
+  for (const KeptObject &it : listing.Objects) {
+    present.insert(it.Name);
+    const auto known = Known.find(it.Name);
+    if (known == Known.end() || known->second != it.Revision)
+      out.Changes.push_back({it, false});
+  }
+  for (const auto &[name, revision] : Known)
+    if (present.count(name) == 0)
+      out.Changes.push_back({{name, "", "", revision}, true});
+  return out;
+}
+
+void KindWatcher::Impl::watch(Duration patience) {
   if (IsStopped)
     return;
   const Instant begun = bootNow();
-  Store.Watch(Kind, AsOf, Settings.Patience,
+  AskedAt = begun;
+  Store.Watch(Kind, AsOf, patience,
               [self = shared_from_this(), begun,
                from = AsOf](const StoreResult<KindChanges> &result) {
                 if (self->IsStopped)
@@ -93,6 +117,10 @@
                                      result.Failure ==
                                          StoreFailure::HistoryGone);
                 self->succeeded(begun);
+                // The gap showed that there is a reporter.
+                if (self->HasGap)
+                  self->HeardAt = bootNow();
+                self->HasGap = false;
                 self->apply(*result.Got);
                 self->confirm(begun);
                 self->Hooks.OnWatched(from, *result.Got, begun);
@@ -131,15 +159,16 @@
 }
 
 bool KindWatcher::Impl::mustAsk(Instant now) const {
-  return Hooks.AsksAlways() ||
-         now - HeardAt > Settings.Patience * Settings.SilentPatiences ||
+  const bool mustProbe = Hooks.IsUnreached() && now - AskedAt > restTime();
+  return Hooks.AsksAlways() || mustProbe || now - HeardAt > restTime() ||
          now - ConfirmedAt > Settings.Patience * Settings.OldPatiences;
 }
 
 void KindWatcher::Impl::next(Instant now) {
+  const bool begins = IsResting && Hooks.AsksAlways();
   IsResting = !mustAsk(now);
   if (!IsResting)
-    watch();
+    watch(begins ? Settings.FirstPatience : Settings.Patience);
 }
 
 void KindWatcher::Impl::hear(const KindNews &news, Instant now) {
@@ -149,9 +178,11 @@
     return;
   if (news.From > AsOf || news.IsLeftOut) {
     // Something in between was missed: only the store can tell.
-    HeardAt = {};
-    if (IsResting)
-      next(now);
+    if (IsResting) {
+      IsResting = false;
+      HasGap = true;
+      watch(Settings.FirstPatience);
+    }
     return;
   }
   HeardAt = now;
@@ -162,10 +193,14 @@
   const Instant begun = Instant(microseconds(news.Echo)) - news.Age;
   apply(news.Changes);
   confirm(begun);
+  Hooks.OnWatched(news.From, news.Changes, begun);
 }
 
-/// How long to wait after so many failures in a row.
+/// How long to wait after so many failures in a row. A host that others tell
+/// needs the store only if those don't find it either.
 Duration KindWatcher::Impl::retryDelay() const {
+  if (HasListed && !Hooks.AsksAlways())
+    return restTime();
   Duration delay = Settings.RetryDelay;
   for (int n = 1; n < Failures && delay < Settings.LongestRetryDelay; ++n)
     delay *= 2;
@@ -188,7 +223,7 @@
         if (mustList || !self->HasListed)
           self->list();
         else
-          self->watch();
+          self->watch(self->Settings.Patience);
       });
 }
 
--- a/Libraries/LibObjectApi/KindWatcher.h
+++ b/Libraries/LibObjectApi/KindWatcher.h
@@ -14,6 +14,9 @@
 struct KindWatcherSettings {
   /// How long one watch waits. A view is confirmed only when it returns.
   Duration Patience = seconds(1);
+  /// Of the first watch of a host that begins to ask for others: they have
+  /// heard nothing since the one before it was lost.
+  Duration FirstPatience = milliseconds(50);
   /// After changes and before the next watch: what changes together is told
   /// together. Each return of a watch is a call that is paid for.
   Duration GatherTime = Duration::zero();
@@ -40,11 +43,15 @@
   std::function<void(const std::string &name)> OnRemoved;
   /// All that the store held at that time is known.
   std::function<void(Instant begun)> OnConfirmed;
-  /// The store told what came after that revision, to a call that began then.
+  /// The store told what came after that revision, to a call that began then;
+  /// here or to another host that passed it on.
   std::function<void(std::uint64_t from, const KindChanges &, Instant begun)>
       OnWatched = [](std::uint64_t, const KindChanges &, Instant) {};
   /// Whether this host asks the store all the time; others wait for news.
   std::function<bool()> AsksAlways = [] { return true; };
+  /// Whether this host's last call to the store did not reach it: it has to ask
+  /// now and then to find out that it does again.
+  std::function<bool()> IsUnreached = [] { return false; };
 };
 
 /// Keeps a view of one kind of object: lists it, then watches it, and lists
--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -7,7 +7,7 @@
 using nlohmann::json;
 
 /// Changed whenever hosts of two versions would misread each other.
-static constexpr int FormatNumber = 5;
+static constexpr int FormatNumber = 6;
 
 namespace {
 
@@ -58,7 +58,7 @@
 FleetReport toReport(const json &all) {
   FleetReport report;
   const int scope = all.at(2).get<int>();
-  if (scope < 0 || scope > static_cast<int>(ReportScope::OtherZones))
+  if (scope < 0 || scope > static_cast<int>(ReportScope::OwnZone))
     throw PeerMessageRefused("a report of an unknown scope");
   report.Scope = static_cast<ReportScope>(scope);
   report.Reporter = HostId(all.at(3).get<std::string>());
@@ -84,6 +84,9 @@
   for (const json &it : all.at(17))
     report.Demand[ServiceId(it.at(0).get<std::string>())] =
         it.at(1).get<double>();
+  for (const json &it : all.at(18))
+    report.Included[HostId(it.at(0).get<std::string>())] =
+        it.at(1).get<std::uint64_t>();
   return report;
 }
 
@@ -125,13 +128,16 @@
   json usage = json::array();
   for (const auto &[window, counts] : report.Usage)
     usage.push_back({window, fromTeams(counts)});
+  json included = json::array();
+  for (const auto &[host, sequence] : report.Included)
+    included.push_back({host.text(), sequence});
   return toBytes({FormatNumber, static_cast<int>(MessageKind::Report),
                   static_cast<int>(report.Scope), report.Reporter.text(),
                   report.Zone.text(), report.Incarnation.text(),
                   report.Sequence, report.Uptime.count(), report.SentAt,
                   report.TrueTimeMs, members, open, fromTeams(report.Used),
                   fromTeams(report.Levels), usage, report.Moves,
-                  fromTeams(report.Pace), demand});
+                  fromTeams(report.Pace), demand, included});
 }
 
 std::string encodeFleetMessage(const KindNews &news) {
--- a/Libraries/LibServing/FleetCounting.cpp
+++ b/Libraries/LibServing/FleetCounting.cpp
@@ -27,11 +27,14 @@
       Tables.Usage.noteHost(report.Zone, report.Incarnation, window, counts);
     else if (report.Scope == ReportScope::Zone)
       Tables.Usage.noteZone(report.Zone, window, counts);
+    else if (report.Scope == ReportScope::OwnZone)
+      Tables.Usage.noteOwnZone(window, counts);
     else
       Tables.Usage.noteOthers(window, counts);
   }
-  if (Counted.count(sourceOf(report)) != 0)
-    count(report, now);
+  const FleetReport *known = View.reportOf(sourceOf(report));
+  if (known && Counted.count(sourceOf(report)) != 0)
+    count(*known, now);
   else
     recount(self, now);
 }
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -19,6 +19,8 @@
   Zone,
   /// All hosts of the other zones.
   OtherZones,
+  /// All hosts of the zone that it goes to, the receiver included.
+  OwnZone,
 };
 
 /// An entry host as its peers know it.
@@ -80,6 +82,9 @@
   /// What the reporter believes is left of the teams' allotments.
   std::map<TeamId, double> Levels;
   std::map<WindowNumber, TeamCounts> Usage;
+  /// Of a sum over the receiver's own zone, the newest report of each host that
+  /// it holds: by it the receiver takes its own part out.
+  std::map<HostId, std::uint64_t> Included;
   /// What the hosts know of moves, as RolloutCodec writes it; empty without
   /// one.
   std::string Moves;
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -3,12 +3,18 @@
 
 namespace sorrelbay {
 
+/// Own reports that are kept: a sum comes back within a second, and a host
+/// reports a few times in that time, or more often while prompts are large.
+static constexpr std::size_t MostOwnParts = 64;
+
 SourceId sourceOf(const FleetReport &report) {
   switch (report.Scope) {
   case ReportScope::Zone:
     return SourceId("zone " + report.Zone.text());
   case ReportScope::OtherZones:
     return SourceId("other zones");
+  case ReportScope::OwnZone:
+    return SourceId("own zone");
   case ReportScope::Host:
     break;
   }
@@ -33,16 +39,18 @@
   for (const FleetMember &it : members)
     if (it.Host != Settings.Self)
       Registered[it.Host] = it;
+  countHosts();
 }
 
-bool FleetView::isZoned() const {
-  std::size_t n = Registered.size();
+void FleetView::countHosts() {
+  HostsSeen = 1 + Registered.size();
   for (const auto &[host, it] : Known)
     if (Registered.count(host) == 0)
-      ++n;
-  return n + 1 > Settings.FullMesh;
+      ++HostsSeen;
 }
 
+bool FleetView::isZoned() const { return HostsSeen > Settings.FullMesh; }
+
 bool FleetView::isForUs(const FleetReport &report) const {
   switch (report.Scope) {
   case ReportScope::Host:
@@ -50,6 +58,7 @@
   case ReportScope::Zone:
     return report.Zone != Settings.Zone;
   case ReportScope::OtherZones:
+  case ReportScope::OwnZone:
     return report.Zone == Settings.Zone && report.Reporter != Settings.Self;
   }
   return false;
@@ -83,20 +92,61 @@
         now);
   heard.Report = report;
   heard.At = now;
+  if (report.Scope == ReportScope::OwnZone)
+    takeOutOwn(heard.Report);
   return true;
 }
 
+const FleetReport *FleetView::reportOf(const SourceId &source) const {
+  const auto it = Reports.find(source);
+  return it == Reports.end() ? nullptr : &it->second.Report;
+}
+
+/// Takes this host's own part out of a sum over its zone, as it was in the
+/// report that the sum holds. A sum that holds a report of an earlier process
+/// holds nothing of this one.
+void FleetView::takeOutOwn(FleetReport &sum) const {
+  const auto included = sum.Included.find(Settings.Self);
+  if (included == sum.Included.end())
+    return;
+  const auto part =
+      std::find_if(OwnParts.begin(), OwnParts.end(), [&](const OwnPart &it) {
+        return it.Sequence == included->second;
+      });
+  if (part == OwnParts.end())
+    return;
+  for (const auto &[id, work] : part->Open) {
+    OpenWork &it = sum.Open[id];
+    it.Calls = std::max(0, it.Calls - work.Calls);
+    it.PromptTokens =
+        std::max<std::int64_t>(0, it.PromptTokens - work.PromptTokens);
+    it.Tokens = std::max<std::int64_t>(0, it.Tokens - work.Tokens);
+  }
+  for (const auto &[service, rate] : part->Demand)
+    sum.Demand[service] = std::max(0.0, sum.Demand[service] - rate);
+  for (const auto &[team, units] : part->Used)
+    sum.Used[team] -= units;
+}
+
 void FleetView::noteMembers(const FleetReport &report, Instant now) {
+  const std::size_t before = Known.size();
   for (const FleetMember &it : report.Members) {
     if (it.Host == Settings.Self)
       continue;
-    HeardMember &known = Known[it.Host];
     // A host's own word goes before what others say of it.
     const bool isOwnWord = report.Scope == ReportScope::Host;
-    if (!isOwnWord && it.Zone == Settings.Zone)
+    const bool isOfSum =
+        (report.Scope == ReportScope::OwnZone) == (it.Zone == Settings.Zone);
+    if (!isOwnWord && !isOfSum)
       continue;
-    known = {it, now};
+    HeardMember &known = Known[it.Host];
+    if (isOwnWord)
+      known = {it, now, now};
+    else if (now - known.SpokeAt >= Settings.AggregatorSilence)
+      known = {it, now, known.SpokeAt};
   }
+  if (Known.size() != before)
+    countHosts();
   if (report.Scope == ReportScope::Host || report.Members.empty())
     return;
   // A sum names all that still answer there.
@@ -105,23 +155,37 @@
     named.insert(it.Host);
   for (auto &[host, it] : Known) {
     const ZoneId &zone = it.Member.Zone;
-    const bool isCovered = report.Scope == ReportScope::Zone
-                               ? zone == report.Zone
-                               : zone != Settings.Zone;
-    if (isCovered && named.count(host) == 0)
-      it.HeardAt = std::min(it.HeardAt, now - silenceOf(it.Member));
+    const bool isCovered = report.Scope == ReportScope::OtherZones
+                               ? zone != Settings.Zone
+                               : zone == report.Zone;
+    if (isCovered && named.count(host) == 0 &&
+        now - it.SpokeAt >= Settings.AggregatorSilence)
+      it.HeardAt = std::min(it.HeardAt, now - silenceOf(it));
   }
 }
 
-/// How long a host may be silent before it counts as not answering. Of other
-/// zones' hosts news comes by two others and less often.
-Duration FleetView::silenceOf(const FleetMember &member) const {
-  const bool isNear = !isZoned() || member.Zone == Settings.Zone;
-  return isNear ? Settings.Silence : Settings.Silence * 2;
+/// How long a host may be silent before it counts as not answering. Of hosts
+/// that are known by sums news comes by one or two others and less often.
+Duration FleetView::silenceOf(const HeardMember &it) const {
+  const bool isByOwnWord = !isZoned() || it.HeardAt == it.SpokeAt;
+  return isByOwnWord ? Settings.Silence : Settings.Silence * 2;
 }
 
 bool FleetView::isAnswering(const HeardMember &it, Instant now) const {
-  return now - it.HeardAt < silenceOf(it.Member);
+  return now - it.HeardAt < silenceOf(it);
+}
+
+/// Whether the host counts where hosts are ranked. One that speaks to this host
+/// is silent after a short time; of one that a sum has named since it spoke
+/// last, if it ever did, the word of the sum counts until the next aggregator
+/// has had the time to begin.
+bool FleetView::isLive(const HeardMember &it, Duration silence,
+                       Instant now) const {
+  if (now - it.HeardAt < silence)
+    return true;
+  const bool isNamed =
+      isZoned() && it.HeardAt - it.SpokeAt >= Settings.AggregatorSilence;
+  return isNamed && now - it.HeardAt < Settings.Silence * 2;
 }
 
 std::vector<HostId> FleetView::forgetSilent(Instant now) {
@@ -138,6 +202,8 @@
     Reports.erase(SourceId("host " + it->first.text()));
     it = Known.erase(it);
   }
+  if (!gone.empty())
+    countHosts();
   for (auto it = Reports.begin(); it != Reports.end();)
     it =
         now - it->second.At < Settings.Gone ? std::next(it) : Reports.erase(it);
@@ -150,7 +216,7 @@
   std::vector<FleetMember> out;
   for (const auto &[host, it] : Known) {
     const bool isOfGroup = !zone || it.Member.Zone == *zone;
-    if (isOfGroup && now - it.HeardAt < silence && !it.Member.IsLeaving)
+    if (isOfGroup && isLive(it, silence, now) && !it.Member.IsLeaving)
       out.push_back(it.Member);
   }
   std::sort(out.begin(), out.end(), ranksBefore);
@@ -159,23 +225,84 @@
 
 std::size_t FleetView::placeInGroup(const FleetMember &self,
                                     Instant now) const {
-  const ZoneId *zone = isZoned() ? &Settings.Zone : nullptr;
-  const auto all = ranked(zone, Settings.AggregatorSilence, now);
+  const bool zoned = isZoned();
   return static_cast<std::size_t>(
-      std::count_if(all.begin(), all.end(), [&](const FleetMember &it) {
-        return ranksBefore(it, self);
+      std::count_if(Known.begin(), Known.end(), [&](const auto &known) {
+        const HeardMember &it = known.second;
+        const bool isOfGroup = !zoned || it.Member.Zone == Settings.Zone;
+        return isOfGroup && !it.Member.IsLeaving &&
+               isLive(it, Settings.AggregatorSilence, now) &&
+               ranksBefore(it.Member, self);
       }));
 }
 
+/// The same among all hosts; of other zones' hosts news comes once a second.
+std::size_t FleetView::placeOfAll(const FleetMember &self, Instant now) const {
+  const auto others =
+      std::count_if(Known.begin(), Known.end(), [&](const auto &known) {
+        const HeardMember &it = known.second;
+        return it.Member.Zone != Settings.Zone && !it.Member.IsLeaving &&
+               isAnswering(it, now) && ranksBefore(it.Member, self);
+      });
+  return placeInGroup(self, now) +
+         (isZoned() ? static_cast<std::size_t>(others) : 0);
+}
+
+/// Before it has heard of the others each host is the first that it knows of.
+bool FleetView::hasHeardOthers(Instant now) const {
+  return now - Settings.BornAt >= Settings.AggregatorSilence;
+}
+
 bool FleetView::aggregates(const FleetMember &self, Instant now) const {
-  // Before it has heard of the others each host is the first that it knows of.
-  return now - Settings.BornAt >= Settings.AggregatorSilence &&
-         isAmongFirst(self, 1, now);
+  return hasHeardOthers(now) && !self.IsLeaving && placeInGroup(self, now) == 0;
 }
 
 bool FleetView::isAmongFirst(const FleetMember &self, std::size_t count,
                              Instant now) const {
-  return !self.IsLeaving && placeInGroup(self, now) < count;
+  return hasHeardOthers(now) && !self.IsLeaving &&
+         placeOfAll(self, now) < count;
+}
+
+/// A host that has only just started has heard of few; those that have
+/// registered then count, or all hosts of a zone would take themselves for the
+/// first.
+bool FleetView::collects(const FleetMember &self, Instant now) const {
+  if (!isZoned() || aggregates(self, now))
+    return true;
+  std::size_t before = placeInGroup(self, now);
+  if (now - Settings.BornAt < Settings.Young)
+    for (const FleetMember &it : unheardOf(Settings.Zone, now))
+      if (ranksBefore(it, self))
+        ++before;
+  return !self.IsLeaving && before < Settings.Collectors;
+}
+
+bool FleetView::leads(const FleetMember &self, Instant now) const {
+  return aggregates(self, now) && placeOfAll(self, now) == 0;
+}
+
+std::vector<HostId> FleetView::reportPeers(const FleetMember &self,
+                                           Instant now) const {
+  if (collects(self, now))
+    return groupPeers();
+  std::vector<HostId> out = collectors(now);
+  const auto unheard = unheardOf(Settings.Zone, now);
+  if (now - Settings.BornAt >= Settings.Young) {
+    const auto some = someOf(unheard, now);
+    out.insert(out.end(), some.begin(), some.end());
+    return out;
+  }
+  for (std::size_t n = 0; n < unheard.size() && n < Settings.Collectors; ++n)
+    out.push_back(unheard[n].Host);
+  return out;
+}
+
+std::vector<HostId> FleetView::collectors(Instant now) const {
+  std::vector<HostId> out;
+  const auto live = ranked(&Settings.Zone, Settings.AggregatorSilence, now);
+  for (std::size_t n = 0; n < live.size() && n < Settings.Collectors; ++n)
+    out.push_back(live[n].Host);
+  return out;
 }
 
 std::vector<HostId> FleetView::groupPeers() const {
@@ -203,18 +330,16 @@
     for (std::size_t n = 0; n < heard.size() && n < Settings.AggregatorsTold;
          ++n)
       out.push_back(heard[n].Host);
-    const std::vector<HostId> unheard = unheardOf(zone, now);
+    const auto unheard = someOf(unheardOf(zone, now), now);
     out.insert(out.end(), unheard.begin(), unheard.end());
   }
   return out;
 }
 
-/// Hosts of the zone that have registered and weren't heard of: the one that
-/// would aggregate first, and the others by turns. Two zones whose aggregators
-/// know only of each other's lesser hosts would never come to know each other;
-/// and entries of hosts that are long gone stay in the store.
-std::vector<HostId> FleetView::unheardOf(const ZoneId &zone,
-                                         Instant now) const {
+/// Hosts of the zone that have registered and weren't heard of, in the order in
+/// which they would aggregate.
+std::vector<FleetMember> FleetView::unheardOf(const ZoneId &zone,
+                                              Instant now) const {
   std::vector<FleetMember> hosts;
   for (const auto &[host, it] : Registered) {
     const auto known = Known.find(host);
@@ -223,15 +348,23 @@
     if (it.Zone == zone && !isHeard)
       hosts.push_back(it);
   }
-  if (hosts.empty())
-    return {};
   std::sort(hosts.begin(), hosts.end(), ranksBefore);
+  return hosts;
+}
+
+/// The one that would aggregate first, and the others by turns. Two zones whose
+/// aggregators know only of each other's lesser hosts would never come to know
+/// each other; and entries of hosts that are long gone stay in the store.
+std::vector<HostId> FleetView::someOf(const std::vector<FleetMember> &unheard,
+                                      Instant now) {
+  if (unheard.empty())
+    return {};
   const auto turn =
       static_cast<std::size_t>(toSeconds(now.time_since_epoch())) %
-      hosts.size();
-  std::vector<HostId> out{hosts.front().Host};
+      unheard.size();
+  std::vector<HostId> out{unheard.front().Host};
   if (turn != 0)
-    out.push_back(hosts[turn].Host);
+    out.push_back(unheard[turn].Host);
   return out;
 }
 
@@ -245,19 +378,26 @@
 
 std::vector<const FleetReport *> FleetView::counted(const FleetMember &self,
                                                     Instant now) const {
-  const bool isTold = isZoned();
-  const bool isAggregator = isTold && aggregates(self, now);
+  const bool zoned = isZoned();
+  const bool isAggregator = zoned && aggregates(self, now);
+  const bool isCollector = collects(self, now);
+  const auto counts = [&](const FleetReport &it) {
+    switch (it.Scope) {
+    case ReportScope::Host:
+      return !zoned || (isCollector && it.Zone == Settings.Zone);
+    case ReportScope::OwnZone:
+      return zoned && !isCollector;
+    case ReportScope::Zone:
+      return isAggregator;
+    case ReportScope::OtherZones:
+      return zoned && !isAggregator;
+    }
+    return false;
+  };
   std::vector<const FleetReport *> out;
-  for (const auto &[source, heard] : Reports) {
-    const FleetReport &it = heard.Report;
-    const bool isNear = it.Zone == Settings.Zone;
-    const bool counts = it.Scope == ReportScope::Host ? !isTold || isNear
-                        : it.Scope == ReportScope::Zone
-                            ? isAggregator
-                            : isTold && !isAggregator;
-    if (counts)
-      out.push_back(&it);
-  }
+  for (const auto &[source, heard] : Reports)
+    if (counts(heard.Report))
+      out.push_back(&heard.Report);
   return out;
 }
 
@@ -296,6 +436,18 @@
   return out;
 }
 
+FleetReport FleetView::ownZoneReport(const FleetReport &zone) const {
+  FleetReport out = zone;
+  out.Scope = ReportScope::OwnZone;
+  out.Included[zone.Reporter] = zone.Sequence;
+  for (const auto &[source, heard] : Reports) {
+    const FleetReport &it = heard.Report;
+    if (it.Scope == ReportScope::Host && it.Zone == Settings.Zone)
+      out.Included[it.Reporter] = it.Sequence;
+  }
+  return out;
+}
+
 FleetReport FleetView::othersReport(const FleetReport &own, Instant now) const {
   FleetReport out = own;
   out.Scope = ReportScope::OtherZones;
@@ -321,6 +473,15 @@
 void FleetView::noteOwn(const FleetReport &own, Instant now) {
   ZoneUsed.note(sourceOf(own), {own.Incarnation, own.Used, {}, CountFrom::Zero},
                 now);
+  OwnParts.push_back({own.Sequence, own.Open, own.Demand, own.Used});
+  if (OwnParts.size() > MostOwnParts)
+    OwnParts.pop_front();
+}
+
+bool FleetView::isOfOwnZone(const HostId &host) const {
+  const auto it = Known.find(host);
+  return host == Settings.Self ||
+         (it != Known.end() && it->second.Member.Zone == Settings.Zone);
 }
 
 std::vector<HeardMember> FleetView::members() const {
@@ -346,6 +507,11 @@
   });
 }
 
+bool FleetView::hearsSum(Instant now) const {
+  const auto it = Reports.find(SourceId("own zone"));
+  return it != Reports.end() && now - it->second.At < Settings.Silence;
+}
+
 bool FleetView::hearsAll(Instant now) const {
   return std::all_of(Known.begin(), Known.end(), [&](const auto &it) {
     return it.second.Member.IsLeaving || isAnswering(it.second, now);
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -4,6 +4,7 @@
 #include "LibBase/Time.h"
 #include "LibServing/FleetReport.h"
 #include "LibServing/UsedSum.h"
+#include <deque>
 #include <map>
 #include <set>
 #include <vector>
@@ -27,6 +28,9 @@
   /// Hosts of each other zone that an aggregator reports to: the one that
   /// aggregates there, and the one that would aggregate next.
   std::size_t AggregatorsTold = 2;
+  /// Hosts of a zone that hear all its hosts: the one that aggregates and those
+  /// that would next. The others hear the sum.
+  std::size_t Collectors = 3;
   /// A fleet whose oldest process is younger than that has only just started.
   Duration Young = seconds(3);
 };
@@ -36,13 +40,16 @@
 struct HeardMember {
   FleetMember Member;
   Instant HeardAt{};
+  /// By its own word.
+  Instant SpokeAt{};
 };
 
 /// What one entry host knows of the others, and who tells what to whom. In a
 /// small fleet each host reports to all others. In a large one that would cost
-/// each host messages by the square of the fleet; there a host reports to its
-/// own zone, the zone's largest live host adds the reports up and passes the
-/// sum to other zones' aggregators, and theirs to its own zone. Nobody agrees
+/// each host messages by the square of the fleet; there a host reports to the
+/// few largest live hosts of its zone, the collectors. The first of them, the
+/// aggregator, adds the reports up and passes the sum to other zones'
+/// aggregators and to its own zone, and theirs to its own zone. Nobody agrees
 /// on an aggregator: each host ranks those that it hears, and two that
 /// aggregate at the same time tell the same. Not thread-safe.
 class FleetView {
@@ -54,6 +61,9 @@
   /// Takes a report; false if it is older than what is known, or not for this
   /// host.
   bool hear(const FleetReport &report, Instant now);
+  /// The source's newest report as it counts here: a sum over the own zone is
+  /// without this host's part. Nothing if there is none.
+  const FleetReport *reportOf(const SourceId &source) const;
   /// Drops hosts that have gone; returns them.
   std::vector<HostId> forgetSilent(Instant now);
 
@@ -62,12 +72,22 @@
   /// Whether this host aggregates for its group: its zone, or in a small fleet
   /// all hosts. The aggregator also asks the store for all of them.
   bool aggregates(const FleetMember &self, Instant now) const;
-  /// Whether this host is among the first so many of its group.
+  /// Whether this host is among the first so many of all.
   bool isAmongFirst(const FleetMember &self, std::size_t count,
                     Instant now) const;
 
-  /// The hosts that this host's reports go to.
+  /// Whether this host hears each host of its group, and they it.
+  bool collects(const FleetMember &self, Instant now) const;
+  /// Whether this host aggregates and goes before all that do in other zones:
+  /// it asks the store for all zones.
+  bool leads(const FleetMember &self, Instant now) const;
+
+  /// All hosts of the group.
   std::vector<HostId> groupPeers() const;
+  /// The hosts that this host's reports go to.
+  std::vector<HostId> reportPeers(const FleetMember &self, Instant now) const;
+  /// The live hosts of the zone that collect, this one left out.
+  std::vector<HostId> collectors(Instant now) const;
   /// The hosts of other zones that a zone's sum goes to.
   std::vector<HostId> otherAggregators(Instant now) const;
   /// Where a host listens for peers; empty if it isn't known.
@@ -80,9 +100,14 @@
   /// the other zones. Usage and moves are left to the caller.
   FleetReport zoneReport(const FleetReport &own, Instant now) const;
   FleetReport othersReport(const FleetReport &own, Instant now) const;
-  /// Counts what this host lets in for its zone's sum.
+  /// The zone's sum as it goes to the zone itself.
+  FleetReport ownZoneReport(const FleetReport &zone) const;
+  /// Counts what this host lets in for its zone's sum, and keeps it to be taken
+  /// out of the sums that come back.
   void noteOwn(const FleetReport &own, Instant now);
 
+  /// Whether the host, or this one, is of this host's zone, as far as is known.
+  bool isOfOwnZone(const HostId &host) const;
   /// All other hosts that are known.
   std::vector<HeardMember> members() const;
   /// Hosts that take calls, this one included; at least 1.
@@ -95,6 +120,8 @@
   bool holdsDuties(Instant now) const;
   /// Whether any other host was heard of, not longer ago.
   bool hearsAny(Duration notLonger, Instant now) const;
+  /// Whether this zone's aggregator was heard of lately.
+  bool hearsSum(Instant now) const;
   /// Whether all other hosts that are known and not leaving were heard of
   /// lately.
   bool hearsAll(Instant now) const;
@@ -106,18 +133,37 @@
     Instant At{};
   };
 
+  /// What a report of this host held.
+  struct OwnPart {
+    std::uint64_t Sequence = 0;
+    std::map<UpstreamId, OpenWork> Open;
+    DemandByService Demand;
+    std::map<TeamId, UsedUnits> Used;
+  };
+
+  void countHosts();
   bool isForUs(const FleetReport &report) const;
+  void takeOutOwn(FleetReport &sum) const;
+  bool isLive(const HeardMember &it, Duration silence, Instant now) const;
   void noteMembers(const FleetReport &report, Instant now);
-  Duration silenceOf(const FleetMember &member) const;
+  bool hasHeardOthers(Instant now) const;
+  Duration silenceOf(const HeardMember &it) const;
   std::vector<FleetMember> ranked(const ZoneId *zone, Duration silence,
                                   Instant now) const;
-  std::vector<HostId> unheardOf(const ZoneId &zone, Instant now) const;
+  std::vector<FleetMember> unheardOf(const ZoneId &zone, Instant now) const;
+  static std::vector<HostId> someOf(const std::vector<FleetMember> &unheard,
+                                    Instant now);
   std::size_t placeInGroup(const FleetMember &self, Instant now) const;
+  std::size_t placeOfAll(const FleetMember &self, Instant now) const;
 
   FleetViewSettings Settings;
   std::map<HostId, FleetMember> Registered;
   std::map<HostId, HeardMember> Known;
+  /// Hosts that have registered or are known, this one included.
+  std::size_t HostsSeen = 1;
   std::map<SourceId, Heard> Reports;
+  /// Of this host's last reports, the oldest first.
+  std::deque<OwnPart> OwnParts;
   UsedSum ZoneUsed;
   UsedSum OthersUsed;
 };
--- a/Libraries/LibServing/UsageCounts.cpp
+++ b/Libraries/LibServing/UsageCounts.cpp
@@ -52,6 +52,10 @@
   raise(Windows[window].Zones[zone], counts);
 }
 
+void UsageCounts::noteOwnZone(WindowNumber window, const TeamCounts &counts) {
+  raise(Windows[window].OwnZone, counts);
+}
+
 void UsageCounts::noteOthers(WindowNumber window, const TeamCounts &counts) {
   raise(Windows[window].Others, counts);
 }
@@ -76,10 +80,10 @@
 TeamCounts UsageCounts::ownZoneOf(const Counted &counted) const {
   TeamCounts out;
   const auto hosts = counted.Hosts.find(Zone);
-  if (hosts == counted.Hosts.end())
-    return out;
-  for (const auto &[incarnation, counts] : hosts->second)
-    add(out, counts);
+  if (hosts != counted.Hosts.end())
+    for (const auto &[incarnation, counts] : hosts->second)
+      add(out, counts);
+  raise(out, counted.OwnZone);
   return out;
 }
 
--- a/Libraries/LibServing/UsageCounts.h
+++ b/Libraries/LibServing/UsageCounts.h
@@ -33,6 +33,8 @@
   void noteZone(const ZoneId &zone, WindowNumber window,
                 const TeamCounts &counts);
   void noteOthers(WindowNumber window, const TeamCounts &counts);
+  /// The sum over this host's zone, where it doesn't hear each of its hosts.
+  void noteOwnZone(WindowNumber window, const TeamCounts &counts);
   /// Drops windows before that one.
   void forgetBefore(WindowNumber window);
 
@@ -52,6 +54,7 @@
     std::map<ZoneId, std::map<IncarnationId, TeamCounts>> Hosts;
     std::map<ZoneId, TeamCounts> Zones;
     TeamCounts Others;
+    TeamCounts OwnZone;
   };
   /// What is known of the windows from that one on, for those that come after
   /// this process.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -24,6 +24,10 @@
 /// A view of the store is confirmed at least so often, as a share of the
 /// tightest bound on its age.
 constexpr int ConfirmsPerBound = 4;
+/// A host that is told of changes asks by itself after silence of this part of
+/// the tightest bound, or by news that are so many patiences older.
+constexpr int SilencesPerBound = 2;
+constexpr int OldBySilent = 2;
 constexpr Duration LongestWatch = milliseconds(500);
 /// What changes within this share of the tightest bound is asked for together.
 constexpr int GathersPerBound = 20;
@@ -133,6 +137,13 @@
   settings.Patience =
       std::min<Duration>(LongestWatch, bound / ConfirmsPerBound);
   settings.GatherTime = bound / GathersPerBound;
+  // One host asks for all. Another takes its place within a second or so, and
+  // the others should ask by themselves only if it doesn't.
+  settings.SilentPatiences =
+      std::max(settings.SilentPatiences,
+               static_cast<int>(bound / SilencesPerBound / settings.Patience));
+  settings.OldPatiences =
+      std::max(settings.OldPatiences, settings.SilentPatiences + OldBySilent);
   // News may come from another host, and be as old as that allows.
   State.PlanFreshFor = settings.Patience * settings.OldPatiences + WatchDelay;
   KindWatcherHooks plans;
@@ -171,10 +182,9 @@
                                  Instant begun) {
     Fleet.passOn(kind, from, changes, begun);
   };
-  // One that was cut off finds out by asking that it no longer is.
-  hooks.AsksAlways = [this] {
-    return State.Reach.isUnreached() || Fleet.aggregates(bootNow());
-  };
+  hooks.AsksAlways = [this] { return Fleet.leads(bootNow()); };
+  if (kind == StoreKind::Plan)
+    hooks.IsUnreached = [this] { return State.Reach.isUnreached(); };
   return std::make_unique<KindWatcher>(Loop, State.Hooks.Store, kind, settings,
                                        std::move(hooks));
 }
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -1,7 +1,9 @@
 #include "GatewayFleet.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
+#include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace sorrelbay {
 
@@ -11,7 +13,7 @@
 constexpr Duration ShortestPublishGap = milliseconds(20);
 /// How often the store is asked who the peers are: often at the start, when
 /// all hosts come at once, then rarely.
-constexpr Duration FirstSearches = seconds(1);
+constexpr Duration FirstSearches = milliseconds(1500);
 constexpr Duration LaterSearches = seconds(10);
 /// In a large fleet a host that doesn't aggregate hears of others from the
 /// peers of its group and from its aggregator; a new host makes itself known to
@@ -33,6 +35,16 @@
       .field("reporter", report.Reporter.text());
 }
 
+std::vector<HostId> without(std::vector<HostId> hosts,
+                            const std::vector<HostId> &some) {
+  const std::set<HostId> left(some.begin(), some.end());
+  hosts.erase(
+      std::remove_if(hosts.begin(), hosts.end(),
+                     [&](const HostId &it) { return left.count(it) != 0; }),
+      hosts.end());
+  return hosts;
+}
+
 std::size_t sizeOf(const KindChanges &changes) {
   std::size_t bytes = 0;
   for (const KindChange &it : changes.Changes)
@@ -96,7 +108,7 @@
 
 void GatewayFleet::keepLinks(Instant now) {
   std::map<HostId, std::string> wanted;
-  for (const HostId &it : State.Fleet.groupPeers())
+  for (const HostId &it : State.Fleet.reportPeers(self(), now))
     wanted[it] = State.Fleet.peerAddressOf(it);
   if (State.Fleet.isZoned() && aggregates(now))
     for (const HostId &it : State.Fleet.otherAggregators(now))
@@ -109,7 +121,7 @@
   PublishedAt = now;
   const FleetReport own = ownReport(now);
   State.Fleet.noteOwn(own, now);
-  Link->send(State.Fleet.groupPeers(), encodeFleetMessage(own));
+  sendOwn(own, now);
   if (!State.Fleet.isZoned() || !aggregates(now)) {
     AggregatesSince.reset();
     return;
@@ -119,9 +131,31 @@
   publishSums(own, now);
 }
 
+/// A collector's hosts need its work only where they collect themselves; to the
+/// others a report without it says that it lives.
+void GatewayFleet::sendOwn(const FleetReport &own, Instant now) {
+  const std::vector<HostId> peers =
+      State.Fleet.reportPeers(own.Members.front(), now);
+  if (!State.Fleet.isZoned() ||
+      !State.Fleet.collects(own.Members.front(), now)) {
+    Link->send(peers, encodeFleetMessage(own));
+    return;
+  }
+  const std::vector<HostId> collectors = State.Fleet.collectors(now);
+  FleetReport sign = own;
+  sign.Open.clear();
+  sign.Demand.clear();
+  sign.Used.clear();
+  sign.Levels.clear();
+  sign.Usage.clear();
+  sign.Moves.clear();
+  Link->send(collectors, encodeFleetMessage(own));
+  Link->send(without(peers, collectors), encodeFleetMessage(sign));
+}
+
 /// Tells other zones' aggregators the sum of this zone, and this zone the sum
-/// of the others. Members, usage and moves change slowly and are many; they go
-/// along once a second, or when a member has changed.
+/// of itself and of the others. Members, usage and moves change slowly and are
+/// many; they go along once a second, or when a member has changed.
 void GatewayFleet::publishSums(const FleetReport &own, Instant now) {
   FleetReport zone = State.Fleet.zoneReport(own, now);
   FleetReport others = State.Fleet.othersReport(own, now);
@@ -135,6 +169,8 @@
   }
   const bool isNew = now - *AggregatesSince < NewAggregator;
   for (FleetReport *it : {&zone, &others}) {
+    // A host that hears sums only would otherwise go by one clock.
+    it->TrueTimeMs = toEpochMilliseconds(State.Time.at(now));
     if (!isNew)
       it->Pace.clear();
     it->Usage.clear();
@@ -147,7 +183,16 @@
     Counting.fillUsage(*it);
   }
   Link->send(State.Fleet.otherAggregators(now), encodeFleetMessage(zone));
-  Link->send(State.Fleet.groupPeers(), encodeFleetMessage(others));
+  const std::vector<HostId> collectors = State.Fleet.collectors(now);
+  Link->send(collectors, encodeFleetMessage(others));
+  others.Moves.clear();
+  Link->send(without(State.Fleet.groupPeers(), collectors),
+             encodeFleetMessage(others));
+  FleetReport ownZone = State.Fleet.ownZoneReport(zone);
+  // Steps and vetoes must come to all hosts at once; evidence only to those
+  // that decide by it.
+  ownZone.Moves = Hooks.Moves(ownZone.Scope);
+  Link->send(State.Fleet.groupPeers(), encodeFleetMessage(ownZone));
 }
 
 void GatewayFleet::publishSoon() {
@@ -160,8 +205,7 @@
   const Instant now = bootNow();
   if (!State.Fleet.hear(report, now))
     return;
-  if (report.Scope == ReportScope::Host)
-    Echoes[report.Reporter] = report.SentAt;
+  Echoes[report.Reporter] = report.SentAt;
   Hooks.HearMoves(report.Moves);
   Counting.take(report, self(), now);
 }
@@ -179,7 +223,12 @@
   if (!news.IsLeftOut)
     news.Changes.Changes = changes.Changes;
   news.Age = now - begun;
-  for (const HostId &it : State.Fleet.groupPeers()) {
+  std::vector<HostId> peers = State.Fleet.groupPeers();
+  if (State.Fleet.isZoned() && leads(now)) {
+    const auto others = State.Fleet.otherAggregators(now);
+    peers.insert(peers.end(), others.begin(), others.end());
+  }
+  for (const HostId &it : peers) {
     const auto echo = Echoes.find(it);
     if (echo == Echoes.end())
       continue;
@@ -188,14 +237,28 @@
   }
 }
 
+/// An earlier life's entry says the same where the host has its old address.
+void GatewayFleet::registerAmong(const std::vector<FleetMember> &members) {
+  if (IsRegistered || State.isStopping())
+    return;
+  const FleetMember self = this->self();
+  IsRegistered =
+      std::any_of(members.begin(), members.end(), [&](const FleetMember &it) {
+        return it.Host == self.Host && it.Zone == self.Zone &&
+               it.PeerAddress == self.PeerAddress &&
+               it.Capacity == self.Capacity;
+      });
+  if (!IsRegistered)
+    registerHost();
+}
+
 void GatewayFleet::registerHost() {
   const FleetMember self = this->self();
   KeptObject own;
   own.Name = self.Host.text();
   own.Body = nlohmann::json{{"peer_address", self.PeerAddress},
                             {"zone", self.Zone.text()},
-                            {"cores", self.Capacity},
-                            {"incarnation", State.Incarnation.text()}}
+                            {"cores", self.Capacity}}
                  .dump();
   State.Hooks.Store.Create(
       StoreKind::Hosts, own,
@@ -239,8 +302,6 @@
 void GatewayFleet::findPeers() {
   if (State.isStopping())
     return;
-  if (!IsRegistered)
-    registerHost();
   State.Hooks.Store.List(StoreKind::Hosts,
                          [this](const StoreResult<KindListing> &result) {
                            if (!result.Got)
@@ -252,11 +313,14 @@
                                members.push_back(member);
                            }
                            State.Fleet.noteRegistered(members);
+                           registerAmong(members);
                          });
-  const bool isTold = State.Fleet.isZoned() && !aggregates(bootNow());
-  const Duration later = isTold ? RareSearches : LaterSearches;
-  SearchTimer.expires_after(++Searches <= FirstSearchCount ? FirstSearches
-                                                           : later);
+  const Instant now = bootNow();
+  const bool hearsOthers = State.Fleet.isZoned() && !aggregates(now);
+  const Duration later = hearsOthers ? RareSearches : LaterSearches;
+  const bool isFirst =
+      ++Searches <= FirstSearchCount && !State.Fleet.hearsSum(now);
+  SearchTimer.expires_after(isFirst ? FirstSearches : later);
   SearchTimer.async_wait([this](boost::system::error_code ec) {
     if (!ec)
       findPeers();
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -48,14 +48,18 @@
   bool aggregates(Instant now) const {
     return State.Fleet.aggregates(self(), now);
   }
+  /// Whether this host asks the store for all others.
+  bool leads(Instant now) const { return State.Fleet.leads(self(), now); }
   FleetMember self() const;
   std::string address() const { return Link->address(); }
 
 private:
   void heard(const FleetReport &report);
   FleetReport ownReport(Instant now) const;
+  void sendOwn(const FleetReport &own, Instant now);
   void publishSums(const FleetReport &own, Instant now);
   void keepLinks(Instant now);
+  void registerAmong(const std::vector<FleetMember> &members);
   void registerHost();
   void findPeers();
 
--- a/Services/sorrelbayd/GatewayMoves.cpp
+++ b/Services/sorrelbayd/GatewayMoves.cpp
@@ -122,6 +122,7 @@
   const Instant trueNow = State.Time.at(now);
   const bool hearsPeers =
       State.Fleet.members().empty() || State.Fleet.hearsAny(HeardLately, now);
+  const bool hearsAll = State.Fleet.collects(State.Self(), now);
   for (auto &[name, move] : Moves) {
     if (isOver(move.Order.Outcome))
       continue;
@@ -132,7 +133,10 @@
     if (hearsPeers)
       move.Run->refreshed(trueNow);
     const RolloutStatus before = move.Run->status();
-    move.Run->update(Known, trueNow);
+    if (hearsAll)
+      move.Run->update(Known, trueNow);
+    else
+      move.Run->follow(Known, trueNow);
     const RolloutStatus after = move.Run->status();
     if (before.State != after.State || before.Stage != after.Stage)
       LogLine(Severity::Info, "move step")
@@ -230,10 +234,21 @@
       });
   if (!hasMove)
     return "";
-  // FIXME: A sum of the evidence by zone. Whoever aggregates for others tells
-  // all that it knows, which joins to the same, but grows with the fleet.
+  switch (scope) {
+  case ReportScope::Host:
+    return encodeRolloutKnowledge(ownPart(Known, Self));
+  case ReportScope::Zone:
+    return encodeRolloutKnowledge(partOf(Known, [&](const EvidenceSource &it) {
+      return State.Fleet.isOfOwnZone(it.Host);
+    }));
+  case ReportScope::OtherZones:
+    return encodeRolloutKnowledge(Known);
+  case ReportScope::OwnZone:
+    break;
+  }
+  // Hosts that don't decide need no evidence.
   return encodeRolloutKnowledge(
-      scope == ReportScope::Host ? ownPart(Known, Self) : Known);
+      partOf(Known, [](const EvidenceSource &) { return false; }));
 }
 
 void GatewayMoves::hear(const std::string &news, Instant /*now*/) {
--- a/Tests/LibDecision/TestRollout.cpp
+++ b/Tests/LibDecision/TestRollout.cpp
@@ -141,6 +141,25 @@
   BOOST_CHECK(rollout.state() == RolloutState::TakenBack);
 }
 
+// Most hosts of a large fleet hear steps and vetoes, but no evidence but their
+// own. By that alone one of them would move the whole fleet on.
+BOOST_AUTO_TEST_CASE(a_follower_takes_over_steps_and_takes_none) {
+  RolloutKnowledge knowledge;
+  Rollout rollout(planFor(DeadlinePolicy::InTime), Self);
+  for (int n = 0; n < 20 * 60; ++n)
+    rollout.follow(knowledge, Start + seconds(n));
+  BOOST_CHECK(knowledge.Stages.empty());
+  raiseStage(knowledge, VersionId("new"), {3, Start});
+  const Instant now = Start + minutes(21);
+  rollout.refreshed(now);
+  rollout.follow(knowledge, now);
+  BOOST_CHECK_GT(keysToNew(rollout.shares(), true, now), 300);
+  BOOST_CHECK(rollout.state() == RolloutState::Moving);
+  addVeto(knowledge, vetoAt(now, "127.0.0.2"));
+  rollout.follow(knowledge, now);
+  BOOST_CHECK(rollout.state() == RolloutState::TakenBack);
+}
+
 // Nobody calls the new version's routes, so there is nothing to judge by. One
 // deployment would rather be in time, the other rather be sure.
 BOOST_AUTO_TEST_CASE(the_deadline_policy_decides_without_evidence) {
--- a/Tests/LibObjectApi/TestKindWatcher.cpp
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -12,17 +12,21 @@
 namespace {
 
 /// A watcher of one kind whose store is played by the test: a call stays open
-/// until the test answers it.
+/// until the test answers it. One that is told of changes has begun to ask
+/// because no news followed its list, unless it is `fresh`.
 struct World {
-  explicit World(bool asksAlways, KindWatcherSettings settings = {}) {
+  explicit World(bool asksAlways, KindWatcherSettings settings = {},
+                 bool fresh = false)
+      : AsksAlways(asksAlways) {
     KindStore store;
     store.List = [this](StoreKind, const StoreCallback<KindListing> &done) {
       ++Lists;
       Listed = done;
     };
-    store.Watch = [this](StoreKind, std::uint64_t after, Duration,
+    store.Watch = [this](StoreKind, std::uint64_t after, Duration patience,
                          const StoreCallback<KindChanges> &done) {
       ++Watches;
+      Waits = patience;
       After = after;
       Watched = done;
     };
@@ -30,13 +34,22 @@
     hooks.OnObject = [this](const KeptObject &it) { Seen[it.Name] = it.Body; };
     hooks.OnRemoved = [this](const std::string &name) { Seen.erase(name); };
     hooks.OnConfirmed = [this](Instant begun) { Confirmed = begun; };
-    hooks.AsksAlways = [asksAlways] { return asksAlways; };
+    hooks.OnWatched = [this](std::uint64_t from, const KindChanges &changes,
+                             Instant) {
+      PassedOn.emplace_back(from, changes.AsOf);
+      Changes = changes.Changes.size();
+    };
+    hooks.AsksAlways = [this] { return AsksAlways; };
+    hooks.IsUnreached = [this] { return IsUnreached; };
     Watcher = std::make_unique<KindWatcher>(Loop, store, StoreKind::Replicas,
                                             settings, hooks);
     Watcher->start();
     StoreResult<KindListing> listing;
     listing.Got = KindListing{{{"a", "1", "", 5}}, 10};
     Listed(listing);
+    if (!fresh)
+      Watcher->tick(bootNow() + settings.Patience * settings.SilentPatiences +
+                    milliseconds(1));
   }
 
   /// News after `from` up to `asOf`, told this long after the call to the
@@ -54,6 +67,12 @@
   }
 
   boost::asio::io_context Loop;
+  bool AsksAlways;
+  bool IsUnreached = false;
+  std::size_t Changes = 0;
+  Duration Waits{};
+  /// From which revision to which changes were passed on.
+  std::vector<std::pair<std::uint64_t, std::uint64_t>> PassedOn;
   StoreCallback<KindListing> Listed;
   StoreCallback<KindChanges> Watched;
   int Lists = 0;
@@ -78,7 +97,6 @@
 
 BOOST_AUTO_TEST_CASE(a_host_that_is_told_of_changes_does_not_ask) {
   World world(false);
-  // Nothing was heard yet, so it asks.
   BOOST_TEST(world.Watches == 1);
   world.Watcher->hear(World::news(10, 12, {changed("b", "2", 12)}), bootNow());
   BOOST_TEST(world.Seen.at("b") == "2");
@@ -92,6 +110,99 @@
   BOOST_TEST(world.Watches == 1);
 }
 
+// Hundreds of hosts start together. Each would ask again and again for what it
+// has just listed, until the one that asks for all has begun to.
+BOOST_AUTO_TEST_CASE(what_was_just_listed_is_not_asked_for) {
+  KindWatcherSettings settings;
+  World world(false, settings, true);
+  BOOST_TEST(world.Watches == 0);
+  world.Watcher->tick(bootNow() + settings.Patience);
+  BOOST_TEST(world.Watches == 0);
+  world.Watcher->tick(bootNow() + settings.Patience * settings.SilentPatiences +
+                      milliseconds(1));
+  BOOST_TEST(world.Watches == 1);
+  BOOST_TEST(world.After == 10);
+}
+
+// One host asks the store for all zones, and each zone's own passes its news
+// on. Were only the first to do so, the other zones would hear of no change.
+BOOST_AUTO_TEST_CASE(news_is_passed_on) {
+  World world(false);
+  world.Watcher->hear(World::news(10, 12, {changed("b", "2", 12)}), bootNow());
+  BOOST_TEST(world.PassedOn.size() == 1);
+  BOOST_TEST(world.PassedOn.front().first == 10);
+  BOOST_TEST(world.PassedOn.front().second == 12);
+  // With a gap there is nothing whole to pass on.
+  world.Watcher->hear(World::news(20, 22, {}), bootNow());
+  BOOST_TEST(world.PassedOn.size() == 1);
+}
+
+// The host that asked for all is gone. The next one begins with a watch that
+// waits as long as any, and all others ask by themselves before it returns.
+BOOST_AUTO_TEST_CASE(one_that_begins_to_ask_for_others_confirms_at_once) {
+  KindWatcherSettings settings;
+  World world(false, settings);
+  world.Watcher->hear(World::news(10, 12, {}), bootNow());
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  BOOST_TEST(world.Watches == 1);
+  world.AsksAlways = true;
+  world.Watcher->tick(bootNow() + milliseconds(100));
+  BOOST_TEST(world.Watches == 2);
+  BOOST_TEST((world.Waits == settings.FirstPatience));
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  BOOST_TEST(world.Watches == 3);
+  BOOST_TEST((world.Waits == settings.Patience));
+}
+
+// The store has forgotten its history, so that the one that asks for all lists.
+// Were nothing passed on, each host would find a gap and list, too.
+BOOST_AUTO_TEST_CASE(what_a_new_list_shows_is_passed_on) {
+  World world(true);
+  world.Watched({{}, StoreFailure::HistoryGone});
+  world.Loop.run_for(milliseconds(20));
+  BOOST_TEST(world.Lists == 2);
+  world.Listed({KindListing{{{"b", "2", "", 30}}, 40}, {}});
+  BOOST_TEST(world.Seen.count("a") == 0);
+  BOOST_TEST(world.PassedOn.size() == 1);
+  BOOST_TEST(world.PassedOn.front().first == 10);
+  BOOST_TEST(world.PassedOn.front().second == 40);
+  BOOST_TEST(world.Changes == 2);
+  BOOST_TEST(world.After == 40);
+}
+
+// The store is away for seconds. Hundreds of hosts that hear nothing would each
+// try it several times a second.
+BOOST_AUTO_TEST_CASE(one_that_is_told_tries_a_store_that_is_away_rarely) {
+  KindWatcherSettings settings;
+  settings.Patience = milliseconds(100);
+  settings.SilentPatiences = 4;
+  World world(false, settings);
+  for (int n = 0; n < 2; ++n) {
+    const int before = world.Watches;
+    world.Watched({{}, StoreFailure::Unavailable});
+    world.Loop.restart();
+    world.Loop.run_for(milliseconds(300));
+    BOOST_TEST(world.Watches == before);
+    world.Loop.run_for(milliseconds(200));
+    BOOST_TEST(world.Watches == before + 1);
+  }
+}
+
+// A write of this host failed while it was told of all changes. It would count
+// as cut off for good.
+BOOST_AUTO_TEST_CASE(one_that_did_not_reach_the_store_finds_out_that_it_does) {
+  World world(false);
+  world.Watcher->hear(World::news(10, 12, {}), bootNow());
+  world.Watched({KindChanges{{}, 12}, StoreFailure::Unavailable});
+  world.IsUnreached = true;
+  const Instant later = bootNow() + milliseconds(1900);
+  world.Watcher->hear(World::news(12, 13, {}), later);
+  world.Watcher->tick(later);
+  BOOST_TEST(world.Watches == 1);
+  world.Watcher->tick(later + milliseconds(200));
+  BOOST_TEST(world.Watches == 2);
+}
+
 // The host that passes news on dies, and says nothing. A replica that leaves
 // would go on getting calls for as long as this host waits.
 BOOST_AUTO_TEST_CASE(silence_of_the_reporter_makes_it_ask_again) {
--- a/Tests/LibServing/FleetWorld.cpp
+++ b/Tests/LibServing/FleetWorld.cpp
@@ -189,7 +189,7 @@
   own.Members = {host.Member};
   host.Counting->fillOwn(own, Now);
   host.View->noteOwn(own, Now);
-  post(index, host.View->groupPeers(), own);
+  post(index, host.View->reportPeers(host.Member, Now), own);
   if (!host.View->isZoned() || !host.View->aggregates(host.Member, Now))
     return;
   FleetReport zone = host.View->zoneReport(own, Now);
@@ -198,6 +198,7 @@
   host.Counting->fillUsage(others);
   post(index, host.View->otherAggregators(Now), zone);
   post(index, host.View->groupPeers(), others);
+  post(index, host.View->groupPeers(), host.View->ownZoneReport(zone));
 }
 
 void FleetWorld::deliver() {
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -11,6 +11,7 @@
 /// Hosts "h00" to "hNN" in zones "z0", "z1" ..., that tell each other what
 /// their views say they should, without a network.
 struct Fleet {
+  Instant Now{seconds(1000)};
   Fleet(int hosts, int zones) {
     for (int n = 0; n < hosts; ++n) {
       FleetMember it;
@@ -21,12 +22,13 @@
       // The first host of each zone is larger.
       it.Capacity = n < zones ? 2 : 1;
       Members.push_back(it);
-      Views.emplace_back(FleetViewSettings{it.Host, it.Zone});
+      Views.emplace_back(FleetViewSettings{it.Host, it.Zone, Now});
     }
     for (FleetView &it : Views)
       it.noteRegistered(Members);
     Work.resize(Members.size());
     IsDown.resize(Members.size());
+    Heard.resize(Members.size());
   }
 
   std::size_t indexOf(const HostId &host) const {
@@ -51,6 +53,7 @@
   void tell(const std::vector<HostId> &hosts, const FleetReport &report) {
     for (const HostId &it : hosts) {
       ++Messages;
+      ++Heard[indexOf(it)];
       if (!IsDown[indexOf(it)])
         Views[indexOf(it)].hear(report, Now);
     }
@@ -66,11 +69,13 @@
       view.forgetSilent(Now);
       const FleetReport own = ownReport(n);
       view.noteOwn(own, Now);
-      tell(view.groupPeers(), own);
+      tell(view.reportPeers(Members[n], Now), own);
       if (!view.isZoned() || !view.aggregates(Members[n], Now))
         continue;
-      tell(view.otherAggregators(Now), view.zoneReport(own, Now));
+      const FleetReport zone = view.zoneReport(own, Now);
+      tell(view.otherAggregators(Now), zone);
       tell(view.groupPeers(), view.othersReport(own, Now));
+      tell(view.groupPeers(), view.ownZoneReport(zone));
     }
   }
 
@@ -90,6 +95,14 @@
     return calls;
   }
 
+  int leaders() const {
+    int n = 0;
+    for (std::size_t it = 0; it < Views.size(); ++it)
+      if (!IsDown[it] && Views[it].leads(Members[it], Now))
+        ++n;
+    return n;
+  }
+
   int aggregators() const {
     int n = 0;
     for (std::size_t it = 0; it < Views.size(); ++it)
@@ -104,7 +117,8 @@
   std::vector<bool> IsDown;
   std::uint64_t Sequence = 0;
   int Messages = 0;
-  Instant Now{seconds(1000)};
+  /// Messages that each host was sent.
+  std::vector<int> Heard;
 };
 
 } // namespace
@@ -142,6 +156,72 @@
   BOOST_TEST(fleet.Messages < 80 * 79 / 3);
 }
 
+// What a small host hears grows with its zone: its processor time goes into
+// reports, and it is late for its callers.
+BOOST_AUTO_TEST_CASE(a_small_host_hears_as_much_in_a_large_zone) {
+  int heard[2] = {};
+  int n = 0;
+  for (const int hosts : {90, 360}) {
+    Fleet fleet(hosts, 6);
+    fleet.Work.assign(static_cast<std::size_t>(hosts), 1);
+    fleet.rounds(12);
+    fleet.Heard.assign(fleet.Heard.size(), 0);
+    fleet.rounds(4);
+    const auto last = static_cast<std::size_t>(hosts - 1);
+    heard[n++] = fleet.Heard[last];
+    BOOST_TEST(fleet.othersWork(last) == hosts - 1);
+  }
+  BOOST_TEST(heard[0] <= 4 * 6);
+  BOOST_TEST(heard[1] == heard[0]);
+}
+
+// All hosts of a zone that hear the others lose power at once. The rest hears
+// no sum any more and would go on by what it knew for as long.
+BOOST_AUTO_TEST_CASE(others_collect_when_all_collectors_are_silent) {
+  Fleet fleet(180, 6);
+  fleet.Work.assign(180, 2);
+  fleet.rounds(12);
+  for (const std::size_t n : {0, 6, 12})
+    fleet.IsDown[n] = true;
+  fleet.rounds(16);
+  BOOST_TEST(fleet.aggregators() == 6);
+  for (std::size_t n = 18; n < 180; ++n) {
+    BOOST_TEST(fleet.othersWork(n) >= 176 * 2);
+    BOOST_TEST(fleet.othersWork(n) <= 179 * 2);
+  }
+}
+
+// One host asks the store for all zones. Were it one a zone, calls to the store
+// would grow with the zones; were it none, nobody would hear of a change.
+BOOST_AUTO_TEST_CASE(one_host_leads_all_zones) {
+  Fleet fleet(180, 6);
+  fleet.rounds(12);
+  BOOST_TEST(fleet.leaders() == 1);
+  BOOST_TEST(fleet.Views[0].leads(fleet.Members[0], fleet.Now));
+  fleet.IsDown[0] = true;
+  fleet.rounds(12);
+  BOOST_TEST(fleet.leaders() == 1);
+  // One that doesn't reach the store leads no more.
+  fleet.Members[1].IsCutOff = true;
+  fleet.rounds(12);
+  BOOST_TEST(fleet.leaders() == 1);
+  BOOST_TEST(!fleet.Views[1].leads(fleet.Members[1], fleet.Now));
+}
+
+// A holder of the duties that hears its zone as a sum reports the usage of the
+// whole fleet, and an aggregator that begins knows what the one before it did.
+BOOST_AUTO_TEST_CASE(a_sum_over_the_own_zone_counts_once_in_the_usage) {
+  const TeamId team("t");
+  UsageCounts usage(IncarnationId("me"), ZoneId("z0"), seconds(5));
+  usage.noteHost(ZoneId("z0"), IncarnationId("me"), 7, {{team, 4}});
+  usage.noteOwnZone(7, {{team, 30}});
+  usage.noteOthers(7, {{team, 100}});
+  BOOST_TEST(usage.sum(7).at(team) == 130);
+  BOOST_TEST(usage.ownZone().at(7).at(team) == 30);
+  usage.noteHost(ZoneId("z0"), IncarnationId("other"), 7, {{team, 27}});
+  BOOST_TEST(usage.sum(7).at(team) == 131);
+}
+
 // An aggregator loses power. Its zone's hosts would stay unknown to the others,
 // and the others to them.
 BOOST_AUTO_TEST_CASE(another_host_aggregates_when_an_aggregator_is_silent) {
--- a/Tests/sorrelbayd/GatewayWorld.cpp
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -184,6 +184,7 @@
   out.Watch = [this, &loop](StoreKind kind, std::uint64_t after,
                             Duration patience,
                             const StoreCallback<KindChanges> &done) {
+    ++Watches.at(static_cast<std::size_t>(kind));
     const auto timer = std::make_shared<boost::asio::steady_timer>(loop);
     const auto look = std::make_shared<std::function<void(Duration)>>();
     *look = [this, kind, after, done, timer,
@@ -364,6 +365,15 @@
   return sendOnce(CallerAddress, call);
 }
 
+void GatewayWorld::waitUntilSeen(StoreKind kind) {
+  // The watch that is open or begins next tells it; the one after follows only
+  // when it has been told.
+  const int begun = Store.watches(kind);
+  for (int n = 0; n < MostTries && Store.watches(kind) < begun + 2; ++n)
+    std::this_thread::sleep_for(milliseconds(25));
+  BOOST_REQUIRE_GE(Store.watches(kind), begun + 2);
+}
+
 HttpReply GatewayWorld::callUntil(int status, const std::string &key,
                                   const std::string &path) {
   HttpReply reply;
--- a/Tests/sorrelbayd/GatewayWorld.h
+++ b/Tests/sorrelbayd/GatewayWorld.h
@@ -3,6 +3,7 @@
 #include "Gateway.h"
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibHttp/HttpClient.h"
+#include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <functional>
@@ -24,6 +25,10 @@
   void setUnreachable(bool isUnreachable) { IsUnreachable = isUnreachable; }
   /// Watches are no longer answered from history: the watcher must list.
   void forgetHistory();
+  /// Watches of the kind that have begun.
+  int watches(StoreKind kind) {
+    return Watches.at(static_cast<std::size_t>(kind));
+  }
   std::string statusOf(StoreKind kind, const std::string &name);
   std::string bodyOf(StoreKind kind, const std::string &name);
 
@@ -40,6 +45,7 @@
   std::uint64_t Revision = 1;
   std::uint64_t HistoryFrom = 0;
   std::atomic<bool> IsUnreachable{false};
+  std::array<std::atomic<int>, StoreKindCount> Watches{};
 };
 
 /// A gateway with a store in memory and one upstream that the test scripts, all
@@ -56,6 +62,9 @@
   GatewayWorld(const GatewayWorld &) = delete;
   GatewayWorld &operator=(const GatewayWorld &) = delete;
 
+  /// Waits until the gateway has seen what the store holds of the kind now.
+  /// Fails the test if it never does.
+  void waitUntilSeen(StoreKind kind);
   /// Sends a call with that key; the route's timeout is three
   /// seconds.
   HttpReply call(const std::string &key, const std::string &path = "/a/1");
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -96,6 +96,7 @@
 BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_upstream) {
   GatewayWorld world;
   world.addReplica("r2");
+  world.waitUntilSeen(StoreKind::Replicas);
   world.callUntil(200, "key");
   world.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
     const HttpHeaders id = {
--- a/Tests/sorrelbayd/TestReplicaOrders.cpp
+++ b/Tests/sorrelbayd/TestReplicaOrders.cpp
@@ -3,6 +3,7 @@
 #include "ReplicaOrders.h"
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
+#include <thread>
 
 using namespace sorrelbay;
 
@@ -57,10 +58,12 @@
   }
 
   void takeDuties() {
-    for (int n = 0; n < 100 && !Duties.isHeld(bootNow()); ++n) {
+    // A host that has just started waits to hear of others.
+    for (int n = 0; n < 1000 && !Duties.isHeld(bootNow()); ++n) {
       Duties.tick(bootNow());
       Loop.restart();
       Loop.run_for(milliseconds(2));
+      std::this_thread::sleep_for(milliseconds(5));
     }
   }
 
