ReplicaOrders: Count no replicas of the version that was left

The old version's reclaimable replicas, which had stopped, were still listed, so the new version's on-demand ones looked superfluous and 69 of 74 were sent away at once; the shortage lasted 13 s. Ruled out: the move itself (complete 1.1 s before its deadline, share 1 for 5 s). Change: replicas count only where calls may go to their version. Tests: replica_orders/replicas_of_the_version_that_was_left_do_not_count (red before: 2 of 12 on-demand replicas left), replica_table/many_hosts_do_not_all_*.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -10,6 +10,8 @@
 static constexpr double MostSeen = 20;
 /// What an upstream in another zone counts as more, in open calls.
 static constexpr double OtherZoneCalls = 0.5;
+/// More hosts than that hear of each other through others.
+static constexpr int ManyHosts = 16;
 /// Decides between equals and is less than any difference.
 static constexpr double DrawWeight = 0.1;
 /// How much of a conversation's shared parts its home is taken to have cached.
@@ -73,21 +75,13 @@
       }));
 }
 
-static bool isOfVersion(const ReplicaRecord &record,
-                        const ReplicaRequest &request) {
-  const VersionChoice &version = request.Version;
-  if (!version.Never.empty() && record.OfVersion == version.Never)
-    return false;
-  return version.First.empty() || record.OfVersion == version.First;
-}
-
 bool ReplicaTable::fits(const Entry &entry,
                         const ReplicaRequest &request) const {
   const bool wasTried = std::find(request.Tried.begin(), request.Tried.end(),
                                   entry.Record.Id) != request.Tried.end();
   return entry.Record.OfService == request.ForService &&
          !entry.Record.IsLeaving && !wasTried &&
-         isOfVersion(entry.Record, request);
+         isOfVersion(entry.Record.OfVersion, request.Version);
 }
 
 bool ReplicaTable::mayTake(const Entry &entry, const ReplicaRequest &request,
@@ -127,11 +121,31 @@
   return able.empty() ? doubtful : able;
 }
 
-/// The one with least to do, in the own zone where that is equal.
-ReplicaTable::Entry *ReplicaTable::leastBusy(const std::vector<Entry *> &able,
+/// Two upstreams that the call's seed draws.
+std::vector<ReplicaTable::Entry *>
+ReplicaTable::drawTwo(std::vector<Entry *> able, std::uint64_t seed) {
+  const auto draw = [&](const Entry *it) {
+    return stableHash(it->Record.Id.text(), seed);
+  };
+  if (able.size() <= 2)
+    return able;
+  std::partial_sort(
+      able.begin(), able.begin() + 2, able.end(),
+      [&](const Entry *a, const Entry *b) { return draw(a) < draw(b); });
+  able.resize(2);
+  return able;
+}
+
+/// The one with least to do, in the own zone where that is equal. Beside many
+/// hosts that hear of each other's calls only when these have long ended it is
+/// the better one of two: all would choose the same best one until they hear of
+/// it.
+ReplicaTable::Entry *ReplicaTable::leastBusy(const std::vector<Entry *> &all,
                                              const ReplicaRequest &request) {
   Entry *best = nullptr;
   double bestCost = std::numeric_limits<double>::max();
+  const bool isOneOfMany = request.Hosts > ManyHosts;
+  const auto able = isOneOfMany ? drawTwo(all, request.Seed) : all;
   for (Entry *it : able) {
     const std::uint64_t draw = stableHash(it->Record.Id.text(), request.Seed);
     const double zone =
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -49,6 +49,13 @@
   }
 };
 
+/// Whether a call with that choice goes to the version.
+inline bool isOfVersion(const VersionId &version, const VersionChoice &choice) {
+  if (!choice.Never.empty() && version == choice.Never)
+    return false;
+  return choice.First.empty() || version == choice.First;
+}
+
 /// What a placement asks for.
 struct ReplicaRequest {
   ServiceId ForService;
@@ -200,7 +207,9 @@
   std::optional<ReplicaChoice> chooseOf(const ReplicaRequest &request,
                                         Instant now);
   std::vector<Entry *> ableTo(const ReplicaRequest &request, Instant now);
-  static Entry *leastBusy(const std::vector<Entry *> &able,
+  static std::vector<Entry *> drawTwo(std::vector<Entry *> able,
+                                      std::uint64_t seed);
+  static Entry *leastBusy(const std::vector<Entry *> &all,
                           const ReplicaRequest &request);
   std::vector<Candidate> candidates(const std::vector<Entry *> &able,
                                     const ReplicaRequest &request, Instant now);
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -70,7 +70,9 @@
   bool isStopping() const { return StoppingSince.has_value(); }
   /// Which version a call goes to and how it did; set where moves are kept.
   std::function<VersionChoice(const ServiceId &, const std::string &callId)>
-      VersionFor;
+      VersionFor = [](const ServiceId &, const std::string &) {
+        return VersionChoice{};
+      };
   std::function<void(const ServiceId &, const VersionId &, const RouteId &,
                      UpstreamOutcome)>
       RecordOutcome;
--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -45,8 +45,12 @@
     const auto [it, isNew] =
         Plans.try_emplace(service.Name, *service.Scaling, *service.Engine);
     std::map<ZoneId, ZoneReplicas> seen;
+    // After a move the replicas of the other version are still listed for a
+    // while although they get no calls.
+    const VersionChoice version = State.VersionFor(service.Name, "");
     for (const ReplicaRecord &record : State.Replicas.records()) {
-      if (record.OfService != service.Name)
+      if (record.OfService != service.Name ||
+          !isOfVersion(record.OfVersion, version))
         continue;
       ZoneReplicas &zone = seen[record.InZone];
       if (record.IsLeaving)
--- a/Tests/LibServing/TestReplicaTable.cpp
+++ b/Tests/LibServing/TestReplicaTable.cpp
@@ -154,4 +154,29 @@
   BOOST_TEST((table.workAt(UpstreamId("r0")) == OpenWork{}));
 }
 
+// Two hundred hosts hear half a second late that a desk has least to do, and a
+// call takes a tenth of that. All of them would send it what comes meanwhile,
+// and it turns most of it away.
+BOOST_AUTO_TEST_CASE(many_hosts_do_not_all_choose_the_same_desk) {
+  ReplicaTable table;
+  std::map<UpstreamId, OpenWork> open;
+  for (const char *id : {"a", "b", "c", "d", "e", "f"}) {
+    ReplicaRecord record;
+    record.Id = UpstreamId(id);
+    record.OfService = ServiceId("desk");
+    table.note(record, Instant{seconds(10)});
+    open[record.Id] = {record.Id == UpstreamId("a") ? 1 : 4, 0, 0};
+  }
+  table.notePeer(SourceId("other zones"), open);
+  ReplicaRequest request;
+  request.ForService = ServiceId("desk");
+  request.Hosts = 200;
+  std::map<UpstreamId, int> sent;
+  for (request.Seed = 1; request.Seed <= 600; ++request.Seed)
+    ++sent[table.choose(request, Instant{seconds(10)})->Id];
+  BOOST_TEST(sent[UpstreamId("a")] > 150);
+  BOOST_TEST(sent[UpstreamId("a")] < 250);
+  BOOST_TEST(sent.size() == 6U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/sorrelbayd/TestReplicaOrders.cpp
+++ b/Tests/sorrelbayd/TestReplicaOrders.cpp
@@ -93,4 +93,38 @@
   BOOST_TEST(world.Ordered.size() >= 4U);
 }
 
+// A move is done and the old version's replicas stop, but their entries stay
+// for seconds. Counted as serving they made the new version's replicas
+// superfluous, and nearly all of those were sent away.
+BOOST_AUTO_TEST_CASE(replicas_of_the_version_that_was_left_do_not_count) {
+  OrdersWorld world;
+  for (const char *zone : {"a", "b", "c", "d"})
+    for (const char *version : {"v1", "v2"})
+      for (int n = 0; n < 3; ++n) {
+        ReplicaRecord record;
+        record.Id = UpstreamId(std::string(version) + zone + std::to_string(n));
+        record.OfService = ServiceId("model");
+        record.InZone = ZoneId(zone);
+        record.OfVersion = VersionId(version);
+        record.IsReclaimable = record.OfVersion == VersionId("v1");
+        world.State.Replicas.note(record, bootNow());
+      }
+  world.State.VersionFor = [](const ServiceId &, const std::string &) {
+    return VersionChoice{VersionId("v2"), {}};
+  };
+  world.takeDuties();
+  BOOST_TEST_REQUIRE(world.Duties.isHeld(bootNow()));
+  for (int n = 0; n < 20; ++n) {
+    world.Orders.tick(bootNow());
+    world.Loop.restart();
+    world.Loop.run_for(milliseconds(50));
+  }
+  BOOST_TEST(!world.Ordered.empty());
+  int onDemand = 12;
+  for (const ReplicaOrder &it : world.Ordered)
+    if (!it.IsReclaimable)
+      onDemand += it.Count - 3;
+  BOOST_TEST(onDemand >= 5);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
