FleetView: Let nobody lead unheard, and take levels of a zone by their median

(4) A store that was away for 4.5 s was asked 2,900 times, as all views of all hosts tried it. Change: who has heard of nobody doesn't lead for 3 s if others have registered; searches for peers follow after 0.5 and 1.5 s. Sums always carry their pace and the median of their hosts' levels. A host takes the lease of its own earlier process at once; silent hosts are waited for only if they are more than 1 in 40. One view of a host tries a store that is away, every other rest. Tests: fleet_view/a_host_that_has_heard_nobody_*, an_aggregator_that_is_wrong_*, few_silent_hosts_*, duty_keeper/a_host_takes_its_earlier_life_s_lease_*, kind_watcher/one_that_is_told_tries_*, one_that_did_not_reach_*.

--- a/Libraries/LibDecision/MoverLease.cpp
+++ b/Libraries/LibDecision/MoverLease.cpp
@@ -26,7 +26,7 @@
     return LeaseStep::Read;
   if (isHeld(now))
     return now >= RenewAt ? LeaseStep::Write : LeaseStep::None;
-  if (Seen.Version == 0 || now >= SeenSince + Settings.Term)
+  if (Seen.Version == AbandonedVersion || now >= SeenSince + Settings.Term)
     return LeaseStep::Write;
   return now >= ReadAt + Settings.Term / LooksPerTerm ? LeaseStep::Read
                                                       : LeaseStep::None;
@@ -48,6 +48,8 @@
   ReadAt = now;
 }
 
+void MoverLease::noteAbandoned() { AbandonedVersion = Seen.Version; }
+
 void MoverLease::noteTold(const LeaseState &state, Instant now) {
   if (state.Version <= Seen.Version || UnknownSentAt != Instant{})
     return;
--- a/Libraries/LibDecision/MoverLease.h
+++ b/Libraries/LibDecision/MoverLease.h
@@ -41,6 +41,9 @@
 
   /// The stored lease was read.
   void noteRead(const LeaseState &state, Instant now);
+  /// The holder of the stored lease is an earlier process of this host and
+  /// holds it no more: there is no term to wait for.
+  void noteAbandoned();
   /// The holder has told that it wrote that version. From now on it counts as
   /// seen: a term has not to be waited for anew when the holder goes, or when
   /// the store was away. A write still expects that version, so that one which
@@ -71,6 +74,8 @@
   IncarnationId Self;
   MoverLeaseSettings Settings;
   LeaseState Seen;
+  /// Nobody holds the lease of that version; 0 is before there was one.
+  std::uint64_t AbandonedVersion = 0;
   bool HasRead = false;
   bool MustRead = true;
   Instant SeenSince{};
--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -53,6 +53,8 @@
   Instant AskedAt{};
   /// No call to the store is under way or timed.
   bool IsResting = false;
+  /// The view is to be listed before it can be watched.
+  bool MustList = false;
   /// News was missed, and is asked for.
   bool HasGap = false;
   int Failures = 0;
@@ -62,6 +64,8 @@
 
 void KindWatcher::Impl::list() {
   const Instant begun = bootNow();
+  AskedAt = begun;
+  MustList = false;
   Store.List(Kind, [self = shared_from_this(),
                     begun](const StoreResult<KindListing> &result) {
     if (self->IsStopped)
@@ -159,15 +163,23 @@
 }
 
 bool KindWatcher::Impl::mustAsk(Instant now) const {
-  const bool mustProbe = Hooks.IsUnreached() && now - AskedAt > restTime();
-  return Hooks.AsksAlways() || mustProbe || now - HeardAt > restTime() ||
+  if (Hooks.AsksAlways())
+    return true;
+  // A host that others tell needs the store only if those don't find it either.
+  if (Hooks.IsUnreached())
+    return Hooks.Probes() && now - AskedAt > restTime();
+  return now - HeardAt > restTime() ||
          now - ConfirmedAt > Settings.Patience * Settings.OldPatiences;
 }
 
 void KindWatcher::Impl::next(Instant now) {
   const bool begins = IsResting && Hooks.AsksAlways();
   IsResting = !mustAsk(now);
-  if (!IsResting)
+  if (IsResting)
+    return;
+  if (MustList)
+    list();
+  else
     watch(begins ? Settings.FirstPatience : Settings.Patience);
 }
 
@@ -196,11 +208,8 @@
   Hooks.OnWatched(news.From, news.Changes, begun);
 }
 
-/// How long to wait after so many failures in a row. A host that others tell
-/// needs the store only if those don't find it either.
+/// How long to wait after so many failures in a row.
 Duration KindWatcher::Impl::retryDelay() const {
-  if (HasListed && !Hooks.AsksAlways())
-    return restTime();
   Duration delay = Settings.RetryDelay;
   for (int n = 1; n < Failures && delay < Settings.LongestRetryDelay; ++n)
     delay *= 2;
@@ -213,6 +222,9 @@
         .field("kind", toText(Kind))
         .field("why", toText(why))
         .field("revision", static_cast<std::int64_t>(AsOf));
+  MustList = mustList;
+  if (HasListed && why != StoreFailure::HistoryGone && !Hooks.AsksAlways())
+    return next(bootNow());
   // History that is gone needs a list at once: the view is already behind.
   Timer.expires_after(why == StoreFailure::HistoryGone ? Duration::zero()
                                                        : retryDelay());
--- a/Libraries/LibObjectApi/KindWatcher.h
+++ b/Libraries/LibObjectApi/KindWatcher.h
@@ -52,6 +52,8 @@
   /// Whether this host's last call to the store did not reach it: it has to ask
   /// now and then to find out that it does again.
   std::function<bool()> IsUnreached = [] { return false; };
+  /// Whether this view is the one that asks then.
+  std::function<bool()> Probes = [] { return true; };
 };
 
 /// Keeps a view of one kind of object: lists it, then watches it, and lists
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -79,7 +79,8 @@
   /// Of a sum, how fast it grew of late, in units a second: with it those that
   /// heard another reporter before go on where that one ended.
   std::map<TeamId, double> Pace;
-  /// What the reporter believes is left of the teams' allotments.
+  /// What the reporter believes is left of the teams' allotments; of a sum the
+  /// median of what its hosts believe, so that one that is wrong moves nobody.
   std::map<TeamId, double> Levels;
   std::map<WindowNumber, TeamCounts> Usage;
   /// Of a sum over the receiver's own zone, the newest report of each host that
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -250,7 +250,10 @@
 
 /// Before it has heard of the others each host is the first that it knows of.
 bool FleetView::hasHeardOthers(Instant now) const {
-  return now - Settings.BornAt >= Settings.AggregatorSilence;
+  const Duration age = now - Settings.BornAt;
+  if (age < Settings.AggregatorSilence)
+    return false;
+  return !Known.empty() || Registered.empty() || age >= Settings.Young;
 }
 
 bool FleetView::aggregates(const FleetMember &self, Instant now) const {
@@ -416,15 +419,33 @@
   }
 }
 
+/// The middle of what several reports say of each team.
+static std::map<TeamId, double>
+medianLevels(const std::vector<const FleetReport *> &reports) {
+  std::map<TeamId, std::vector<double>> all;
+  for (const FleetReport *it : reports)
+    for (const auto &[team, level] : it->Levels)
+      all[team].push_back(level);
+  std::map<TeamId, double> out;
+  for (auto &[team, levels] : all) {
+    const auto middle = levels.begin() + static_cast<long>(levels.size() / 2);
+    std::nth_element(levels.begin(), middle, levels.end());
+    out[team] = *middle;
+  }
+  return out;
+}
+
 FleetReport FleetView::zoneReport(const FleetReport &own, Instant now) const {
   FleetReport out = own;
   out.Scope = ReportScope::Zone;
   out.Used = ZoneUsed.total();
   out.Pace = ZoneUsed.pace(now);
+  std::vector<const FleetReport *> summed{&own};
   for (const auto &[source, heard] : Reports) {
     if (heard.Report.Scope != ReportScope::Host ||
         heard.Report.Zone != Settings.Zone)
       continue;
+    summed.push_back(&heard.Report);
     addTo(out.Open, heard.Report.Open);
     addTo(out.Demand, heard.Report.Demand);
     out.Uptime = std::max(out.Uptime, heard.Report.Uptime);
@@ -433,6 +454,7 @@
     if (it.Member.Zone == Settings.Zone &&
         (it.Member.IsLeaving || isAnswering(it, now)))
       out.Members.push_back(it.Member);
+  out.Levels = medianLevels(summed);
   return out;
 }
 
@@ -455,9 +477,11 @@
   out.Pace = OthersUsed.pace(now);
   out.Open.clear();
   out.Demand.clear();
+  std::vector<const FleetReport *> summed;
   for (const auto &[source, heard] : Reports) {
     if (heard.Report.Scope != ReportScope::Zone)
       continue;
+    summed.push_back(&heard.Report);
     addTo(out.Open, heard.Report.Open);
     addTo(out.Demand, heard.Report.Demand);
     out.Uptime = std::max(out.Uptime, heard.Report.Uptime);
@@ -467,6 +491,7 @@
     if (it.Member.Zone != Settings.Zone &&
         (it.Member.IsLeaving || isAnswering(it, now)))
       out.Members.push_back(it.Member);
+  out.Levels = medianLevels(summed);
   return out;
 }
 
@@ -512,10 +537,12 @@
   return it != Reports.end() && now - it->second.At < Settings.Silence;
 }
 
-bool FleetView::hearsAll(Instant now) const {
-  return std::all_of(Known.begin(), Known.end(), [&](const auto &it) {
-    return it.second.Member.IsLeaving || isAnswering(it.second, now);
-  });
+double FleetView::silentShare(Instant now) const {
+  const auto silent =
+      std::count_if(Known.begin(), Known.end(), [&](const auto &it) {
+        return !it.second.Member.IsLeaving && !isAnswering(it.second, now);
+      });
+  return static_cast<double>(silent) / hostCount();
 }
 
 bool FleetView::hearsAny(Duration notLonger, Instant now) const {
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -122,9 +122,9 @@
   bool hearsAny(Duration notLonger, Instant now) const;
   /// Whether this zone's aggregator was heard of lately.
   bool hearsSum(Instant now) const;
-  /// Whether all other hosts that are known and not leaving were heard of
-  /// lately.
-  bool hearsAll(Instant now) const;
+  /// The part of the hosts that are known and not leaving that was not heard of
+  /// lately, in [0, 1].
+  double silentShare(Instant now) const;
   const FleetViewSettings &settings() const { return Settings; }
 
 private:
--- a/Services/sorrelbayd/DutyKeeper.cpp
+++ b/Services/sorrelbayd/DutyKeeper.cpp
@@ -77,32 +77,37 @@
 
 void DutyKeeper::read(Instant /*now*/) {
   IsWaiting = true;
-  State.Hooks.Store.Read(StoreKind::Duties, LeaseName,
-                         [this](const StoreResult<KeptObject> &result) {
-                           IsWaiting = false;
-                           const Instant now = bootNow();
-                           if (!result.Got) {
-                             if (result.Failure == StoreFailure::Missing)
-                               Lease.noteRead({}, now);
-                             return;
-                           }
-                           const auto body = nlohmann::json::parse(
-                               result.Got->Body, nullptr, false);
-                           LeaseState seen;
-                           std::uint64_t fencing = 0;
-                           seen.Version = result.Got->Revision;
-                           if (body.is_object()) {
-                             seen.Holder =
-                                 IncarnationId(body.value("holder", ""));
-                             fencing = body.value("fencing", std::uint64_t{0});
-                             SeenFencing = std::max(SeenFencing, fencing);
-                           }
-                           Lease.noteRead(seen, now);
-                           // Its own write, whose answer was lost: the number
-                           // went with it.
-                           if (Lease.isHeld(now))
-                             Fencing = fencing;
-                         });
+  State.Hooks.Store.Read(
+      StoreKind::Duties, LeaseName,
+      [this](const StoreResult<KeptObject> &result) {
+        IsWaiting = false;
+        const Instant now = bootNow();
+        if (!result.Got) {
+          if (result.Failure == StoreFailure::Missing)
+            Lease.noteRead({}, now);
+          return;
+        }
+        const auto body =
+            nlohmann::json::parse(result.Got->Body, nullptr, false);
+        LeaseState seen;
+        std::uint64_t fencing = 0;
+        bool isOwnEarlier = false;
+        seen.Version = result.Got->Revision;
+        if (body.is_object()) {
+          seen.Holder = IncarnationId(body.value("holder", ""));
+          fencing = body.value("fencing", std::uint64_t{0});
+          SeenFencing = std::max(SeenFencing, fencing);
+          isOwnEarlier = body.value("host", "") == State.Settings.Host.text() &&
+                         seen.Holder != State.Incarnation;
+        }
+        Lease.noteRead(seen, now);
+        if (isOwnEarlier)
+          Lease.noteAbandoned();
+        // Its own write, whose answer was lost: the number
+        // went with it.
+        if (Lease.isHeld(now))
+          Fencing = fencing;
+      });
 }
 
 void DutyKeeper::write(Instant now) {
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -183,8 +183,8 @@
     Fleet.passOn(kind, from, changes, begun);
   };
   hooks.AsksAlways = [this] { return Fleet.leads(bootNow()); };
-  if (kind == StoreKind::Plan)
-    hooks.IsUnreached = [this] { return State.Reach.isUnreached(); };
+  hooks.IsUnreached = [this] { return State.Reach.isUnreached(); };
+  hooks.Probes = [kind] { return kind == StoreKind::Plan; };
   return std::make_unique<KindWatcher>(Loop, State.Hooks.Store, kind, settings,
                                        std::move(hooks));
 }
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -11,9 +11,9 @@
 
 /// At the least between two reports, whatever happens.
 constexpr Duration ShortestPublishGap = milliseconds(20);
-/// How often the store is asked who the peers are: often at the start, when
-/// all hosts come at once, then rarely.
-constexpr Duration FirstSearches = milliseconds(1500);
+/// How often the store is asked who the peers are: soon after the start, when
+/// all hosts have come at once, with longer and longer pauses, then rarely.
+constexpr Duration FirstSearches = milliseconds(500);
 constexpr Duration LaterSearches = seconds(10);
 /// In a large fleet a host that doesn't aggregate hears of others from the
 /// peers of its group and from its aggregator; a new host makes itself known to
@@ -22,9 +22,6 @@
 constexpr int FirstSearchCount = 3;
 /// Between two reports that name all members and carry what changes slowly.
 constexpr Duration WholeInterval = seconds(1);
-/// For so long those that heard another aggregator before may not have heard
-/// this one.
-constexpr Duration NewAggregator = seconds(3);
 /// Larger changes are asked for by each host: passed on to a whole zone they
 /// would hold up the reports behind them.
 constexpr std::size_t MostPassedOn = 48UL * 1024;
@@ -122,13 +119,8 @@
   const FleetReport own = ownReport(now);
   State.Fleet.noteOwn(own, now);
   sendOwn(own, now);
-  if (!State.Fleet.isZoned() || !aggregates(now)) {
-    AggregatesSince.reset();
-    return;
-  }
-  if (!AggregatesSince)
-    AggregatesSince = now;
-  publishSums(own, now);
+  if (State.Fleet.isZoned() && aggregates(now))
+    publishSums(own, now);
 }
 
 /// A collector's hosts need its work only where they collect themselves; to the
@@ -167,12 +159,9 @@
     Named[zone.Scope] = zone.Members;
     Named[others.Scope] = others.Members;
   }
-  const bool isNew = now - *AggregatesSince < NewAggregator;
   for (FleetReport *it : {&zone, &others}) {
     // A host that hears sums only would otherwise go by one clock.
     it->TrueTimeMs = toEpochMilliseconds(State.Time.at(now));
-    if (!isNew)
-      it->Pace.clear();
     it->Usage.clear();
     it->Moves.clear();
     if (!isWhole) {
@@ -320,7 +309,8 @@
   const Duration later = hearsOthers ? RareSearches : LaterSearches;
   const bool isFirst =
       ++Searches <= FirstSearchCount && !State.Fleet.hearsSum(now);
-  SearchTimer.expires_after(isFirst ? FirstSearches : later);
+  SearchTimer.expires_after(isFirst ? FirstSearches * (2 * Searches - 1)
+                                    : later);
   SearchTimer.async_wait([this](boost::system::error_code ec) {
     if (!ec)
       findPeers();
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -71,8 +71,6 @@
   FleetCounting Counting;
   std::uint64_t Sequence = 0;
   Instant PublishedAt{};
-  /// Since when this host aggregates for its zone; nothing while it does not.
-  std::optional<Instant> AggregatesSince;
   /// When a report last named all members, and who they were.
   Instant NamedAt{};
   std::map<ReportScope, std::vector<FleetMember>> Named;
--- a/Services/sorrelbayd/UsageReporter.cpp
+++ b/Services/sorrelbayd/UsageReporter.cpp
@@ -7,8 +7,11 @@
 static constexpr const char *RecordName = "recent";
 /// After a window's end until all hosts' counts of it have arrived.
 static constexpr Duration SettleTime = milliseconds(1200);
-/// A silent host is waited for until this part of the due time has passed.
+/// A silent host is waited for until this part of the due time has passed ...
 static constexpr double LongestSettle = 0.5;
+/// ... unless silent hosts are this part of all at the most: what they counted
+/// puts the sum off by less than matters.
+static constexpr double NegligibleShare = 0.025;
 /// Between two records of what is known of the windows that go on.
 static constexpr Duration KeepInterval = seconds(1);
 /// Windows that are kept in the record.
@@ -57,7 +60,8 @@
   const Duration age = State.Time.at(now) - State.Usage.endOf(window);
   const Duration longest =
       fromSeconds(toSeconds(State.Settings.Bounds.UsageDue) * LongestSettle);
-  return age >= SettleTime && (State.Fleet.hearsAll(now) || age >= longest);
+  const bool hearsEnough = State.Fleet.silentShare(now) <= NegligibleShare;
+  return age >= SettleTime && (hearsEnough || age >= longest);
 }
 
 void UsageReporter::settle(Instant now) {
--- a/Tests/LibObjectApi/TestKindWatcher.cpp
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -41,6 +41,7 @@
     };
     hooks.AsksAlways = [this] { return AsksAlways; };
     hooks.IsUnreached = [this] { return IsUnreached; };
+    hooks.Probes = [this] { return Probes; };
     Watcher = std::make_unique<KindWatcher>(Loop, store, StoreKind::Replicas,
                                             settings, hooks);
     Watcher->start();
@@ -69,6 +70,7 @@
   boost::asio::io_context Loop;
   bool AsksAlways;
   bool IsUnreached = false;
+  bool Probes = true;
   std::size_t Changes = 0;
   Duration Waits{};
   /// From which revision to which changes were passed on.
@@ -173,18 +175,24 @@
 // The store is away for seconds. Hundreds of hosts that hear nothing would each
 // try it several times a second.
 BOOST_AUTO_TEST_CASE(one_that_is_told_tries_a_store_that_is_away_rarely) {
-  KindWatcherSettings settings;
-  settings.Patience = milliseconds(100);
-  settings.SilentPatiences = 4;
-  World world(false, settings);
-  for (int n = 0; n < 2; ++n) {
-    const int before = world.Watches;
+  for (const bool probes : {true, false}) {
+    KindWatcherSettings settings;
+    World world(false, settings);
+    world.Probes = probes;
+    world.IsUnreached = true;
+    const Instant failedAt = bootNow();
+    const Duration rest = settings.Patience * settings.SilentPatiences;
     world.Watched({{}, StoreFailure::Unavailable});
-    world.Loop.restart();
-    world.Loop.run_for(milliseconds(300));
-    BOOST_TEST(world.Watches == before);
-    world.Loop.run_for(milliseconds(200));
-    BOOST_TEST(world.Watches == before + 1);
+    world.Watcher->tick(failedAt + rest - milliseconds(100));
+    BOOST_TEST(world.Watches == 1);
+    world.Watcher->tick(failedAt + rest + milliseconds(100));
+    BOOST_TEST(world.Watches == (probes ? 2 : 1));
+    if (probes)
+      continue;
+    // Another view has reached it again.
+    world.IsUnreached = false;
+    world.Watcher->tick(failedAt + rest + milliseconds(200));
+    BOOST_TEST(world.Watches == 2);
   }
 }
 
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -27,6 +27,7 @@
     for (FleetView &it : Views)
       it.noteRegistered(Members);
     Work.resize(Members.size());
+    Levels.resize(Members.size());
     IsDown.resize(Members.size());
     Heard.resize(Members.size());
   }
@@ -47,6 +48,7 @@
     own.Members = {Members[n]};
     own.Open[UpstreamId("u")] = {Work[n], 0, 0};
     own.Used[TeamId("t")] = Work[n];
+    own.Levels[TeamId("t")] = Levels[n];
     return own;
   }
 
@@ -114,6 +116,7 @@
   std::vector<FleetMember> Members;
   std::vector<FleetView> Views;
   std::vector<int> Work;
+  std::vector<double> Levels;
   std::vector<bool> IsDown;
   std::uint64_t Sequence = 0;
   int Messages = 0;
@@ -222,6 +225,54 @@
   BOOST_TEST(usage.sum(7).at(team) == 131);
 }
 
+// All hosts start together and read who has registered before any link is up.
+// Each would take itself for the first, ask the store for all and reach for the
+// duties.
+BOOST_AUTO_TEST_CASE(a_host_that_has_heard_nobody_yet_does_not_lead) {
+  Fleet fleet(180, 6);
+  fleet.Now += seconds(1);
+  BOOST_TEST(fleet.leaders() == 0);
+  fleet.rounds(4);
+  BOOST_TEST(fleet.leaders() == 1);
+  // One that stays alone leads in the end.
+  Fleet lonely(180, 6);
+  lonely.Now += seconds(4);
+  BOOST_TEST(lonely.Views[100].leads(lonely.Members[100], lonely.Now));
+  FleetView only({HostId("h"), ZoneId("z"), fleet.Now - seconds(1)});
+  FleetMember self;
+  self.Host = HostId("h");
+  self.Zone = ZoneId("z");
+  BOOST_TEST(only.leads(self, fleet.Now));
+}
+
+// A host was cut off, charged teams with all that it had missed, and is the
+// first of its zone again. Its zone would believe it, and refuse the teams.
+BOOST_AUTO_TEST_CASE(an_aggregator_that_is_wrong_moves_no_level) {
+  Fleet fleet(90, 3);
+  const TeamId team("t");
+  fleet.Levels.assign(90, 1000);
+  fleet.Levels[0] = -8000;
+  fleet.rounds(12);
+  BOOST_TEST(fleet.Views[0].aggregates(fleet.Members[0], fleet.Now));
+  for (const std::size_t n : {30, 31, 32, 60})
+    for (const FleetReport *it :
+         fleet.Views[n].counted(fleet.Members[n], fleet.Now))
+      BOOST_TEST(it->Levels.at(team) == 1000);
+}
+
+// One of two hundred hosts is gone for good. Were the usage of a window to wait
+// for it, a holder that is killed meanwhile would leave it unreported.
+BOOST_AUTO_TEST_CASE(few_silent_hosts_are_a_small_part) {
+  Fleet fleet(180, 6);
+  fleet.rounds(12);
+  BOOST_TEST(fleet.Views[0].silentShare(fleet.Now) == 0);
+  for (const std::size_t n : {30, 31})
+    fleet.IsDown[n] = true;
+  fleet.rounds(16);
+  BOOST_TEST(fleet.Views[0].silentShare(fleet.Now) > 0.01);
+  BOOST_TEST(fleet.Views[0].silentShare(fleet.Now) < 0.012);
+}
+
 // An aggregator loses power. Its zone's hosts would stay unknown to the others,
 // and the others to them.
 BOOST_AUTO_TEST_CASE(another_host_aggregates_when_an_aggregator_is_silent) {
--- a/Tests/sorrelbayd/TestDutyKeeper.cpp
+++ b/Tests/sorrelbayd/TestDutyKeeper.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-GatewaySettings keeperSettings() {
+GatewaySettings keeperSettings(Duration lease) {
   GatewaySettings settings;
   settings.Host = HostId("host");
   settings.Zone = ZoneId("z");
-  settings.Bounds.Lease = milliseconds(300);
+  settings.Bounds.Lease = lease;
   settings.Bounds.UsageWindow = seconds(5);
   return settings;
 }
@@ -20,7 +20,8 @@
 /// One host that stands by for the duties, with a store that can lose its
 /// answer to the next write.
 struct KeeperWorld {
-  KeeperWorld() : State(Loop, keeperSettings(), hooks()) {
+  explicit KeeperWorld(Duration lease = milliseconds(300))
+      : State(Loop, keeperSettings(lease), hooks()) {
     State.Self = [] {
       FleetMember self;
       self.Host = HostId("host");
@@ -65,6 +66,16 @@
 
 BOOST_AUTO_TEST_SUITE(duty_keeper)
 
+// All hosts are killed and start again. For as long as the lease of a process
+// that is gone runs, nobody orders replicas or reports usage.
+BOOST_AUTO_TEST_CASE(a_host_takes_its_earlier_life_s_lease_at_once) {
+  KeeperWorld world(hours(1));
+  world.Store.put(StoreKind::Duties, "duties",
+                  R"({"holder":"earlier","host":"host","fencing":7})");
+  BOOST_TEST_REQUIRE(world.waitForDuties());
+  BOOST_TEST(world.Duties.stamp().Fencing == 8U);
+}
+
 // The store takes the write that makes this host the holder, and its answer is
 // lost. The host finds out by reading; if it then went on with the number of
 // an earlier term, its orders would be those of a holder that is long gone.
