UsedSum: Take no pace from what a silent source has counted

Ruled out: the levels (medians since the last change), the sum itself (true). Change: growth counts for the pace only by the part of its time that the pace looks back on. Test: used_sum/what_comes_after_a_silence_is_no_pace, red before (5,000 units a second where 1,000 is true).

--- a/Libraries/LibServing/UsedSum.cpp
+++ b/Libraries/LibServing/UsedSum.cpp
@@ -32,6 +32,9 @@
   const bool isFirst = known.Incarnation.empty();
   if (known.Incarnation != told.Incarnation)
     begin(known, told, now);
+  // What a source that was silent for long has counted came over all that time.
+  const double late =
+      isFirst ? 1 : toSeconds(now - known.At) / toSeconds(PaceSpan);
   known.At = now;
   for (const auto &[team, units] : told.Used) {
     UsedUnits &before = known.Used[team];
@@ -40,7 +43,8 @@
     Total[team] += growth;
     // The first word of a source tells of its whole life and of no pace.
     if (!isFirst)
-      Grown[team] += growth;
+      Grown[team] += static_cast<UsedUnits>(static_cast<double>(growth) /
+                                            std::max(1.0, late));
   }
   sample(now);
 }
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -417,4 +417,24 @@
   BOOST_TEST(pace < 110);
 }
 
+// An aggregator was cut off from its zone for twelve seconds. Told as its pace,
+// what its hosts let in meanwhile would be charged to the teams again.
+BOOST_AUTO_TEST_CASE(what_comes_after_a_silence_is_no_pace) {
+  UsedSum sum;
+  const TeamId team("t");
+  const auto tell = [&](int host, UsedUnits used, Instant now) {
+    sum.note(SourceId("host " + std::to_string(host)),
+             {IncarnationId("1"), {{team, used}}, {}}, now);
+  };
+  Instant now{seconds(10)};
+  for (int host = 0; host < 10; ++host)
+    tell(host, 100, now);
+  // Twelve seconds at 100 units a second each; they are heard again by and by.
+  now += seconds(12);
+  for (int host = 0; host < 10; ++host, now += milliseconds(200))
+    tell(host, 1300, now);
+  BOOST_TEST(sum.total().at(team) == 13000);
+  BOOST_TEST(sum.pace(now).at(team) < 1500);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
