--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -15,10 +15,7 @@
     : Bounds(std::move(bounds)), Engine(engine), Settings(settings) {}
 
 int ReplicaPlan::replicasFor(const ServiceLoad &load) const {
-  const double places = Engine.Slots;
-  const double calls = std::max(places * Settings.CallShare,
-                                std::min(places / 2, Settings.LightCalls));
-  const double byCalls = load.OpenCalls / calls;
+  const double byCalls = load.OpenCalls / (Engine.Slots * Settings.CallShare);
   const double byTokens = Engine.MemoryTokens <= 0
                               ? 0
                               : static_cast<double>(load.OpenTokens) /
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -32,9 +32,6 @@
   /// The part of its places, and of its memory, that a replica should have in
   /// use; above it first tokens get late.
   double CallShare = 0.28;
-  /// So many calls run beside each other without slowing each other, whatever
-  /// part of a replica's places they take, up to half of them.
-  double LightCalls = 7;
   double TokenShare = 0.36;
   /// The part of its time that a replica should spend on reading prompts. The
   /// rest is for the steps between and for arrivals that come in clumps.
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -200,20 +200,4 @@
   }
 }
 
-// Engines with few places: by a small part of them, twice the replicas stand
-// that their work needs, and more after each reclaim.
-BOOST_AUTO_TEST_CASE(few_places_are_used_further) {
-  const std::pair<int, int> expected[] = {
-      {8, 100}, {16, 58}, {32, 45}, {96, 15}};
-  for (const auto &[places, needed] : expected) {
-    Cloud cloud;
-    cloud.Shape.Slots = places;
-    ReplicaPlan plan(cloud.Bounds, cloud.Shape);
-    ServiceLoad load;
-    load.OpenCalls = 400;
-    plan.orders(ServiceId("model"), cloud.Seen, load, cloud.Now);
-    BOOST_TEST(plan.needed() == needed);
-  }
-}
-
 BOOST_AUTO_TEST_SUITE_END()
