AtMostOnce: Wait for the daemons' links before the store goes away

Cause: tickets_run_in_an_outage_of_the_object_api failed once in the whole script (a ticket's call at another daemon was answered owner-unreachable, not run) and 1 time in 12 by itself beside other work: nothing waits until the daemon that is asked has a link to the ticket's owner, and a daemon that is up may have none for some tens of milliseconds. The refusal was true. Change: the test waits for the links that /metrics shows; all checks stay.

--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -53,6 +53,17 @@
     call.Headers = {{"X-Team", "crew"}, {"X-Attempt", std::to_string(attempt)}};
     return parseCallQuery(sendOnce(entry(n), call));
   }
+  /// Each daemon has a link to each other one, so that it reaches the owners of
+  /// tickets.
+  void waitForLinks() const {
+    const std::string wanted =
+        "sorrelbay_peer_links " + std::to_string(Whole.Daemons.size() - 1);
+    for (std::size_t n = 0; n < Whole.Daemons.size(); ++n)
+      waitUntil("daemon " + std::to_string(n) + " has its links", [&] {
+        return Deployment::get(entry(n), "/metrics").find(wanted) !=
+               std::string::npos;
+      });
+  }
   /// The result is recorded after its answer; until then a repeat hears
   /// "unknown", but never "not run".
   void waitForDone(std::size_t n, const std::string &key,
@@ -279,6 +290,7 @@
 // not run. Dispatches go on with tickets, also through another daemon.
 BOOST_AUTO_TEST_CASE(tickets_run_in_an_outage_of_the_object_api) {
   const BookingSite site;
+  site.waitForLinks();
   const std::string ticket = site.takeTicket(0);
   site.Whole.setPlatformFaults("{\"down\":true}");
   const DeskCallAnswer refused = site.book(0, "visit-1", 1);
