--- a/Libraries/LibDecision/CanaryJudge.h
+++ b/Libraries/LibDecision/CanaryJudge.h
@@ -10,7 +10,7 @@
 /// What a version is judged by.
 enum class BadCall { Failure, Lateness };
 
-/// How sure the judge must be. The defaults are the measured ones.
+/// How sure the judge must be.
 struct JudgeSettings {
   /// The mixture's value at which a version is bad. A version that is no worse
   /// than the old one must get there in less than 1 of 100 moves.
--- a/Libraries/LibDecision/Rollout.h
+++ b/Libraries/LibDecision/Rollout.h
@@ -6,7 +6,7 @@
 
 namespace sorrelbay {
 
-/// How careful a rollout is. The defaults are the measured ones.
+/// How careful a rollout is.
 struct RolloutSettings {
   JudgeSettings Judge;
   /// Evidence that each route needs for every step since the stage began,
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -123,8 +123,8 @@
     publishSums(own, now);
 }
 
-/// A collector's hosts need its work only where they collect themselves; to the
-/// others a report without it says that it lives.
+/// A collector's work is needed by the other collectors only; the rest get it
+/// within the zone's sum, and a heartbeat besides.
 void GatewayFleet::sendOwn(const FleetReport &own, Instant now) {
   const std::vector<HostId> peers =
       State.Fleet.reportPeers(own.Members.front(), now);
@@ -134,15 +134,15 @@
     return;
   }
   const std::vector<HostId> collectors = State.Fleet.collectors(now);
-  FleetReport sign = own;
-  sign.Open.clear();
-  sign.Demand.clear();
-  sign.Used.clear();
-  sign.Levels.clear();
-  sign.Usage.clear();
-  sign.Moves.clear();
+  FleetReport heartbeat = own;
+  heartbeat.Open.clear();
+  heartbeat.Demand.clear();
+  heartbeat.Used.clear();
+  heartbeat.Levels.clear();
+  heartbeat.Usage.clear();
+  heartbeat.Moves.clear();
   Link->send(collectors, encodeFleetMessage(own));
-  Link->send(without(peers, collectors), encodeFleetMessage(sign));
+  Link->send(without(peers, collectors), encodeFleetMessage(heartbeat));
 }
 
 /// Tells other zones' aggregators the sum of this zone, and this zone the sum
