ReplicaTable: Keep cold upstreams to their rate, and evacuated zones free

Cause: nothing read ColdLeftMs, ColdPerS or evacuations.

Change: a cold upstream gets calls from the first hosts of its rendezvous order only, as many hosts as calls a second, each with an equal part (ColdShare). The hosts are all that have registered or are known, silent ones included, so that views differ by a host or two and not by a zone; a host that has not seen the list sends nothing to a cold upstream. Evacuations are a kind of the store like others, watched by the leader and passed on; the zone's upstreams are left out of placement, its replicas out of the plan, and after the end they count as cold until a younger view of the replicas.

--- a/Libraries/LibObjectApi/KindStore.cpp
+++ b/Libraries/LibObjectApi/KindStore.cpp
@@ -16,6 +16,8 @@
     return "duties";
   case StoreKind::Usage:
     return "usage";
+  case StoreKind::Evacuations:
+    return "evacuations";
   }
   return "";
 }
--- a/Libraries/LibObjectApi/KindStore.h
+++ b/Libraries/LibObjectApi/KindStore.h
@@ -24,10 +24,13 @@
   Duties,
   /// Our own: what is about to be reported, so that a successor repeats it.
   Usage,
+  /// The operators' orders to send nothing to a zone's upstreams; one is named
+  /// after its zone, and is in force until it is removed.
+  Evacuations,
 };
 
 /// The number of objects above, for tables by kind.
-constexpr std::size_t StoreKindCount = 6;
+constexpr std::size_t StoreKindCount = 7;
 
 /// The kind's word in logs and metrics.
 const char *toText(StoreKind kind);
--- /dev/null
+++ b/Libraries/LibServing/ColdShare.cpp
@@ -0,0 +1,43 @@
+#include "LibServing/ColdShare.h"
+#include "LibBase/Hash.h"
+#include <algorithm>
+#include <cmath>
+
+namespace sorrelbay {
+
+/// A second, and by how much more one call than the next may be held up on its
+/// way to the upstream.
+static constexpr Duration Window = milliseconds(1100);
+
+int coldShareOf(const UpstreamId &upstream, const HostId &self,
+                const std::vector<HostId> &hosts, double perSecond) {
+  const auto calls = static_cast<std::size_t>(std::max(0.0, perSecond));
+  if (calls == 0 || hosts.empty())
+    return 0;
+  const std::size_t senders = std::min(hosts.size(), calls);
+  const std::uint64_t order = stableHash(upstream.text());
+  const std::uint64_t own = stableHash(self.text(), order);
+  std::size_t before = 0;
+  bool isListed = false;
+  for (const HostId &it : hosts) {
+    isListed = isListed || it == self;
+    if (stableHash(it.text(), order) < own && ++before == senders)
+      return 0;
+  }
+  return isListed ? static_cast<int>(calls / senders) : 0;
+}
+
+bool ColdAllowance::hasRoom(int share, Instant now) const {
+  const auto recent =
+      std::count_if(Sends.begin(), Sends.end(),
+                    [&](Instant at) { return now - at < Window; });
+  return recent < share;
+}
+
+void ColdAllowance::note(Instant now) {
+  while (!Sends.empty() && now - Sends.front() >= Window)
+    Sends.pop_front();
+  Sends.push_back(now);
+}
+
+} // namespace sorrelbay
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -35,6 +35,7 @@
     : Settings(std::move(settings)) {}
 
 void FleetView::noteRegistered(const std::vector<FleetMember> &members) {
+  HasRegistered = true;
   Registered.clear();
   for (const FleetMember &it : members)
     if (it.Host != Settings.Self)
@@ -517,6 +518,17 @@
   return out;
 }
 
+std::vector<HostId> FleetView::everyHost() const {
+  if (!HasRegistered)
+    return {};
+  std::set<HostId> out{Settings.Self};
+  for (const auto &[host, it] : Registered)
+    out.insert(host);
+  for (const auto &[host, it] : Known)
+    out.insert(host);
+  return {out.begin(), out.end()};
+}
+
 int FleetView::hostCount() const {
   const auto n = std::count_if(Known.begin(), Known.end(), [](const auto &it) {
     return !it.second.Member.IsLeaving;
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -110,6 +110,9 @@
   bool isOfOwnZone(const HostId &host) const;
   /// All other hosts that are known.
   std::vector<HeardMember> members() const;
+  /// Each host that has registered or is known, this one included, also those
+  /// that are silent; none before the store has shown who has registered.
+  std::vector<HostId> everyHost() const;
   /// Hosts that take calls, this one included; at least 1.
   int hostCount() const;
   /// Whether the host was heard of lately enough for callers to be sent there.
@@ -158,6 +161,7 @@
 
   FleetViewSettings Settings;
   std::map<HostId, FleetMember> Registered;
+  bool HasRegistered = false;
   std::map<HostId, HeardMember> Known;
   /// Hosts that have registered or are known, this one included.
   std::size_t HostsSeen = 1;
--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -194,14 +194,32 @@
 ReplicaPlan::orders(const ServiceId &service,
                     const std::map<ZoneId, ZoneReplicas> &seen,
                     const ServiceLoad &load, Instant now) {
-  std::vector<ReplicaOrder> out;
   if (seen.empty())
-    return out;
+    return {};
+  // What stands in an evacuated zone serves nobody, and is left as it is: it
+  // may be needed again at any moment.
+  std::map<ZoneId, ZoneReplicas> usable;
   int serving = 0;
-  for (const auto &[zone, it] : seen)
+  for (const auto &[zone, it] : seen) {
+    if (it.IsEvacuated)
+      continue;
+    usable[zone] = it;
     serving += it.OnDemand + it.Reclaimable;
+  }
   rememberPeak(load, serving, now);
   keepLevel(seen, now);
+  if (usable.empty())
+    return {};
+  return ordersIn(service, usable, now);
+}
+
+std::vector<ReplicaOrder>
+ReplicaPlan::ordersIn(const ServiceId &service,
+                      const std::map<ZoneId, ZoneReplicas> &seen, Instant now) {
+  std::vector<ReplicaOrder> out;
+  int serving = 0;
+  for (const auto &[zone, it] : seen)
+    serving += it.OnDemand + it.Reclaimable;
   const Aim aim = aimAt(seen, now);
   int onDemand = 0;
   std::map<ZoneId, ZoneReplicas> coming = seen;
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -16,6 +16,8 @@
   int Reclaimable = 0;
   /// Reclaimable ones have been given notice here and are not yet gone.
   bool IsReclaimed = false;
+  /// Its replicas get no calls for as long as operators say so.
+  bool IsEvacuated = false;
 };
 
 /// The load that a service carries now, over all hosts.
@@ -96,6 +98,9 @@
   void rememberPeak(const ServiceLoad &load, int serving, Instant now);
   void keepLevel(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   Aim aimAt(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
+  std::vector<ReplicaOrder> ordersIn(const ServiceId &service,
+                                     const std::map<ZoneId, ZoneReplicas> &seen,
+                                     Instant now);
   int expected(const ZoneId &zone, bool isReclaimable, int seen,
                Instant now) const;
   std::map<ZoneId, int>
--- a/Libraries/LibServing/ReplicaRecord.h
+++ b/Libraries/LibServing/ReplicaRecord.h
@@ -20,6 +20,9 @@
   int Slots = 1;
   bool IsLeaving = false;
   bool IsReclaimable = false;
+  /// It has just started and is slow for so long; more than its service's cold
+  /// rate makes it crash.
+  Duration ColdFor{};
   /// Set when a leaving one says how soon it is gone.
   std::optional<Duration> LeavesIn;
   /// When this life began, in milliseconds since 1970 by the upstream's clock;
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -14,18 +14,24 @@
 static constexpr int ManyHosts = 16;
 /// Decides between equals and is less than any difference.
 static constexpr double DrawWeight = 0.1;
+/// An upstream counts as cold for a little longer than it says.
+static constexpr Duration ColdMargin = milliseconds(100);
 /// How much of a conversation's shared parts its home is taken to have cached.
 static constexpr double HomeCached = 0.97;
 
 ReplicaTable::ReplicaTable(ReplicaTableSettings settings)
     : Settings(settings) {}
 
-void ReplicaTable::note(const ReplicaRecord &record, Instant /*now*/) {
+void ReplicaTable::note(const ReplicaRecord &record, Instant now) {
+  const Instant coldUntil = record.ColdFor > Duration::zero()
+                                ? now + record.ColdFor + ColdMargin
+                                : Instant{};
   const auto found = Entries.find(record.Id);
   if (found != Entries.end()) {
     const bool isAnotherLife =
         found->second.Record.StartedMs != record.StartedMs;
     found->second.Record = record;
+    found->second.ColdUntil = coldUntil;
     if (isAnotherLife) {
       // It knows nothing of before, also not of its failures.
       found->second.FailureShare = 0;
@@ -36,6 +42,7 @@
   }
   Entry entry;
   entry.Record = record;
+  entry.ColdUntil = coldUntil;
   for (const auto &[peer, open] : PeerWork) {
     const auto it = open.find(record.Id);
     if (it == open.end())
@@ -75,20 +82,69 @@
       }));
 }
 
+void ReplicaTable::setColdRate(const ServiceId &service, double perSecond) {
+  double &rate = ColdRates[service];
+  if (rate == perSecond)
+    return;
+  rate = perSecond;
+  for (auto &[id, entry] : Entries)
+    entry.ColdShare.reset();
+}
+
+void ReplicaTable::setHosts(const HostId &self, std::vector<HostId> hosts) {
+  if (Self == self && Hosts == hosts)
+    return;
+  Self = self;
+  Hosts = std::move(hosts);
+  for (auto &[id, entry] : Entries)
+    entry.ColdShare.reset();
+}
+
+void ReplicaTable::beginEvacuation(const ZoneId &zone) {
+  Evacuated.insert(zone);
+}
+
+void ReplicaTable::endEvacuation(const ZoneId &zone, Instant now) {
+  Evacuated.erase(zone);
+  for (auto &[id, entry] : Entries)
+    if (entry.Record.InZone == zone)
+      entry.DoubtedAt = now;
+}
+
+bool ReplicaTable::isCold(const Entry &entry, Instant now) const {
+  return now < entry.ColdUntil ||
+         (entry.DoubtedAt != Instant{} && ConfirmedAt <= entry.DoubtedAt);
+}
+
+int ReplicaTable::cold(const ServiceId &service, Instant now) const {
+  return static_cast<int>(
+      std::count_if(Entries.begin(), Entries.end(), [&](const auto &it) {
+        const Entry &entry = it.second;
+        return entry.Record.OfService == service && !entry.Record.IsLeaving &&
+               isCold(entry, now);
+      }));
+}
+
+/// Whether the upstream is warm, or this host has some of its cold rate left.
+bool ReplicaTable::hasColdRoom(Entry &entry, Instant now) {
+  const auto rate = ColdRates.find(entry.Record.OfService);
+  if (rate == ColdRates.end() || rate->second <= 0 || !isCold(entry, now))
+    return true;
+  if (!entry.ColdShare)
+    entry.ColdShare = coldShareOf(entry.Record.Id, Self, Hosts, rate->second);
+  return entry.Allowance.hasRoom(*entry.ColdShare, now);
+}
+
 bool ReplicaTable::fits(const Entry &entry,
                         const ReplicaRequest &request) const {
   const bool wasTried = std::find(request.Tried.begin(), request.Tried.end(),
                                   entry.Record.Id) != request.Tried.end();
   return entry.Record.OfService == request.ForService &&
          !entry.Record.IsLeaving && !wasTried &&
+         !isEvacuated(entry.Record.InZone) &&
          isOfVersion(entry.Record.OfVersion, request.Version);
 }
 
-bool ReplicaTable::mayTake(const Entry &entry, const ReplicaRequest &request,
-                           Instant now) const {
-  return fits(entry, request) && now >= entry.EjectedUntil && !entry.IsProbed;
-}
-
 /// What a call's conversation is known by; empty if it belongs to none.
 static std::string conversationOf(const std::vector<PromptPart> &prompt) {
   if (prompt.empty())
@@ -113,10 +169,10 @@
   std::vector<Entry *> able;
   std::vector<Entry *> doubtful;
   for (auto &[id, entry] : Entries) {
-    if (mayTake(entry, request, now))
-      able.push_back(&entry);
-    else if (fits(entry, request))
-      doubtful.push_back(&entry);
+    if (!fits(entry, request) || !hasColdRoom(entry, now))
+      continue;
+    const bool isSound = now >= entry.EjectedUntil && !entry.IsProbed;
+    (isSound ? able : doubtful).push_back(&entry);
   }
   return able.empty() ? doubtful : able;
 }
@@ -260,7 +316,8 @@
     Models[it->second.Record.OfService].note(id, seen, now);
 }
 
-void ReplicaTable::noteSent(const UpstreamId &id, const CallWork &work) {
+void ReplicaTable::noteSent(const UpstreamId &id, const CallWork &work,
+                            Instant now) {
   const auto it = Entries.find(id);
   if (it == Entries.end())
     return;
@@ -269,6 +326,8 @@
   Entry &entry = it->second;
   if (entry.LastEjection > Duration::zero() && entry.Seen == 0)
     entry.IsProbed = true;
+  if (isCold(entry, now))
+    entry.Allowance.note(now);
   ++it->second.Own.Calls;
   it->second.Own.PromptTokens += work.PromptTokens;
   it->second.Own.Tokens += work.Tokens;
@@ -392,7 +451,7 @@
   ServiceWork out;
   for (const auto &[id, entry] : Entries) {
     if (entry.Record.OfService != service || entry.Record.IsLeaving ||
-        now < entry.EjectedUntil)
+        now < entry.EjectedUntil || isEvacuated(entry.Record.InZone))
       continue;
     out.Calls += entry.Own.Calls + entry.Peers.Calls;
     out.PromptTokens += entry.Own.PromptTokens + entry.Peers.PromptTokens;
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -4,12 +4,13 @@
 #include "LibBase/Time.h"
 #include "LibLoad/EngineModel.h"
 #include "LibLoad/PromptCache.h"
+#include "LibServing/ColdShare.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ServingCall.h"
 #include <cstdint>
 #include <map>
 #include <optional>
-#include <unordered_map>
+#include <set>
 #include <vector>
 
 namespace sorrelbay {
@@ -133,16 +134,35 @@
   void note(const ReplicaRecord &record, Instant now);
   /// The entry is gone: nothing new goes there.
   void remove(const UpstreamId &id);
+  /// All that the store held at that time has been noted.
+  void noteConfirmed(Instant begun) { ConfirmedAt = begun; }
   const ReplicaRecord *find(const UpstreamId &id) const;
   std::vector<ReplicaRecord> records() const;
   /// Upstreams of the service that are not leaving.
   int ready(const ServiceId &service) const;
 
+  /// Calls a second that one of the service's upstreams takes from all hosts
+  /// together while it is cold; 0 for no limit.
+  void setColdRate(const ServiceId &service, double perSecond);
+  /// All hosts that may send, this one included; a cold upstream gets nothing
+  /// from a host that has not been told who they are.
+  void setHosts(const HostId &self, std::vector<HostId> hosts);
+  /// Nothing goes to the zone's upstreams from now on.
+  void beginEvacuation(const ZoneId &zone);
+  /// They may be used again. They may have turned cold meanwhile, and count as
+  /// cold until a younger view of them says otherwise.
+  void endEvacuation(const ZoneId &zone, Instant now);
+  bool isEvacuated(const ZoneId &zone) const {
+    return Evacuated.count(zone) != 0;
+  }
+  /// Upstreams of the service that are cold and not leaving.
+  int cold(const ServiceId &service, Instant now) const;
+
   /// The upstream for a call; nothing if there is none that may take it.
   std::optional<ReplicaChoice> choose(const ReplicaRequest &request,
                                       Instant now);
 
-  void noteSent(const UpstreamId &id, const CallWork &work);
+  void noteSent(const UpstreamId &id, const CallWork &work, Instant now);
   /// The prompt was sent there and will be cached.
   void notePrompt(const UpstreamId &id, const std::vector<PromptPart> &prompt,
                   Instant now);
@@ -190,6 +210,12 @@
     Duration LastEjection{};
     /// A call was sent to see whether it works again.
     bool IsProbed = false;
+    Instant ColdUntil{};
+    /// It counts as cold until a view that is younger than this confirms it.
+    Instant DoubtedAt{};
+    ColdAllowance Allowance;
+    /// Of the cold rate, this host's; nothing until it is worked out.
+    std::optional<int> ColdShare;
   };
 
   /// One upstream that may take a call, and what it would cost there.
@@ -217,8 +243,8 @@
                       bool isHome, std::size_t upstreams, Instant now) const;
   const Candidate &bestOf(const std::vector<Candidate> &all) const;
   bool fits(const Entry &entry, const ReplicaRequest &request) const;
-  bool mayTake(const Entry &entry, const ReplicaRequest &request,
-               Instant now) const;
+  bool isCold(const Entry &entry, Instant now) const;
+  bool hasColdRoom(Entry &entry, Instant now);
   void judge(Entry &entry, SendResult result, Instant now);
   double othersFailureShare(const Entry &entry) const;
 
@@ -227,6 +253,11 @@
   std::map<SourceId, std::map<UpstreamId, OpenWork>> PeerWork;
   std::map<ServiceId, EngineModel> Models;
   PromptCache Cached;
+  std::map<ServiceId, double> ColdRates;
+  HostId Self;
+  std::vector<HostId> Hosts;
+  std::set<ZoneId> Evacuated;
+  Instant ConfirmedAt{};
 };
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/ServingPlan.h
+++ b/Libraries/LibServing/ServingPlan.h
@@ -88,6 +88,9 @@
   int MaxConnections = 0;
   std::optional<EngineShape> Engine;
   std::optional<ScalingBounds> Scaling;
+  /// Calls a second that one upstream takes from all hosts together while it is
+  /// cold; 0 for no limit.
+  double ColdRate = 0;
 };
 
 /// A team and what it may use.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -161,6 +161,7 @@
   };
   replicas.OnConfirmed = [this](Instant begun) {
     State.ReplicasConfirmedAt = begun;
+    State.Replicas.noteConfirmed(begun);
   };
   Replicas = watcherOf(StoreKind::Replicas, settings, replicas);
   KindWatcherHooks moves;
@@ -173,6 +174,33 @@
   Plans->start();
   Replicas->start();
   MoveOrders->start();
+  if (State.Settings.Bounds.Evacuation > Duration::zero())
+    watchEvacuations(settings);
+}
+
+void Gateway::watchEvacuations(const KindWatcherSettings &usual) {
+  KindWatcherHooks hooks;
+  hooks.OnObject = [this](const KeptObject &order) {
+    const ZoneId zone(order.Name);
+    if (State.Replicas.isEvacuated(zone))
+      return;
+    LogLine(Severity::Warning, "zone evacuated")
+        .field("zone", order.Name)
+        .field("revision", static_cast<std::int64_t>(order.Revision));
+    State.Replicas.beginEvacuation(zone);
+  };
+  hooks.OnRemoved = [this](const std::string &name) {
+    LogLine(Severity::Info, "evacuation over").field("zone", name);
+    State.Replicas.endEvacuation(ZoneId(name), bootNow());
+  };
+  hooks.OnConfirmed = [this](Instant begun) {
+    State.EvacuationsConfirmedAt = begun;
+  };
+  KindWatcherSettings settings = usual;
+  settings.Patience = State.Settings.Bounds.Evacuation / ConfirmsPerBound;
+  settings.GatherTime = Duration::zero();
+  Evacuations = watcherOf(StoreKind::Evacuations, settings, hooks);
+  Evacuations->start();
 }
 
 std::unique_ptr<KindWatcher>
@@ -197,6 +225,8 @@
     Replicas->hear(news, now);
   else if (news.Kind == StoreKind::Moves)
     MoveOrders->hear(news, now);
+  else if (news.Kind == StoreKind::Evacuations && Evacuations)
+    Evacuations->hear(news, now);
 }
 
 static FirstTokenLimits firstTokenLimits(const ServingPlan &plan) {
@@ -218,6 +248,8 @@
       return;
     }
     State.FirstTokens = firstTokenLimits(plan);
+    for (const ServingService &it : plan.Services)
+      State.Replicas.setColdRate(it.Name, it.ColdRate);
     State.Plan = std::make_shared<const PlanIndex>(std::move(plan));
     limitRepeats();
     LogLine(Severity::Info, "plan in force")
@@ -272,6 +304,9 @@
   State.TickedAt = now;
   for (KindWatcher *it : {Plans.get(), Replicas.get(), MoveOrders.get()})
     it->tick(now);
+  if (Evacuations)
+    Evacuations->tick(now);
+  State.Replicas.setHosts(State.Settings.Host, State.Fleet.everyHost());
   Duties.tick(now);
   Usage.tick(now);
   Orders.tick(now);
@@ -308,11 +343,10 @@
 bool Gateway::isReady(Instant now) const {
   if (State.isStopping() || !State.Plan)
     return false;
-  const bool hasReplicas = State.ReplicasConfirmedAt != Instant{};
   const GatewayBounds &bounds = State.Settings.Bounds;
   const bool hasKeys = !State.Plan->needsKeys() || !bounds.KeysFailClosed ||
                        State.planAge(now) < bounds.KeyRemoval;
-  return hasReplicas && hasKeys;
+  return State.knowsUpstreams() && hasKeys;
 }
 
 void Gateway::answerAddresses(HttpExchange &exchange) {
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -45,6 +45,7 @@
   void watchStore();
   void takePlan(const KeptObject &object);
   void takeReplica(const KeptObject &object);
+  void watchEvacuations(const KindWatcherSettings &usual);
   void repeat(boost::asio::steady_timer &timer, Duration interval,
               std::function<void()> work);
   void tick();
@@ -72,6 +73,8 @@
   std::unique_ptr<KindWatcher> Plans;
   std::unique_ptr<KindWatcher> Replicas;
   std::unique_ptr<KindWatcher> MoveOrders;
+  /// Nothing where zones are not evacuated.
+  std::unique_ptr<KindWatcher> Evacuations;
   boost::asio::steady_timer TickTimer;
   std::thread Worker;
 };
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -56,6 +56,9 @@
 void GatewayCall::start() {
   if (!Plan)
     return refuse(Unavailable, "no_plan_yet", spreadRetry(milliseconds(300)));
+  if (!State.knowsUpstreams())
+    return refuse(Unavailable, "upstreams_unknown",
+                  spreadRetry(milliseconds(300)));
   if (!findRoute() || !findTeam())
     return;
   const Duration patience = std::min(
@@ -276,7 +279,7 @@
   Now.At = now;
   IsOpen = true;
   Work.PromptTokens = chosen->ToRead;
-  State.Replicas.noteSent(chosen->Id, Work);
+  State.Replicas.noteSent(chosen->Id, Work, now);
   State.Replicas.notePrompt(chosen->Id, Call.Prompt, now);
   if (fromSeconds(reading / 1000) >= LargePrompt)
     State.TellPeers();
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -43,6 +43,8 @@
   bounds.Drain = spanAt(from, "drain_ms", 1);
   bounds.Grace = secondsAt(from, "grace_s");
   bounds.PlanInForce = spanAt(from, "plan_in_force_ms", 1);
+  if (from.has("evacuate_ms"))
+    bounds.Evacuation = spanAt(from, "evacuate_ms", 1);
   bounds.KeyRemoval = spanAt(from, "key_removal_ms", 1);
   bounds.KeysFailClosed = from.boolean("keys_fail_closed", true);
   bounds.RepeatShare = from.number("repeat_share", 0.1, 0, 1);
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -16,6 +16,9 @@
   Duration Grace{};
   /// From a plan's acceptance until it is in force everywhere.
   Duration PlanInForce{};
+  /// From the order to evacuate a zone until nothing new may reach its
+  /// upstreams; zero where zones are not evacuated.
+  Duration Evacuation{};
   /// From a key's removal until no call with it may run.
   Duration KeyRemoval{};
   /// Calls with keys are refused when the plan may be older than that.
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -58,6 +58,12 @@
   StoreCallsLoggedAt = now;
 }
 
+bool GatewayState::knowsUpstreams() const {
+  return ReplicasConfirmedAt != Instant{} &&
+         (Settings.Bounds.Evacuation == Duration::zero() ||
+          EvacuationsConfirmedAt != Instant{});
+}
+
 bool GatewayState::wasHeldUp(Instant now) const {
   return TickedAt != Instant{} && now - TickedAt > LongestTickGap;
 }
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -48,6 +48,7 @@
   /// that are not in it: a watch should have brought news, and did not return.
   Duration PlanFreshFor = seconds(2);
   Instant ReplicasConfirmedAt{};
+  Instant EvacuationsConfirmedAt{};
   ReplicaTable Replicas;
   EngineDemand Demand;
   /// Of the plan in force.
@@ -82,6 +83,9 @@
   /// Tells the peers at once what is open here.
   std::function<void()> TellPeers = [] {};
 
+  /// Whether it is known where calls may go: which upstreams there are, and
+  /// which zones are evacuated.
+  bool knowsUpstreams() const;
   /// How old the plan may be at most, by what is known.
   Duration planAge(Instant now) const { return now - PlanConfirmedAt; }
   void noteStoreCall(const char *call, StoreKind kind,
--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -53,6 +53,7 @@
           !isOfVersion(record.OfVersion, version))
         continue;
       ZoneReplicas &zone = seen[record.InZone];
+      zone.IsEvacuated = State.Replicas.isEvacuated(record.InZone);
       if (record.IsLeaving)
         zone.IsReclaimed = zone.IsReclaimed || record.IsReclaimable;
       else
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -200,4 +200,24 @@
   }
 }
 
+// A zone is evacuated under load. What stands there serves nobody, and the
+// others would be short until callers came back late.
+BOOST_AUTO_TEST_CASE(other_zones_stand_in_for_an_evacuated_one) {
+  Cloud cloud;
+  cloud.Bounds.Most = 60;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {400, 2600000}, seconds(40));
+  ZoneReplicas &evacuated = cloud.Seen[ZoneId("a")];
+  const int stood = evacuated.Reclaimable;
+  evacuated.IsEvacuated = true;
+  cloud.run(plan, {400, 2600000}, seconds(6));
+  BOOST_TEST(evacuated.Reclaimable == stood);
+  BOOST_TEST(evacuated.OnDemand == 0);
+  // As many as before, any one of the other zones left out.
+  for (const char *zone : {"b", "c", "d"})
+    BOOST_TEST(cloud.total(true) - stood -
+                   cloud.Seen[ZoneId(zone)].Reclaimable >=
+               plan.needed());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/TestReplicaTable.cpp
+++ b/Tests/LibServing/TestReplicaTable.cpp
@@ -56,7 +56,7 @@
   for (int n = 0; n < 3; ++n)
     table.note(replica("r" + std::to_string(n)), Now);
   const UpstreamId home = table.choose(request("c"), Now)->Id;
-  table.noteSent(home, {60000, 60500});
+  table.noteSent(home, {60000, 60500}, Now);
   const auto next = table.choose(request("c"), Now);
   BOOST_REQUIRE(next);
   BOOST_TEST((next->Id != home));
@@ -88,7 +88,7 @@
   const UpstreamId bad("r2");
   Instant now = Now;
   for (int n = 0; n < 10 && !table.isEjected(bad, now); ++n) {
-    table.noteSent(bad, {});
+    table.noteSent(bad, {}, Now);
     table.noteEnded(bad, {}, false, SendResult::Broken, now);
     now += milliseconds(10);
   }
@@ -111,16 +111,16 @@
   table.note(replica("r1"), Now);
   const UpstreamId bad("r0");
   for (int n = 0; n < 10; ++n) {
-    table.noteSent(bad, {});
+    table.noteSent(bad, {}, Now);
     table.noteEnded(bad, {}, false, SendResult::Broken, Now);
   }
   const Instant later = Now + seconds(30);
   for (int n = 0; n < 5; ++n)
-    table.noteSent(UpstreamId("r1"), {});
+    table.noteSent(UpstreamId("r1"), {}, Now);
   const auto it = request("");
   BOOST_TEST((table.choose(it, later)->Id == bad));
   BOOST_TEST((table.choose(it, later)->Id == bad));
-  table.noteSent(bad, {});
+  table.noteSent(bad, {}, Now);
   BOOST_TEST((table.choose(it, later)->Id == UpstreamId("r1")));
 }
 
@@ -132,7 +132,7 @@
     table.note(replica("r" + std::to_string(n)), Now);
   for (int n = 0; n < 400; ++n) {
     const UpstreamId id("r" + std::to_string(n % 4));
-    table.noteSent(id, {});
+    table.noteSent(id, {}, Now);
     const bool isBad = (n / 4) % 7 == 0;
     table.noteEnded(id, {}, true,
                     isBad ? SendResult::Failed : SendResult::Answered, Now);
@@ -179,4 +179,59 @@
   BOOST_TEST(sent.size() == 6U);
 }
 
+// A replica that has just started crashes under its part of all calls.
+BOOST_AUTO_TEST_CASE(a_cold_upstream_gets_its_rate_and_no_more) {
+  ReplicaTable table;
+  table.setColdRate(ServiceId("model"), 3);
+  table.setHosts(HostId("h"), {HostId("h")});
+  ReplicaRecord cold = replica("cold");
+  cold.ColdFor = seconds(3);
+  table.note(cold, Now);
+  BOOST_TEST(table.cold(ServiceId("model"), Now) == 1);
+  for (int n = 0; n < 3; ++n) {
+    BOOST_REQUIRE(table.choose(request(""), Now));
+    table.noteSent(cold.Id, {}, Now);
+  }
+  BOOST_TEST(!table.choose(request(""), Now + milliseconds(900)));
+  BOOST_TEST(!!table.choose(request(""), Now + milliseconds(1200)));
+  table.note(replica("warm"), Now);
+  BOOST_TEST(table.choose(request(""), Now)->Id.text() == "warm");
+  BOOST_TEST(table.cold(ServiceId("model"), Now + seconds(4)) == 0);
+}
+
+// A host that has just started believes itself alone, and so do all others
+// after a loss of power.
+BOOST_AUTO_TEST_CASE(a_cold_upstream_gets_nothing_before_hosts_are_known) {
+  ReplicaTable table;
+  table.setColdRate(ServiceId("model"), 3);
+  ReplicaRecord cold = replica("cold");
+  cold.ColdFor = seconds(3);
+  table.note(cold, Now);
+  BOOST_TEST(!table.choose(request(""), Now));
+  table.setHosts(HostId("h"), {HostId("h")});
+  BOOST_TEST(!!table.choose(request(""), Now));
+}
+
+// A zone's upstreams turn cold while it is evacuated; its end is heard before
+// the news of them.
+BOOST_AUTO_TEST_CASE(an_evacuated_zone_gets_nothing_and_comes_back_as_cold) {
+  ReplicaTable table;
+  table.setColdRate(ServiceId("model"), 1);
+  table.setHosts(HostId("h"), {HostId("h")});
+  table.note(replica("r0", "a"), Now);
+  table.beginEvacuation(ZoneId("a"));
+  BOOST_TEST(!table.choose(request(""), Now));
+  table.note(replica("r1", "b"), Now);
+  BOOST_TEST(table.choose(request(""), Now)->Id.text() == "r1");
+  BOOST_TEST(table.serviceWork(ServiceId("model"), Now).Replicas == 1);
+  table.remove(UpstreamId("r1"));
+  table.endEvacuation(ZoneId("a"), Now);
+  table.noteConfirmed(Now - milliseconds(1));
+  BOOST_TEST(table.cold(ServiceId("model"), Now) == 1);
+  table.noteSent(UpstreamId("r0"), {}, Now);
+  BOOST_TEST(!table.choose(request(""), Now));
+  table.noteConfirmed(Now + milliseconds(1));
+  BOOST_TEST(!!table.choose(request(""), Now));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -17,7 +17,7 @@
 {"Name":"r2","Host":"h.example","PathPrefix":"/b/","RouteKind":"streaming","Service":"s1","MaxAttempts":2,"Resumable":true},
 {"Name":"r3","Host":"h.example","PathPrefix":"/c/","RouteKind":"idempotent","Service":"s2"},
 {"Name":"r4","Host":"h.example","PathPrefix":"/d/","RouteKind":"non_idempotent","Service":"s2","Public":true}],
-"Services":[{"Name":"s1","MaxConns":300,"Engine":{"Slots":48,"KvCapacity":444000,"Moves":true,"HandleTtlS":5.0},
+"Services":[{"Name":"s1","MaxConns":300,"ColdS":3.0,"ColdPerS":18.0,"Engine":{"Slots":48,"KvCapacity":444000,"Moves":true,"HandleTtlS":5.0},
  "Scaling":{"Min":1,"Max":6,"BootS":4.0,"SpotPrice":0.22,"ZonePrices":{"z1":1.0,"z2":0.8}}},{"Name":"s2","MaxConns":100}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
 "Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"Unit":"tokens","PlainTokens":200,"RatePerS":100,"Burst":50}],
@@ -58,7 +58,9 @@
   BOOST_TEST(plan.Routes[3].IsPublic);
   BOOST_TEST(plan.Services[0].Engine->Slots == 48);
   BOOST_TEST(plan.Services[0].Scaling->ZonePrices.at(ZoneId("z2")) == 0.8);
+  BOOST_TEST(plan.Services[0].ColdRate == 18.0);
   BOOST_TEST(!plan.Services[1].Engine);
+  BOOST_TEST(plan.Services[1].ColdRate == 0.0);
   BOOST_TEST(plan.Teams[0].CountsTokens);
   BOOST_TEST(plan.Teams[0].Keys.size() == 2U);
   BOOST_TEST((plan.Limits.IdleTimeout == seconds(15)));
@@ -69,12 +71,16 @@
 // would be lost with it.
 BOOST_AUTO_TEST_CASE(entries_that_can_not_be_read_name_no_upstream) {
   const std::pair<const char *, const char *> changes[] = {
-      {"Service", "7"},     {"Service", "null"}, {"Address", "[]"},
-      {"State", "\"odd\""}, {"Zone", "{}"},      {"Slots", "\"x\""},
-      {"Spot", "3"}};
+      {"Service", "7"},     {"Service", "null"},  {"Address", "[]"},
+      {"State", "\"odd\""}, {"Zone", "{}"},       {"Slots", "\"x\""},
+      {"Spot", "3"},        {"ColdLeftMs", "-5"}, {"ColdLeftMs", "\"x\""}};
   const auto good = nlohmann::json::parse(
       R"({"Service":"s","Address":"10.0.0.1:8","Zone":"z","Version":"v1","Slots":48,"State":"ready","Seq":4})");
   BOOST_TEST(replicaFrom("i", good).Slots == 48);
+  BOOST_TEST((replicaFrom("i", good).ColdFor == Duration::zero()));
+  auto cold = good;
+  cold["ColdLeftMs"] = 1500;
+  BOOST_TEST((replicaFrom("i", cold).ColdFor == milliseconds(1500)));
   for (const auto &[key, value] : changes) {
     auto bad = good;
     bad[key] = nlohmann::json::parse(value);
--- a/Tests/sorrelbayd/GatewayWorld.cpp
+++ b/Tests/sorrelbayd/GatewayWorld.cpp
@@ -45,7 +45,7 @@
   team.Name = TeamId("team");
   team.Keys = {object.Body.substr(at + 1)};
   plan.Teams = {team};
-  plan.Services.push_back({ServiceId("desk"), MaxConnections, {}, {}});
+  plan.Services.push_back({ServiceId("desk"), MaxConnections, {}, {}, 0});
   return plan;
 }
 
@@ -87,6 +87,7 @@
   bounds.Drain = seconds(2);
   bounds.Grace = grace;
   bounds.PlanInForce = seconds(2);
+  bounds.Evacuation = seconds(2);
   bounds.KeyRemoval = keyRemoval;
   bounds.RepeatShare = 0.2;
   bounds.RepeatSlack = 20;
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -54,6 +54,22 @@
   world.callUntil(200, "key");
 }
 
+// A zone is about to lose its power, and its operator has calls kept away.
+BOOST_AUTO_TEST_CASE(an_evacuated_zone_gets_no_calls_until_it_is_taken_back) {
+  GatewayWorld world;
+  world.callUntil(200, "key");
+  world.Store.put(StoreKind::Evacuations, "another", "{}");
+  world.waitUntilSeen(StoreKind::Evacuations);
+  BOOST_TEST(world.call("key").Status == 200);
+  world.Store.put(StoreKind::Evacuations, "z", "{}");
+  world.callUntil(503, "key");
+  const int before = world.UpstreamCalls;
+  world.call("key");
+  BOOST_TEST(world.UpstreamCalls == before);
+  world.Store.remove(StoreKind::Evacuations, "z");
+  world.callUntil(200, "key");
+}
+
 // A desk's answer is lost on its way. The booking may have been made: told
 // "not run", its caller would book again.
 BOOST_AUTO_TEST_CASE(a_lost_answer_is_not_called_not_run) {
--- a/Tests/sorrelbayd/TestGatewaySettings.cpp
+++ b/Tests/sorrelbayd/TestGatewaySettings.cpp
@@ -65,6 +65,7 @@
     {"zone = \"z\"", "zone = \"z\"\nzoen = \"y\"", "zoen"},
     {"name = \"edge-1\"", "", "name"},
     {"key_removal_ms = 5000", "key_removal_ms = 0", "key_removal_ms"},
+    {"drain_ms = 2000", "drain_ms = 2000\nevacuate_ms = 0", "evacuate_ms"},
 };
 
 } // namespace
@@ -78,6 +79,7 @@
   BOOST_TEST(settings.Host.text() == "edge-1");
   BOOST_TEST((settings.Bounds.Grace == seconds(8)));
   BOOST_TEST(settings.Bounds.AllotmentSlack == 140000);
+  BOOST_TEST((settings.Bounds.Evacuation == Duration::zero()));
   BOOST_TEST(settings.MetricsListen == "10.0.0.1:5");
 }
 
--- a/Utilities/sorrelbay-bench/Capacity.cpp
+++ b/Utilities/sorrelbay-bench/Capacity.cpp
@@ -85,7 +85,7 @@
                         {"conversation" + std::to_string(n % 50), 3500},
                         {"own", 3000}};
       const auto choice = table.choose(request, at);
-      table.noteSent(choice->Id, {choice->ToRead, 9000});
+      table.noteSent(choice->Id, {choice->ToRead, 9000}, at);
       table.notePrompt(choice->Id, request.Prompt, at);
     };
     addSlope(figures, "prompts", "place a prompt", {"replicas", count},
--- a/Utilities/sorrelbay-bench/EngineFleet.cpp
+++ b/Utilities/sorrelbay-bench/EngineFleet.cpp
@@ -146,7 +146,7 @@
   }
   call.Choice = *choice;
   call.Work = {choice->ToRead, call.Tokens};
-  host.Table.noteSent(choice->Id, call.Work);
+  host.Table.noteSent(choice->Id, call.Work, Now);
   host.Table.notePrompt(choice->Id, call.Prompt, Now);
   const auto engine =
       std::find_if(Engines.begin(), Engines.end(),
