ReplicaPlan: Provide on-demand replicas by what is known to be needed

Cause: the on-demand replicas that stand in for reclaimable ones were counted from what is kept, which begins with all that stood at first and does not shrink while reclaimable ones are scarce.

Change: on-demand replicas are counted from the load's known need (twice it until the load has been seen for as long as its peaks are remembered), and where reclaimable ones are scarce a whole further zone is covered.

Both tests are red on the code before.

--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -27,7 +27,11 @@
 }
 
 int ReplicaPlan::assured() const {
-  return static_cast<int>(std::ceil(Kept * Settings.OnDemandShare));
+  return static_cast<int>(std::ceil(Certain * Settings.OnDemandShare));
+}
+
+bool ReplicaPlan::knowsLoad(Instant now) const {
+  return LoadSince != Instant{} && now - LoadSince > Settings.PeakMemory;
 }
 
 bool ReplicaPlan::isScarce(Instant now) const {
@@ -103,14 +107,16 @@
     Kept = std::max(Kept, onDemand);
     LowSince = now;
   }
-  const bool knowsLoad =
-      LoadSince != Instant{} && now - LoadSince > Settings.PeakMemory;
   const bool mayShrink =
-      knowsLoad && !isScarce(now) && now - LowSince > Settings.ShrinkPause;
+      knowsLoad(now) && !isScarce(now) && now - LowSince > Settings.ShrinkPause;
   if (Needed >= Kept || mayShrink) {
     Kept = Needed;
     LowSince = now;
   }
+  const double growth = knowsLoad(now) ? 1 : Settings.UnseenGrowth;
+  Certain = LoadSince == Instant{}
+                ? Kept
+                : std::min(Kept, static_cast<int>(std::ceil(Needed * growth)));
 }
 
 /// Replicas of the kind that serve in the zone or will once they have booted.
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -53,7 +53,10 @@
   Duration RefusedPause = milliseconds(1500);
   /// Where reclaimable replicas were refused lately they come in short supply:
   /// so much of the largest zone's is then covered by on-demand ones besides.
-  double ScarceCover = 0.5;
+  double ScarceCover = 1;
+  /// Until the load has been seen for as long as its peaks are remembered,
+  /// on-demand replicas are provided for so many times what it needs.
+  double UnseenGrowth = 2;
   Duration ScarceMemory = seconds(15);
   /// More replicas than needed are sent away only after so long.
   Duration ShrinkPause = seconds(8);
@@ -95,6 +98,7 @@
 
   int replicasFor(const ServiceLoad &load) const;
   bool isScarce(Instant now) const;
+  bool knowsLoad(Instant now) const;
   void rememberPeak(const ServiceLoad &load, int serving, Instant now);
   void keepLevel(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   Aim aimAt(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
@@ -117,6 +121,9 @@
   int Needed = 0;
   /// What is provided for: grows at once, shrinks late.
   int Kept = 0;
+  /// Of that, what the load is known to need: on-demand replicas cost several
+  /// times as much, and stand in for no more than this.
+  int Certain = 0;
   /// Since when replicas are missing, and what was provided for then.
   Instant ShortSince{};
   int KeptBefore = 0;
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -220,4 +220,35 @@
                plan.needed());
 }
 
+// A fleet begins with far more replicas than a calm day needs. Zones are
+// reclaimed before that can be known for long, and dear ones stood in for what
+// nobody needed.
+BOOST_AUTO_TEST_CASE(on_demand_replicas_come_by_what_is_known_to_be_needed) {
+  Cloud cloud;
+  cloud.Bounds.Most = 60;
+  for (auto &[zone, it] : cloud.Seen)
+    it.OnDemand = 15;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {}, seconds(12));
+  cloud.run(plan, {100, 500000}, seconds(5));
+  cloud.reclaimHalf();
+  cloud.run(plan, {100, 500000}, seconds(10));
+  BOOST_TEST(cloud.total(false) == 0);
+  BOOST_TEST(cloud.total(true) >= plan.needed());
+}
+
+// Three of four zones are reclaimed one after the other. On-demand replicas
+// that were ordered for two of them came when the third was gone, too.
+BOOST_AUTO_TEST_CASE(one_more_zone_may_go_while_replicas_are_scarce) {
+  Cloud cloud;
+  cloud.Bounds.Most = 60;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  const ServiceLoad load{400, 2600000};
+  cloud.run(plan, load, seconds(40));
+  cloud.reclaimHalf();
+  cloud.run(plan, load, seconds(6));
+  cloud.Seen[ZoneId("b")].Reclaimable = 0;
+  BOOST_TEST(cloud.total(true) + cloud.total(false) >= plan.assured());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
