FleetView: Tell news to hosts that aggregate again

Ruled out: messages larger than 48 KB and a gap that the store's silence keeps open: no host of the zone asked the store in that time.

Change: an aggregator also reports and passes news on to the hosts that would aggregate if none were cut off; news goes to a host that has not spoken yet without an echo, so that it confirms nothing but says what changed.

The test is red on the code before.

--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -328,16 +328,25 @@
   for (const auto &[host, it] : Known)
     zones.insert(it.Member.Zone);
   zones.erase(Settings.Zone);
-  std::vector<HostId> out;
-  for (const ZoneId &zone : zones) {
-    const auto heard = ranked(&zone, Settings.Silence * 2, now);
-    for (std::size_t n = 0; n < heard.size() && n < Settings.AggregatorsTold;
+  std::set<HostId> out;
+  const auto addFirst = [&](const std::vector<FleetMember> &hosts) {
+    for (std::size_t n = 0; n < hosts.size() && n < Settings.AggregatorsTold;
          ++n)
-      out.push_back(heard[n].Host);
+      out.insert(hosts[n].Host);
+  };
+  for (const ZoneId &zone : zones) {
+    auto heard = ranked(&zone, Settings.Silence * 2, now);
+    addFirst(heard);
+    // Hosts that were cut off aggregate again before other zones hear that they
+    // reach the store; what they were not told, their zone would not hear.
+    for (FleetMember &it : heard)
+      it.IsCutOff = false;
+    std::sort(heard.begin(), heard.end(), ranksBefore);
+    addFirst(heard);
     const auto unheard = someOf(unheardOf(zone, now), now);
-    out.insert(out.end(), unheard.begin(), unheard.end());
+    out.insert(unheard.begin(), unheard.end());
   }
-  return out;
+  return {out.begin(), out.end()};
 }
 
 /// Hosts of the zone that have registered and weren't heard of, in the order in
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -26,7 +26,8 @@
   /// ... and after this time it is forgotten.
   Duration Gone = seconds(15);
   /// Hosts of each other zone that an aggregator reports to: the one that
-  /// aggregates there, and the one that would aggregate next.
+  /// aggregates there and the one that would aggregate next, and as many that
+  /// would if no host were cut off from the store.
   std::size_t AggregatorsTold = 2;
   /// Hosts of a zone that hear all its hosts: the one that aggregates and those
   /// that would next. The others hear the sum.
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -218,10 +218,10 @@
     peers.insert(peers.end(), others.begin(), others.end());
   }
   for (const HostId &it : peers) {
+    // To a host that has not spoken yet the news says what changed, but not how
+    // old that is.
     const auto echo = Echoes.find(it);
-    if (echo == Echoes.end())
-      continue;
-    news.Echo = echo->second;
+    news.Echo = echo == Echoes.end() ? 0 : echo->second;
     Link->send({it}, encodeFleetMessage(news));
   }
 }
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -348,6 +348,24 @@
   BOOST_TEST(view.hear(second, now + milliseconds(900)));
 }
 
+// The host that aggregates for a zone loses the store and finds it again. Other
+// zones hear of that late; until then the leader told its news to hosts that no
+// longer passed them on, and calls reached upstreams that had long left.
+BOOST_AUTO_TEST_CASE(news_reaches_a_host_that_aggregates_again) {
+  Fleet fleet(24, 3);
+  for (int n = 0; n < 12; ++n)
+    fleet.round();
+  fleet.Members[0].IsCutOff = true;
+  for (int n = 0; n < 12; ++n)
+    fleet.round();
+  BOOST_TEST(!fleet.Views[0].aggregates(fleet.Members[0], fleet.Now));
+  fleet.Members[0].IsCutOff = false;
+  BOOST_REQUIRE(fleet.Views[0].aggregates(fleet.Members[0], fleet.Now));
+  BOOST_REQUIRE(fleet.Views[1].leads(fleet.Members[1], fleet.Now));
+  const auto told = fleet.Views[1].otherAggregators(fleet.Now);
+  BOOST_TEST(std::count(told.begin(), told.end(), HostId("h00")) == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE(used_sum)
 
