KindWatcher: Pass on only news that says more

News now also goes to hosts that have not spoken, so that while a fleet starts two hosts of a zone that both take themselves for the one that aggregates sent each other what they had just heard, without end; without an echo it had been held back by accident. The same loop was open before wherever two aggregated at a time and had heard each other.

Change: news is passed on if it leads to a newer revision or confirms a later time than is known. What comes back has been under way and confirms less.

--- a/Libraries/LibObjectApi/KindWatcher.cpp
+++ b/Libraries/LibObjectApi/KindWatcher.cpp
@@ -203,9 +203,12 @@
   succeeded(now);
   // Told later than the echo was sent; it may have been on its way for long.
   const Instant begun = Instant(microseconds(news.Echo)) - news.Age;
+  // Two hosts that both pass news on would send it to and fro between them.
+  const bool saysMore = news.Changes.AsOf > AsOf || begun > ConfirmedAt;
   apply(news.Changes);
   confirm(begun);
-  Hooks.OnWatched(news.From, news.Changes, begun);
+  if (saysMore)
+    Hooks.OnWatched(news.From, news.Changes, begun);
 }
 
 /// How long to wait after so many failures in a row.
--- a/Tests/LibObjectApi/TestKindWatcher.cpp
+++ b/Tests/LibObjectApi/TestKindWatcher.cpp
@@ -139,6 +139,24 @@
   BOOST_TEST(world.PassedOn.size() == 1);
 }
 
+// Two hosts of a zone take themselves for the one that passes news on. Each
+// sends the other what it has just heard from it, without end.
+BOOST_AUTO_TEST_CASE(news_that_says_no_more_is_not_passed_on) {
+  World world(false);
+  const KindNews first = World::news(10, 12, {changed("b", "2", 12)});
+  world.Watcher->hear(first, bootNow());
+  world.Watcher->hear(first, bootNow());
+  BOOST_TEST(world.PassedOn.size() == 1);
+  KindNews unanswered = World::news(12, 12, {});
+  unanswered.Echo = 0;
+  world.Watcher->hear(unanswered, bootNow());
+  BOOST_TEST(world.PassedOn.size() == 1);
+  KindNews younger = World::news(12, 12, {});
+  younger.Age = Duration::zero();
+  world.Watcher->hear(younger, bootNow());
+  BOOST_TEST(world.PassedOn.size() == 2);
+}
+
 // The host that asked for all is gone. The next one begins with a watch that
 // waits as long as any, and all others ask by themselves before it returns.
 BOOST_AUTO_TEST_CASE(one_that_begins_to_ask_for_others_confirms_at_once) {
