ReplicaTable: Keep calls with homes in their regions

Cause: AllowedRegions of routes and teams was not read.

Change: both bind at placement, repeats and resumed streams included; a zone whose region is not known is nobody's home. The settings name the regions. Callers are still told the addresses of hosts of all regions: open.

Tests by the table, the settings and the translation.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -135,6 +135,15 @@
   return entry.Allowance.hasRoom(*entry.ColdShare, now);
 }
 
+bool ReplicaTable::isHome(const ZoneId &zone,
+                          const std::vector<std::string> &homes) const {
+  if (homes.empty())
+    return true;
+  const auto region = RegionOf.find(zone);
+  return region != RegionOf.end() &&
+         std::find(homes.begin(), homes.end(), region->second) != homes.end();
+}
+
 bool ReplicaTable::fits(const Entry &entry,
                         const ReplicaRequest &request) const {
   const bool wasTried = std::find(request.Tried.begin(), request.Tried.end(),
@@ -142,6 +151,8 @@
   return entry.Record.OfService == request.ForService &&
          !entry.Record.IsLeaving && !wasTried &&
          !isEvacuated(entry.Record.InZone) &&
+         isHome(entry.Record.InZone, request.RouteHomes) &&
+         isHome(entry.Record.InZone, request.TeamHomes) &&
          isOfVersion(entry.Record.OfVersion, request.Version);
 }
 
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -65,6 +65,9 @@
   std::vector<PromptPart> Prompt;
   std::int64_t PromptTokens = 0;
   VersionChoice Version;
+  /// Regions that the call's route and its team are bound to; empty for all.
+  std::vector<std::string> RouteHomes;
+  std::vector<std::string> TeamHomes;
   /// Hosts that send calls to the service, this one included.
   int Hosts = 1;
   /// Upstreams that this call has been sent to.
@@ -130,6 +133,11 @@
 public:
   explicit ReplicaTable(ReplicaTableSettings settings = {});
 
+  /// The regions of the zones; one that is not named is no call's home.
+  void setRegions(std::map<ZoneId, std::string> regions) {
+    RegionOf = std::move(regions);
+  }
+
   /// An entry is new or has changed.
   void note(const ReplicaRecord &record, Instant now);
   /// The entry is gone: nothing new goes there.
@@ -242,6 +250,7 @@
   double tokensToRead(const Candidate &it, const ReplicaRequest &request,
                       bool isHome, std::size_t upstreams, Instant now) const;
   const Candidate &bestOf(const std::vector<Candidate> &all) const;
+  bool isHome(const ZoneId &zone, const std::vector<std::string> &homes) const;
   bool fits(const Entry &entry, const ReplicaRequest &request) const;
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdRoom(Entry &entry, Instant now);
@@ -257,6 +266,7 @@
   HostId Self;
   std::vector<HostId> Hosts;
   std::set<ZoneId> Evacuated;
+  std::map<ZoneId, std::string> RegionOf;
   Instant ConfirmedAt{};
 };
 
--- a/Libraries/LibServing/ServingPlan.h
+++ b/Libraries/LibServing/ServingPlan.h
@@ -55,6 +55,8 @@
   /// Upstreams that one attempt of a caller may be sent to.
   int MaxAttempts = 1;
   std::vector<WeightedService> Split;
+  /// Regions whose upstreams may run its calls; empty for all.
+  std::vector<std::string> Homes;
 };
 
 /// What a service's engines are like.
@@ -106,6 +108,9 @@
   std::int64_t Rate = 0;
   /// Units that may be used at once besides.
   std::int64_t Burst = 0;
+  /// Regions whose upstreams may run its calls; empty for all. Where a route
+  /// has homes, too, both bind.
+  std::vector<std::string> Homes;
 };
 
 /// What callers may send.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -52,6 +52,7 @@
              [this](const std::string &news) { Moves.hear(news, bootNow()); },
              [this](const KindNews &news) { takeNews(news); }}),
       TickTimer(Loop) {
+  State.Replicas.setRegions(State.Settings.RegionOf);
   State.Self = [this] { return Fleet.self(); };
   State.TellPeers = [this] { Fleet.publishSoon(); };
   State.VersionFor = [this](const ServiceId &service,
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -222,6 +222,9 @@
   request.PromptTokens = Call.PromptTokens.value_or(0);
   request.Seed = State.Random();
   request.Version = State.VersionFor(Service, Call.Id);
+  request.RouteHomes = Route->Homes;
+  if (Team)
+    request.TeamHomes = Team->Homes;
   request.Hosts = State.Fleet.hostCount();
   for (;;) {
     request.Tried = Tried;
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -83,6 +83,9 @@
   settings.Zone = ZoneId(host.requiredText("zone"));
   settings.Region = host.text("region", "");
   settings.Cores = host.number("cores", 1, 0.001, 4096);
+  for (TomlReader &it : all.tables("zone_regions"))
+    settings.RegionOf[ZoneId(it.requiredText("zone"))] =
+        it.requiredText("region");
   TomlReader listen = all.table("listen");
   settings.CallerListen = addressAt(listen, "callers");
   settings.ReadinessListen = addressAt(listen, "readiness");
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -3,6 +3,7 @@
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,8 @@
   HostId Host;
   ZoneId Zone;
   std::string Region;
+  /// The regions of the availability zones that are known.
+  std::map<ZoneId, std::string> RegionOf;
   /// Cores, or the part of one, that the daemon may use; the larger hosts
   /// aggregate for the others.
   double Cores = 1;
--- a/Tests/LibServing/TestReplicaTable.cpp
+++ b/Tests/LibServing/TestReplicaTable.cpp
@@ -234,4 +234,23 @@
   BOOST_TEST(!!table.choose(request(""), Now));
 }
 
+// A team's calls must not leave its country, and a route's not its own.
+BOOST_AUTO_TEST_CASE(calls_with_homes_stay_in_the_regions_of_both) {
+  ReplicaTable table;
+  table.setRegions({{ZoneId("a"), "north"}, {ZoneId("b"), "south"}});
+  table.note(replica("r0", "a"), Now);
+  table.note(replica("r1", "b"), Now);
+  table.note(replica("r2", "unknown"), Now);
+  auto it = request("");
+  it.RouteHomes = {"south"};
+  BOOST_TEST(table.choose(it, Now)->Id.text() == "r1");
+  it.Tried = {UpstreamId("r1")};
+  BOOST_TEST(!table.choose(it, Now));
+  it.Tried.clear();
+  it.TeamHomes = {"north"};
+  BOOST_TEST(!table.choose(it, Now));
+  it.RouteHomes = {"north", "south"};
+  BOOST_TEST(table.choose(it, Now)->Id.text() == "r0");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -14,13 +14,15 @@
 {"Name":"r1","Host":"h.example","PathPrefix":"/a/","RouteKind":"streaming","TimeoutMs":10000,"LatencyGoalMs":800,
  "Priority":1,"Split":[{"Service":"s1","Weight":90},{"Service":"s2","Weight":10}],"MaxAttempts":1,"Public":false,
  "Sticky":true,"Resumable":false,"ItlTargetMs":400},
-{"Name":"r2","Host":"h.example","PathPrefix":"/b/","RouteKind":"streaming","Service":"s1","MaxAttempts":2,"Resumable":true},
+{"Name":"r2","Host":"h.example","PathPrefix":"/b/","RouteKind":"streaming","Service":"s1","MaxAttempts":2,"Resumable":true,
+ "AllowedRegions":["north","south"]},
 {"Name":"r3","Host":"h.example","PathPrefix":"/c/","RouteKind":"idempotent","Service":"s2"},
 {"Name":"r4","Host":"h.example","PathPrefix":"/d/","RouteKind":"non_idempotent","Service":"s2","Public":true}],
 "Services":[{"Name":"s1","MaxConns":300,"ColdS":3.0,"ColdPerS":18.0,"Engine":{"Slots":48,"KvCapacity":444000,"Moves":true,"HandleTtlS":5.0},
  "Scaling":{"Min":1,"Max":6,"BootS":4.0,"SpotPrice":0.22,"ZonePrices":{"z1":1.0,"z2":0.8}}},{"Name":"s2","MaxConns":100}],
 "Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":4194304,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},
-"Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"Unit":"tokens","PlainTokens":200,"RatePerS":100,"Burst":50}],
+"Tenants":[{"Name":"t1","ApiKeys":["k1","k2"],"Priority":1,"Unit":"tokens","PlainTokens":200,"RatePerS":100,"Burst":50,
+ "AllowedRegions":["south"]}],
 "Unknown":{"New":1}})";
 
 HttpRequest request() {
@@ -63,6 +65,9 @@
   BOOST_TEST(plan.Services[1].ColdRate == 0.0);
   BOOST_TEST(plan.Teams[0].CountsTokens);
   BOOST_TEST(plan.Teams[0].Keys.size() == 2U);
+  BOOST_TEST(plan.Teams[0].Homes.size() == 1U);
+  BOOST_TEST(plan.Routes[0].Homes.empty());
+  BOOST_TEST(plan.Routes[1].Homes.size() == 2U);
   BOOST_TEST((plan.Limits.IdleTimeout == seconds(15)));
 }
 
--- a/Tests/sorrelbayd/TestGatewaySettings.cpp
+++ b/Tests/sorrelbayd/TestGatewaySettings.cpp
@@ -44,6 +44,9 @@
 trial_slack = 50
 trial_end_ms = 5000
 address_ttl_s = 5
+[[zone_regions]]
+zone = "z"
+region = "r"
 )";
 
 struct Change {
@@ -64,6 +67,7 @@
     {"repeat_share = 0.2", "repeat_share = 7.0", "repeat_share"},
     {"zone = \"z\"", "zone = \"z\"\nzoen = \"y\"", "zoen"},
     {"name = \"edge-1\"", "", "name"},
+    {"zone = \"z\"\nregion = \"r\"\n", "region = \"r\"\n", "zone"},
     {"key_removal_ms = 5000", "key_removal_ms = 0", "key_removal_ms"},
     {"drain_ms = 2000", "drain_ms = 2000\nevacuate_ms = 0", "evacuate_ms"},
 };
@@ -80,6 +84,7 @@
   BOOST_TEST((settings.Bounds.Grace == seconds(8)));
   BOOST_TEST(settings.Bounds.AllotmentSlack == 140000);
   BOOST_TEST((settings.Bounds.Evacuation == Duration::zero()));
+  BOOST_TEST(settings.RegionOf.at(ZoneId("z")) == "r");
   BOOST_TEST(settings.MetricsListen == "10.0.0.1:5");
 }
 
