GatewayCall: Say when all upstreams are cold

Cause: a call without an upstream was refused with no_upstream whether none was there or all were cold; operators could not tell a shortage from a warm-up.

--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -277,6 +277,7 @@
           .field("service", record.OfService.text())
           .field("address", record.Address)
           .field("zone", record.InZone.text())
+          .field("cold_ms", toMilliseconds(record.ColdFor))
           .field("revision", static_cast<std::int64_t>(object.Revision));
     State.Replicas.note(record, bootNow());
   } catch (const Error &error) {
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -257,7 +257,8 @@
     return finishOwn("no_attempt_left");
   const auto chosen = chooseUpstream(now);
   if (!chosen)
-    return finishOwn("no_upstream");
+    return finishOwn(State.Replicas.cold(Service, now) > 0 ? "upstreams_cold"
+                                                           : "no_upstream");
   const EngineModel &model = State.Replicas.modelOf(Service);
   const double reading = model.readingTime(static_cast<double>(chosen->ToRead));
   if (!IsDemandCounted)
--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -75,12 +75,15 @@
     State.Counts.setReplicas(service.Name.text(), "needed",
                              it->second.needed());
     State.Counts.setReplicas(service.Name.text(), "seen", serving);
+    const int cold = State.Replicas.cold(service.Name, now);
+    State.Counts.setReplicas(service.Name.text(), "cold", cold);
     LogLine line(Severity::Info, "service load");
     line.field("service", service.Name.text())
         .field("open_calls", static_cast<std::int64_t>(load.OpenCalls))
         .field("open_tokens", load.OpenTokens)
         .field("engine_seconds", load.EngineSeconds)
-        .field("needed", static_cast<std::int64_t>(it->second.needed()));
+        .field("needed", static_cast<std::int64_t>(it->second.needed()))
+        .field("cold", static_cast<std::int64_t>(cold));
     for (const auto &[zone, replicas] : seen)
       line.field(zone.text().c_str(), std::to_string(replicas.OnDemand) + "+" +
                                           std::to_string(replicas.Reclaimable));
