GatewayFleet: Pass large news on in parts

Cause: half of a fleet's replicas leave at once when a fleet changes to reclaimable ones (1,500 entries at 300 hosts). Larger than 48 KB, that was not passed on: each host asked the store for it with a watch that has 450 ms, most in vain, and asked again.

Change: news goes in parts of 48 KB in the order of revisions, each from the revision that the one before leads to; only the last confirms. A single object that is larger is still asked for by each host.

--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -1,6 +1,7 @@
 #include "GatewayFleet.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
+#include "LibObjectApi/NewsParts.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -22,8 +23,9 @@
 constexpr int FirstSearchCount = 3;
 /// Between two reports that name all members and carry what changes slowly.
 constexpr Duration WholeInterval = seconds(1);
-/// Larger changes are asked for by each host: passed on to a whole zone they
-/// would hold up the reports behind them.
+/// Larger changes are passed on in parts: as one message they would hold up the
+/// reports behind them. A single object that is larger is asked for by each
+/// host.
 constexpr std::size_t MostPassedOn = 48UL * 1024;
 
 void logSource(const FleetReport &report, bool counts) {
@@ -42,11 +44,11 @@
   return hosts;
 }
 
-std::size_t sizeOf(const KindChanges &changes) {
-  std::size_t bytes = 0;
-  for (const KindChange &it : changes.Changes)
-    bytes += it.Object.Body.size() + it.Object.Status.size();
-  return bytes;
+bool hasLargeObject(const KindChanges &changes) {
+  return std::any_of(
+      changes.Changes.begin(), changes.Changes.end(), [](const KindChange &it) {
+        return it.Object.Body.size() + it.Object.Status.size() > MostPassedOn;
+      });
 }
 
 } // namespace
@@ -208,7 +210,7 @@
   news.Kind = kind;
   news.From = from;
   news.Changes.AsOf = changes.AsOf;
-  news.IsLeftOut = sizeOf(changes) > MostPassedOn;
+  news.IsLeftOut = hasLargeObject(changes);
   if (!news.IsLeftOut)
     news.Changes.Changes = changes.Changes;
   news.Age = now - begun;
@@ -217,12 +219,17 @@
     const auto others = State.Fleet.otherAggregators(now);
     peers.insert(peers.end(), others.begin(), others.end());
   }
+  std::vector<KindNews> parts = partsOf(news, MostPassedOn);
+  KindNews last = std::move(parts.back());
+  parts.pop_back();
+  for (const KindNews &it : parts)
+    Link->send(peers, encodeFleetMessage(it));
   for (const HostId &it : peers) {
     // To a host that has not spoken yet the news says what changed, but not how
     // old that is.
     const auto echo = Echoes.find(it);
-    news.Echo = echo == Echoes.end() ? 0 : echo->second;
-    Link->send({it}, encodeFleetMessage(news));
+    last.Echo = echo == Echoes.end() ? 0 : echo->second;
+    Link->send({it}, encodeFleetMessage(last));
   }
 }
 
