ReplicaOrders: Take only the cloud's notices for reclaims

Cause: reclaimable replicas that the plan itself had sent away were taken for a reclaim in each of their zones, since they leave, too.

Change: a notice is an entry that leaves and says how soon it is gone.

--- a/Libraries/LibServing/ReplicaRecord.h
+++ b/Libraries/LibServing/ReplicaRecord.h
@@ -30,4 +30,11 @@
   std::int64_t StartedMs = 0;
 };
 
+/// Whether the cloud takes the replica back. One that was sent away leaves,
+/// too, but says nothing of what others may expect.
+inline bool isUnderNotice(const ReplicaRecord &record) {
+  return record.IsLeaving && record.IsReclaimable &&
+         record.LeavesIn.has_value();
+}
+
 } // namespace sorrelbay
--- a/Services/sorrelbayd/ReplicaOrders.cpp
+++ b/Services/sorrelbayd/ReplicaOrders.cpp
@@ -54,9 +54,8 @@
         continue;
       ZoneReplicas &zone = seen[record.InZone];
       zone.IsEvacuated = State.Replicas.isEvacuated(record.InZone);
-      if (record.IsLeaving)
-        zone.IsReclaimed = zone.IsReclaimed || record.IsReclaimable;
-      else
+      zone.IsReclaimed = zone.IsReclaimed || isUnderNotice(record);
+      if (!record.IsLeaving)
         ++(record.IsReclaimable ? zone.Reclaimable : zone.OnDemand);
     }
     for (const auto &[zone, price] : service.Scaling->ZonePrices)
--- a/Tests/sorrelbayd/TestReplicaOrders.cpp
+++ b/Tests/sorrelbayd/TestReplicaOrders.cpp
@@ -1,6 +1,7 @@
 #include "GatewayWorld.h"
 #include "LibBase/BootClock.h"
 #include "ReplicaOrders.h"
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -127,4 +128,36 @@
   BOOST_TEST(onDemand >= 5);
 }
 
+// Reclaimable replicas that were sent away after a peak were taken for a
+// reclaim in each zone, and dear ones came for all that was left.
+BOOST_AUTO_TEST_CASE(replicas_that_were_sent_away_are_no_reclaim) {
+  for (const bool isReclaim : {true, false}) {
+    OrdersWorld world;
+    for (const char *zone : {"a", "b", "c", "d"})
+      for (int n = 0; n < 4; ++n) {
+        ReplicaRecord record;
+        record.Id = UpstreamId(std::string(zone) + std::to_string(n));
+        record.OfService = ServiceId("model");
+        record.InZone = ZoneId(zone);
+        record.IsReclaimable = true;
+        record.IsLeaving = n >= 2;
+        if (isReclaim && record.IsLeaving)
+          record.LeavesIn = seconds(2);
+        world.State.Replicas.note(record, bootNow());
+      }
+    world.takeDuties();
+    BOOST_TEST_REQUIRE(world.Duties.isHeld(bootNow()));
+    world.Orders.tick(bootNow());
+    for (int n = 0; n < 20; ++n) {
+      world.Loop.restart();
+      world.Loop.run_for(milliseconds(10));
+    }
+    const bool isDearOrdered = std::any_of(
+        world.Ordered.begin(), world.Ordered.end(), [](const ReplicaOrder &it) {
+          return !it.IsReclaimable && it.Count > 1;
+        });
+    BOOST_TEST(isDearOrdered == isReclaim);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
