ReplicaPlan: Use the reserve for an evacuated zone, and keep what is left

An evacuated zone was left out of the count of zones, so that the others were filled up to 30 each for the loss of one more, 4 s of boot and 3 s cold into an evacuation of six. And a holder that took over after a reclaim took the reserve for still there: of 60 replicas left in three zones it kept 45, while none was to be had.

Change: an evacuated zone is the loss that the reserve is for; further ones are replaced. A new holder that finds a zone without replicas keeps all there are, and counts reclaimable ones as scarce.

--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -86,24 +86,40 @@
   out.push_back({service, zone, isReclaimable, count});
 }
 
+/// Begins with what an earlier holder has ordered, without what it kept for the
+/// loss of a zone; later the reclaimable ones are this plan's own. Where a zone
+/// has none that loss has come, and others may not be had.
+void ReplicaPlan::takeOver(const std::map<ZoneId, ZoneReplicas> &seen,
+                           Instant now) {
+  const int zones = static_cast<int>(seen.size());
+  int all = 0;
+  int reclaimable = 0;
+  int with = 0;
+  int withReclaimable = 0;
+  for (const auto &[zone, it] : seen) {
+    all += it.OnDemand + it.Reclaimable;
+    reclaimable += it.Reclaimable;
+    with += it.OnDemand + it.Reclaimable > 0 ? 1 : 0;
+    withReclaimable += it.Reclaimable > 0 ? 1 : 0;
+  }
+  if (all == 0)
+    return;
+  HasSeen = true;
+  LowSince = now;
+  Kept = with < zones ? all : all * std::max(1, zones - 1) / zones;
+  if (reclaimable > 0 && withReclaimable < zones)
+    ScarceSince = now;
+}
+
 void ReplicaPlan::keepLevel(const std::map<ZoneId, ZoneReplicas> &seen,
                             Instant now) {
   if (Needed > 1 && LoadSince == Instant{})
     LoadSince = now;
   int onDemand = 0;
-  int reclaimable = 0;
-  for (const auto &[zone, it] : seen) {
+  for (const auto &[zone, it] : seen)
     onDemand += it.OnDemand;
-    reclaimable += it.Reclaimable;
-  }
-  // What an earlier holder has ordered, without what it kept for the loss of a
-  // zone; later the reclaimable ones are this plan's own.
-  if (!HasSeen && onDemand + reclaimable > 0) {
-    HasSeen = true;
-    const int zones = static_cast<int>(seen.size());
-    Kept = (onDemand + reclaimable) * std::max(1, zones - 1) / zones;
-    LowSince = now;
-  }
+  if (!HasSeen)
+    takeOver(seen, now);
   if (LoadSince == Instant{}) {
     Kept = std::max(Kept, onDemand);
     LowSince = now;
@@ -164,16 +180,16 @@
       reclaimableByZone.begin() + static_cast<std::ptrdiff_t>(zones), 0);
 }
 
+/// What the usable ones of so many zones should have.
 ReplicaPlan::Aim ReplicaPlan::aimAt(const std::map<ZoneId, ZoneReplicas> &seen,
-                                    Instant now) {
+                                    int zones, Instant now) {
   Aim aim;
-  const int zones = static_cast<int>(seen.size());
   if (Bounds.ReclaimablePrice >= 1) {
     aim.OnDemand = Kept;
     return aim;
   }
-  // One zone may lose its replicas at any time.
-  const int left = std::max(1, zones - 1);
+  // One zone may lose its replicas at any time; one that is evacuated has.
+  const int left = std::clamp(zones - 1, 1, static_cast<int>(seen.size()));
   aim.ReclaimablePerZone = std::clamp((Kept + left - 1) / left,
                                       std::max(1, Bounds.Least), Bounds.Most);
   rememberNotices(seen, now);
@@ -242,17 +258,18 @@
   keepLevel(seen, now);
   if (usable.empty())
     return {};
-  return ordersIn(service, usable, now);
+  return ordersIn(service, usable, static_cast<int>(seen.size()), now);
 }
 
 std::vector<ReplicaOrder>
 ReplicaPlan::ordersIn(const ServiceId &service,
-                      const std::map<ZoneId, ZoneReplicas> &seen, Instant now) {
+                      const std::map<ZoneId, ZoneReplicas> &seen, int zones,
+                      Instant now) {
   std::vector<ReplicaOrder> out;
   int serving = 0;
   for (const auto &[zone, it] : seen)
     serving += it.OnDemand + it.Reclaimable;
-  const Aim aim = aimAt(seen, now);
+  const Aim aim = aimAt(seen, zones, now);
   int onDemand = 0;
   std::map<ZoneId, ZoneReplicas> coming = seen;
   for (auto &[zone, it] : coming) {
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -101,13 +101,14 @@
   bool isScarce(Instant now) const;
   bool knowsLoad(Instant now) const;
   void rememberPeak(const ServiceLoad &load, int serving, Instant now);
+  void takeOver(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   void keepLevel(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   void rememberNotices(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
   int coverOf(std::vector<int> reclaimableByZone, Instant now) const;
-  Aim aimAt(const std::map<ZoneId, ZoneReplicas> &seen, Instant now);
+  Aim aimAt(const std::map<ZoneId, ZoneReplicas> &seen, int zones, Instant now);
   std::vector<ReplicaOrder> ordersIn(const ServiceId &service,
                                      const std::map<ZoneId, ZoneReplicas> &seen,
-                                     Instant now);
+                                     int zones, Instant now);
   int expected(const ZoneId &zone, bool isReclaimable, int seen,
                Instant now) const;
   std::map<ZoneId, int>
--- a/Tests/LibServing/TestReplicaPlan.cpp
+++ b/Tests/LibServing/TestReplicaPlan.cpp
@@ -200,24 +200,28 @@
   }
 }
 
-// A zone is evacuated under load. What stands there serves nobody, and the
-// others would be short until callers came back late.
-BOOST_AUTO_TEST_CASE(other_zones_stand_in_for_an_evacuated_one) {
+// Zones are evacuated under load. What stands there serves nobody; the reserve
+// for the loss of a zone stands in for the first, and others for the second.
+BOOST_AUTO_TEST_CASE(other_zones_stand_in_for_evacuated_ones) {
   Cloud cloud;
   cloud.Bounds.Most = 60;
   ReplicaPlan plan(cloud.Bounds, cloud.Shape);
-  cloud.run(plan, {400, 2600000}, seconds(40));
-  ZoneReplicas &evacuated = cloud.Seen[ZoneId("a")];
-  const int stood = evacuated.Reclaimable;
-  evacuated.IsEvacuated = true;
-  cloud.run(plan, {400, 2600000}, seconds(6));
-  BOOST_TEST(evacuated.Reclaimable == stood);
-  BOOST_TEST(evacuated.OnDemand == 0);
-  // As many as before, any one of the other zones left out.
-  for (const char *zone : {"b", "c", "d"})
-    BOOST_TEST(cloud.total(true) - stood -
-                   cloud.Seen[ZoneId(zone)].Reclaimable >=
-               plan.needed());
+  const ServiceLoad load{400, 2600000};
+  cloud.run(plan, load, seconds(40));
+  const int before = cloud.total(true);
+  ZoneReplicas &first = cloud.Seen[ZoneId("a")];
+  const int stood = first.Reclaimable;
+  first.IsEvacuated = true;
+  cloud.run(plan, load, seconds(6));
+  BOOST_TEST(cloud.total(true) == before);
+  BOOST_TEST(cloud.total(false) == 0);
+  BOOST_TEST(before - stood >= plan.needed());
+  cloud.Seen[ZoneId("b")].IsEvacuated = true;
+  cloud.run(plan, load, seconds(6));
+  BOOST_TEST(first.Reclaimable == stood);
+  BOOST_TEST(cloud.Seen[ZoneId("c")].Reclaimable +
+                 cloud.Seen[ZoneId("d")].Reclaimable >=
+             plan.needed());
 }
 
 // A fleet begins with far more replicas than a calm day needs. Zones are
@@ -269,4 +273,19 @@
   BOOST_TEST(cloud.total(false) >= plan.assured());
 }
 
+// A zone has just been reclaimed when the holder of the duty is killed. Its
+// successor took the reserve for still there and sent away a quarter of what
+// was left; none was to be had when the next zone went.
+BOOST_AUTO_TEST_CASE(a_new_holder_after_a_reclaim_keeps_what_is_left) {
+  Cloud cloud;
+  cloud.Bounds.Most = 60;
+  for (const char *zone : {"a", "b", "c"})
+    cloud.Seen[ZoneId(zone)].Reclaimable = 20;
+  cloud.IsDry = true;
+  ReplicaPlan plan(cloud.Bounds, cloud.Shape);
+  cloud.run(plan, {20, 100000}, seconds(14));
+  BOOST_TEST(cloud.total(true) == 60);
+  BOOST_TEST(cloud.total(false) == 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
