--- a/Libraries/LibCaller/Problem.h
+++ b/Libraries/LibCaller/Problem.h
@@ -22,8 +22,9 @@
 /// The name of the outcome on the wire.
 const char *describe(Outcome outcome);
 
-/// A problem that a caller is told (RFC 9457, `application/problem+json`).
-/// Thrown by handlers and turned into the final answer at the edge, at once.
+/// A problem as it is answered to a caller (RFC 9457,
+/// `application/problem+json`). Thrown by handlers and turned into the final
+/// answer at the edge, at once.
 class Problem : public Error {
 public:
   Problem(int status, std::string type, std::string detail, Outcome outcome,
--- a/Libraries/LibDecision/DeskCallAnswer.h
+++ b/Libraries/LibDecision/DeskCallAnswer.h
@@ -5,7 +5,7 @@
 
 namespace sorrelbay {
 
-/// What a caller is told of its call.
+/// The answer to a caller about its call.
 enum class CallOutcome {
   /// The desk has answered.
   Done,
--- a/Libraries/LibDecision/LeavingUpstreams.h
+++ b/Libraries/LibDecision/LeavingUpstreams.h
@@ -47,7 +47,7 @@
 };
 
 /// Which upstreams leave. Every source only ever adds to it, so that a late,
-/// repeated or lost message from one can't undo what another has told; an
+/// repeated or lost message from one can't undo another's; an
 /// entry ends by its expiry alone. Not thread-safe.
 class LeavingUpstreams {
 public:
@@ -61,7 +61,7 @@
   /// that time. The time of sending counts: an answer that lay in a socket
   /// while the daemon was paused tells of before the pause.
   void noteStays(const UpstreamId &upstream, Instant askedAt);
-  /// A peer whose own view is fresh has told all its notices, in answer to a
+  /// A peer whose own view is fresh has sent all its notices, in answer to a
   /// request that was sent at that time. The host list does not do: it lags.
   void notePeerHeard(Instant askedAt);
   /// To be called several times within the pause limit.
--- a/Libraries/LibDecision/MoverLease.h
+++ b/Libraries/LibDecision/MoverLease.h
@@ -44,10 +44,10 @@
   /// The holder of the stored lease is an earlier process of this host and
   /// holds it no more: there is no term to wait for.
   void noteAbandoned();
-  /// The holder has told that it wrote that version. From now on it counts as
-  /// seen: a term has not to be waited for anew when the holder goes, or when
-  /// the store was away. A write still expects that version, so that one which
-  /// was renewed meanwhile isn't taken.
+  /// The holder has reported that it wrote that version. From now on it counts
+  /// as seen: a term has not to be waited for anew when the holder goes, or
+  /// when the store was away. A write still expects that version, so that one
+  /// which was renewed meanwhile isn't taken.
   void noteTold(const LeaseState &state, Instant now);
   /// The write that was sent then took effect as that version.
   void noteWritten(std::uint64_t version, Instant sentAt, Instant now);
--- a/Libraries/LibDecision/PeerFreshness.h
+++ b/Libraries/LibDecision/PeerFreshness.h
@@ -19,7 +19,7 @@
   /// The peer has left; it is not waited for.
   void forget(const HostId &peer);
 
-  /// The time up to which more than half of the peers have told all they knew;
+  /// The time up to which more than half of the peers have sent all they knew;
   /// the epoch if too few ever answered. Half and not one, because two daemons
   /// that were paused together would else assure each other.
   Instant knownUntil(std::size_t peers) const;
--- a/Libraries/LibDecision/PeerKnowledge.h
+++ b/Libraries/LibDecision/PeerKnowledge.h
@@ -67,9 +67,9 @@
 bool isEmpty(const PeerKnowledge &knowledge);
 bool isEmpty(const RolloutKnowledge &knowledge);
 
-/// The part that peers are told as soon as it changes: all but what other hosts
-/// counted and reported, which those tell by themselves where all are linked to
-/// all.
+/// The part that is sent to peers as soon as it changes: all but what other
+/// hosts counted and reported, which those tell by themselves where all are
+/// linked to all.
 PeerKnowledge promptPart(const PeerKnowledge &knowledge,
                          const EvidenceSource &self);
 
--- a/Libraries/LibDecision/Placement.h
+++ b/Libraries/LibDecision/Placement.h
@@ -95,7 +95,7 @@
   /// load reports all goes to the upstream that looked idle.
   void noteSent(const UpstreamId &upstream, const PlacementRequest &request,
                 std::int64_t cachedTokens, Instant now);
-  /// A peer has told that it sent calls with that many tokens to compute.
+  /// A peer has reported that it sent calls with that many tokens to compute.
   void notePeerSent(const UpstreamId &upstream, int calls, std::int64_t tokens,
                     Instant at);
   /// A call that this daemon sent is over; its answer added that many tokens
@@ -103,7 +103,7 @@
   void noteFinished(const UpstreamId &upstream,
                     const ConversationKey &conversation,
                     std::int64_t conversationTokens, Instant now);
-  /// The engine told that it no longer holds the conversation's prefix.
+  /// The engine reported that it no longer holds the conversation's prefix.
   void noteEvicted(const UpstreamId &upstream,
                    const ConversationKey &conversation);
   /// The upstream is gone.
--- a/Libraries/LibObjectApi/CountedStore.h
+++ b/Libraries/LibObjectApi/CountedStore.h
@@ -6,12 +6,12 @@
 
 namespace sorrelbay {
 
-/// Told of each call to the store when it has ended: what was called for which
-/// kind, and why it gave nothing, if so.
+/// Called for each call to the store when it has ended: what was called for
+/// which kind, and why it gave nothing, if so.
 using StoreCallHook = std::function<void(const char *call, StoreKind kind,
                                          std::optional<StoreFailure> failure)>;
 
-/// The same store, with each call told to the hook before its caller hears of
+/// The same store, with each call passed to the hook before its caller hears of
 /// it.
 KindStore countedStore(const KindStore &store, const StoreCallHook &onCall);
 
--- a/Libraries/LibObjectApi/KindStore.h
+++ b/Libraries/LibObjectApi/KindStore.h
@@ -74,7 +74,7 @@
   /// Since the call to the store began that brought them.
   Duration Age{};
   /// The receiver's own clock as the reporter last heard it, in microseconds:
-  /// the news was told later than that, however long it was on its way.
+  /// the news was sent later than that, however long it was on its way.
   std::int64_t Echo = 0;
 };
 
--- a/Libraries/LibObjectApi/KindWatcher.h
+++ b/Libraries/LibObjectApi/KindWatcher.h
@@ -17,7 +17,7 @@
   /// Of the first watch of a host that begins to ask for others: they have
   /// heard nothing since the one before it was lost.
   Duration FirstPatience = milliseconds(50);
-  /// After changes and before the next watch: what changes together is told
+  /// After changes and before the next watch: what changes together is sent
   /// together. Each return of a watch is a call that is paid for.
   Duration GatherTime = Duration::zero();
   /// Between a failed call and the next; twice as long after each further
@@ -30,7 +30,7 @@
   Duration OutageAfter = seconds(1);
   /// ... within this time; removals wait as long.
   Duration ReturnTime = seconds(2);
-  /// A view that is told by another host is asked for here when so many
+  /// A view that another host passes on is asked for here when so many
   /// patiences have passed without news, ...
   int SilentPatiences = 2;
   /// ... or when the last news may be as old as so many.
@@ -43,8 +43,8 @@
   std::function<void(const std::string &name)> OnRemoved;
   /// All that the store held at that time is known.
   std::function<void(Instant begun)> OnConfirmed;
-  /// The store told what came after that revision, to a call that began then;
-  /// here or to another host that passed it on.
+  /// The store reported what came after that revision, to a call that began
+  /// then; here or to another host that passed it on.
   std::function<void(std::uint64_t from, const KindChanges &, Instant begun)>
       OnWatched = [](std::uint64_t, const KindChanges &, Instant) {};
   /// Whether this host asks the store all the time; others wait for news.
@@ -58,7 +58,7 @@
 
 /// Keeps a view of one kind of object: lists it, then watches it, and lists
 /// again where the store has forgotten its history. The view is as old as the
-/// begin of the last call that confirmed it. A host that is told of changes by
+/// begin of the last call that confirmed it. A host that hears of changes from
 /// another one rests, and asks again by itself as soon as the news stop, leave
 /// a gap, or may be too old. Belongs to the loop's thread.
 class KindWatcher {
@@ -71,7 +71,7 @@
 
   void start();
   void stop();
-  /// Another host has passed on what the store told it.
+  /// Another host has passed on news of the store.
   void hear(const KindNews &news, Instant now);
   /// To be called several times a second.
   void tick(Instant now);
--- a/Libraries/LibOperator/BundleInForce.h
+++ b/Libraries/LibOperator/BundleInForce.h
@@ -32,7 +32,7 @@
   std::uint64_t generation() const;
   /// The bytes as they were offered; empty until the first one is adopted.
   const std::string &signedBytes() const { return Bytes; }
-  /// What peers are told.
+  /// What is sent to peers.
   BundleMark mark() const { return {generation(), Bytes}; }
 
 private:
--- a/Libraries/LibPeer/PeerLink.h
+++ b/Libraries/LibPeer/PeerLink.h
@@ -32,7 +32,7 @@
   Instant AskedAt{};
   /// When it became live or last carried a request of this host.
   Instant UsedAt{};
-  /// What the peer has told, and what it was told.
+  /// What the peer has sent, and what it was sent.
   PeerKnowledge Theirs;
 
   const PeerHello &own() const { return Own; }
--- a/Libraries/LibServing/Allotment.h
+++ b/Libraries/LibServing/Allotment.h
@@ -27,7 +27,7 @@
 
 /// The part of a team's allotment that is given to callers, by what hosts let
 /// in before they hear of each other. In a small fleet that is within the
-/// slack, of which a part is given out; in one whose zones are told as sums it
+/// slack, of which a part is given out; in one whose zones report sums it
 /// is more, and a part of the allotment is kept back for it.
 ///
 /// A part of the burst comes in evenly over the window instead of at once. Any
--- a/Libraries/LibServing/CallLife.h
+++ b/Libraries/LibServing/CallLife.h
@@ -18,7 +18,7 @@
 /// What may still be done for one attempt of a caller: the one place that
 /// decides whether a call may be sent (again), and what may be promised of it.
 /// A booking that is sent twice sends two crews out, and one that ran although
-/// its caller was told that it had not is sent again by the caller.
+/// its caller was answered that it had not is sent again by the caller.
 class CallLife {
 public:
   CallLife(Repeatability kind, int maxAttempts, Instant deadline)
--- a/Libraries/LibServing/CloudOrders.h
+++ b/Libraries/LibServing/CloudOrders.h
@@ -5,8 +5,8 @@
 
 namespace sorrelbay {
 
-/// Who exercises a duty, and the number by which an older holder is told from
-/// a newer one.
+/// Who exercises a duty, and the number by which an older holder is
+/// distinguished from a newer one.
 struct DutyStamp {
   HostId Holder;
   std::uint64_t Fencing = 0;
--- a/Libraries/LibServing/FleetCounting.h
+++ b/Libraries/LibServing/FleetCounting.h
@@ -27,7 +27,7 @@
 /// thread-safe.
 class FleetCounting {
 public:
-  /// Told when a source begins or ends to count.
+  /// Called when a source begins or ends to count.
   using SourceHook = std::function<void(const FleetReport &, bool counts)>;
 
   /// `bornAt` is when this host's process began.
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -330,7 +330,7 @@
   zones.erase(Settings.Zone);
   std::set<HostId> out;
   const auto addFirst = [&](const std::vector<FleetMember> &hosts) {
-    for (std::size_t n = 0; n < hosts.size() && n < Settings.AggregatorsTold;
+    for (std::size_t n = 0; n < hosts.size() && n < Settings.AggregatorsServed;
          ++n)
       out.insert(hosts[n].Host);
   };
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -28,7 +28,7 @@
   /// Hosts of each other zone that an aggregator reports to: the one that
   /// aggregates there and the one that would aggregate next, and as many that
   /// would if no host were cut off from the store.
-  std::size_t AggregatorsTold = 2;
+  std::size_t AggregatorsServed = 2;
   /// Hosts of a zone that hear all its hosts: the one that aggregates and those
   /// that would next. The others hear the sum.
   std::size_t Collectors = 3;
@@ -68,7 +68,7 @@
   /// Drops hosts that have gone; returns them.
   std::vector<HostId> forgetSilent(Instant now);
 
-  /// Whether the fleet is so large that zones are told as sums.
+  /// Whether the fleet is so large that zones report sums.
   bool isZoned() const;
   /// Whether this host aggregates for its group: its zone, or in a small fleet
   /// all hosts. The aggregator also asks the store for all of them.
--- a/Libraries/LibServing/ReplicaPlan.cpp
+++ b/Libraries/LibServing/ReplicaPlan.cpp
@@ -194,6 +194,7 @@
                                       std::max(1, Bounds.Least), Bounds.Most);
   rememberNotices(seen, now);
   std::vector<int> coming;
+  coming.reserve(seen.size());
   for (const auto &[zone, it] : seen)
     coming.push_back(it.IsReclaimed
                          ? it.Reclaimable
--- a/Libraries/LibServing/ReplicaPlan.h
+++ b/Libraries/LibServing/ReplicaPlan.h
@@ -52,12 +52,12 @@
   /// A zone whose reclaimable replicas were reclaimed, or that had none to
   /// give, isn't asked again before that.
   Duration RefusedPause = milliseconds(1500);
-  /// Where reclaimable replicas were refused or reclaimed within that time they
-  /// are scarce: on-demand ones then cover the loss of as many further zones as
-  /// were reclaimed in it, and of one at least.
   /// Until the load has been seen for as long as its peaks are remembered,
   /// on-demand replicas are provided for so many times what it needs.
   double UnseenGrowth = 2;
+  /// Where reclaimable replicas were refused or reclaimed within that time they
+  /// are scarce: on-demand ones then cover the loss of as many further zones as
+  /// were reclaimed in it, and of one at least.
   Duration ScarceMemory = seconds(15);
   /// More replicas than needed are sent away only after so long.
   Duration ShrinkPause = seconds(8);
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -153,7 +153,7 @@
   /// together while it is cold; 0 for no limit.
   void setColdRate(const ServiceId &service, double perSecond);
   /// All hosts that may send, this one included; a cold upstream gets nothing
-  /// from a host that has not been told who they are.
+  /// from a host that does not know them.
   void setHosts(const HostId &self, std::vector<HostId> hosts);
   /// Nothing goes to the zone's upstreams from now on.
   void beginEvacuation(const ZoneId &zone);
--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -32,7 +32,7 @@
   std::string LastEventId;
 };
 
-/// Where one try of a call goes and what the upstream is told with it.
+/// Where one try of a call goes and what is sent to the upstream with it.
 struct UpstreamTry {
   UpstreamId Replica;
   std::string Address;
--- a/Libraries/LibServing/StopPolicy.h
+++ b/Libraries/LibServing/StopPolicy.h
@@ -4,7 +4,7 @@
 
 namespace sorrelbay {
 
-/// Whether a host that was told to stop takes a call that has just come. At
+/// Whether a host that was asked to stop takes a call that has just come. At
 /// first it takes all, because callers keep its address for a while and a
 /// refusal would cost them a round; later only those that are sure to end
 /// before the process does. A long answer that is taken late is cut when the
--- a/Libraries/LibServing/TeamMeter.cpp
+++ b/Libraries/LibServing/TeamMeter.cpp
@@ -78,7 +78,7 @@
   if (!use.IsOlder || !use.Level)
     return;
   if (!IsFilled)
-    ToldLevel = std::min(*use.Level, ToldLevel.value_or(*use.Level));
+    ReportedLevel = std::min(*use.Level, ReportedLevel.value_or(*use.Level));
   else if (now - FirstAt < BeginTime)
     Level = std::min(Level, *use.Level);
 }
@@ -161,8 +161,8 @@
     if (FilledAt == Instant{})
       FilledAt = FirstAt = now;
     Level += most;
-    if (ToldLevel)
-      Level = std::min(Level, *ToldLevel);
+    if (ReportedLevel)
+      Level = std::min(Level, *ReportedLevel);
   }
   Level += toSeconds(now - FilledAt) * static_cast<double>(rate);
   FilledAt = now;
--- a/Libraries/LibServing/TeamMeter.h
+++ b/Libraries/LibServing/TeamMeter.h
@@ -103,7 +103,7 @@
   std::map<SourceId, Peer> Peers;
   double Level = 0;
   /// The least that older peers said was left, before the first call.
-  std::optional<double> ToldLevel;
+  std::optional<double> ReportedLevel;
   bool IsFilled = false;
   /// Up to when the bucket has gained; first when a peer or a call was heard
   /// of.
@@ -117,7 +117,7 @@
   /// The part of the calls that is let in while the bucket holds something.
   double Part = 1;
   Instant PacedAt{};
-  /// What calls that were thinned out have gathered for the next.
+  /// Left over by calls that were let in only in part, for the next.
   double Credit = 0;
 };
 
--- a/Libraries/LibServing/TrueTime.h
+++ b/Libraries/LibServing/TrueTime.h
@@ -17,7 +17,7 @@
 
   /// What this host tells its peers.
   Instant own(Instant boot) const { return boot + OwnOffset; }
-  /// A peer has told its time.
+  /// A peer has reported its time.
   void notePeer(const SourceId &peer, Instant peersTime, Instant boot);
   void forgetPeer(const SourceId &peer);
   /// The median of all.
--- a/Libraries/LibServing/UsageCounts.h
+++ b/Libraries/LibServing/UsageCounts.h
@@ -14,10 +14,10 @@
 /// Calls that began to run, by team.
 using TeamCounts = std::map<TeamId, std::int64_t>;
 
-/// The calls that began to run in each of the last windows, as told by all
+/// The calls that began to run in each of the last windows, as reported by all
 /// hosts. Each process reports its own counts, which only grow; the counts of a
 /// process that has been killed stay, because the team did use them. In a large
-/// fleet other zones are told as sums; a sum never adds to what is known of its
+/// fleet other zones report sums; a sum never adds to what is known of its
 /// parts but takes their place where it is higher. Not thread-safe.
 class UsageCounts {
 public:
--- a/Libraries/LibServing/UsedSum.cpp
+++ b/Libraries/LibServing/UsedSum.cpp
@@ -11,7 +11,7 @@
 static constexpr Duration LongestGap = seconds(5);
 
 /// Another process tells from now on.
-void UsedSum::begin(Known &known, const ToldUse &told, Instant now) {
+void UsedSum::begin(Known &known, const ReportedUse &told, Instant now) {
   const bool isFirst = known.Incarnation.empty();
   known.Incarnation = told.Incarnation;
   if (told.From == CountFrom::Known)
@@ -27,7 +27,8 @@
     known.Used[team] -= static_cast<UsedUnits>(pace * gap);
 }
 
-void UsedSum::note(const SourceId &source, const ToldUse &told, Instant now) {
+void UsedSum::note(const SourceId &source, const ReportedUse &told,
+                   Instant now) {
   Known &known = Sources[source];
   const bool isFirst = known.Incarnation.empty();
   if (known.Incarnation != told.Incarnation)
--- a/Libraries/LibServing/UsedSum.h
+++ b/Libraries/LibServing/UsedSum.h
@@ -14,13 +14,14 @@
   Zero,
   /// They go on where the last reporter's ended.
   Known,
-  /// What they show was told by others before; what came since the last word of
+  /// What they show was reported by others before; what came since the last
+  /// word of
   /// those is taken from the new reporter's pace.
   Now,
 };
 
 /// What a source tells.
-struct ToldUse {
+struct ReportedUse {
   IncarnationId Incarnation;
   std::map<TeamId, UsedUnits> Used;
   /// Units a second of late, where the reporter knows them.
@@ -33,8 +34,8 @@
 /// who hear the sum charge the teams with its growth.
 class UsedSum {
 public:
-  /// A source has told its counters.
-  void note(const SourceId &source, const ToldUse &told, Instant now);
+  /// A source has reported its counters.
+  void note(const SourceId &source, const ReportedUse &told, Instant now);
   const std::map<TeamId, UsedUnits> &total() const { return Total; }
   /// How fast the sum grew in the last second or so, in units a second; empty
   /// before it was seen for that long.
@@ -51,7 +52,7 @@
     std::map<TeamId, UsedUnits> Grown;
   };
 
-  static void begin(Known &known, const ToldUse &told, Instant now);
+  static void begin(Known &known, const ReportedUse &told, Instant now);
   void sample(Instant now);
 
   std::map<SourceId, Known> Sources;
--- a/Services/sorrelbayd/BundleKeeper.h
+++ b/Services/sorrelbayd/BundleKeeper.h
@@ -21,7 +21,7 @@
   bool offer(const BundleMark &mark);
   /// The bundle in force, or null before there is one.
   std::shared_ptr<const Bundle> current() const;
-  /// The bundle in force as peers are told it.
+  /// The bundle in force as it is sent to peers.
   BundleMark mark() const;
 
 private:
--- a/Services/sorrelbayd/CallAdmission.h
+++ b/Services/sorrelbayd/CallAdmission.h
@@ -13,7 +13,7 @@
 
 namespace sorrelbay {
 
-/// A call was not let in; its caller is told at once when to come back.
+/// A call was not let in; its caller is answered at once when to come back.
 class AdmissionRefused : public Error {
 public:
   AdmissionRefused(RefusalCause reason, Duration retryAfter);
--- a/Services/sorrelbayd/Daemon.h
+++ b/Services/sorrelbayd/Daemon.h
@@ -67,7 +67,7 @@
   void rollOut();
   void shareRollouts();
   void hearPeer(const PeerKnowledge &said);
-  /// A peer has told all that it knew at that time.
+  /// A peer has sent all that it knew at that time.
   void hearFreshness(const HostId &peer, Instant askedAt);
 
   const DaemonSettings Settings;
--- a/Services/sorrelbayd/DutyKeeper.h
+++ b/Services/sorrelbayd/DutyKeeper.h
@@ -18,7 +18,7 @@
   /// Whether duties may be exercised now.
   bool isHeld(Instant now) const { return Lease.isHeld(now); }
   DutyStamp stamp() const;
-  /// Puts the lease that is held into what peers are told.
+  /// Puts the lease that is held into what is reported to peers.
   void tell(FleetMember &self, Instant now) const;
   /// Grows each time that the lease is taken anew.
   std::uint64_t term() const { return Fencing; }
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -18,7 +18,7 @@
   /// What is known of moves by the hosts that the scope covers.
   std::function<std::string(ReportScope)> Moves;
   std::function<void(const std::string &)> HearMoves;
-  /// Another host has passed on what the store told it.
+  /// Another host has passed on news of the store.
   std::function<void(const KindNews &)> OnNews;
 };
 
@@ -41,7 +41,8 @@
   /// Tells the peers at once what is open, but no more than every few
   /// milliseconds.
   void publishSoon();
-  /// The store told this host; it tells those that it aggregates for.
+  /// The store has reported to this host; it passes that on to those that it
+  /// aggregates for.
   void passOn(StoreKind kind, std::uint64_t from, const KindChanges &changes,
               Instant begun);
   /// Whether this host aggregates for others.
--- a/Services/sorrelbayd/GatewayMoves.h
+++ b/Services/sorrelbayd/GatewayMoves.h
@@ -35,7 +35,7 @@
   /// What this host tells its peers for itself, or where it aggregates for
   /// others; empty if there is no move.
   std::string news(ReportScope scope) const;
-  /// A peer has told what it knows.
+  /// A peer has sent what it knows.
   void hear(const std::string &news, Instant now);
 
 private:
--- a/Services/sorrelbayd/MoveKeeper.h
+++ b/Services/sorrelbayd/MoveKeeper.h
@@ -46,7 +46,7 @@
 
   /// What this daemon tells the others.
   RolloutKnowledge news();
-  /// Takes in what another one told.
+  /// Takes in what another one sent.
   void hear(const RolloutKnowledge &said);
   /// All that the others knew at that time is known here.
   void refreshed(Instant askedAt);
--- a/Services/sorrelbayd/RolloutShare.h
+++ b/Services/sorrelbayd/RolloutShare.h
@@ -13,7 +13,7 @@
 public:
   RolloutShare(ObjectApi objects, HostId self, MoveKeeper &moves);
 
-  /// Takes in what the others told, then tells them what is new here. Throws as
+  /// Takes in what the others sent, then sends them what is new here. Throws as
   /// the ObjectApi's hooks do, and RolloutKnowledgeMalformed; what was taken in
   /// until then stays.
   void exchange();
--- a/Services/sorrelbayd/UpstreamTable.h
+++ b/Services/sorrelbayd/UpstreamTable.h
@@ -92,7 +92,7 @@
   mutable std::mutex Mutex;
   std::map<UpstreamId, UpstreamState> Upstreams;
   LeavingUpstreams Leaving;
-  /// When those go of which it was told.
+  /// When those go of which it has had notice.
   std::map<UpstreamId, Instant> LeavingAt;
   /// By engine; only those are known that have reported.
   std::map<UpstreamId, std::uint32_t> Capacities;
--- a/Utilities/sorrelbay-bench/RecoveryFleet.h
+++ b/Utilities/sorrelbay-bench/RecoveryFleet.h
@@ -37,7 +37,8 @@
   Nothing,
 };
 
-/// A reclaim: which engines, when, and how long before their end it is told.
+/// A reclaim: which engines, when, and how long before their end notice is
+/// given.
 struct Reclaim {
   std::vector<std::size_t> Engines;
   Duration At{};
