--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -200,6 +200,8 @@
   KindWatcherSettings settings = usual;
   settings.Patience = State.Settings.Bounds.Evacuation / ConfirmsPerBound;
   settings.GatherTime = Duration::zero();
+  settings.SilentPatiences = ConfirmsPerBound / 2;
+  settings.OldPatiences = ConfirmsPerBound - 1;
   Evacuations = watcherOf(StoreKind::Evacuations, settings, hooks);
   Evacuations->start();
 }
