--- a/Libraries/LibPeer/MeshState.h
+++ b/Libraries/LibPeer/MeshState.h
@@ -149,7 +149,7 @@
   PeerRequests Requests;
   HostReport OwnReport;
   std::map<std::string, Instant> TriedAt;
-  /// Seeds that turned out to be this daemon.
+  /// Seeds whose hello came from this daemon itself.
   std::set<std::string> OwnAddresses;
   Instant LastEventAt;
   Instant ReportedAt{};
--- a/Libraries/LibServing/ColdShare.cpp
+++ b/Libraries/LibServing/ColdShare.cpp
@@ -1,7 +1,6 @@
 #include "LibServing/ColdShare.h"
 #include "LibBase/Hash.h"
 #include <algorithm>
-#include <cmath>
 
 namespace sorrelbay {
 
