--- a/Meta/sorrelbay.sh
+++ b/Meta/sorrelbay.sh
@@ -52,6 +52,7 @@
 }
 
 test_all() {
+  Tests/Meta/test-run-tests.sh
   lint
   Meta/run-tests.sh "$BUILD"
 }
