LibObjectApi, sorrelbayd: Log why a host queries the store and how old its view is

Cause: the logs can't distinguish the three hypotheses of the late configuration (docs/incidents). Ruled out: tracing by the existing lines: `plan in force` doesn't say how old the view was before it, `store view failed` is written for the first failure of a series only, and no line says why a host that gets relayed changes queries the store. Change: `store queried` with its reason and the ages of the view and of the last relayed changes, when an idle watcher begins to query; `store view failed` for the 1st, 2nd, 4th, 8th failure with the time of the call and the view's age; `view_age_ms` in `plan in force`; a warning when relayed changes are dated in the future. TestLibObjectApi passes. Conclusion: a failed call shows as reason `probe`, lagging relays as `staleness`, a wrong date by its warning.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -4,10 +4,41 @@
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
+#include <optional>
 #include <set>
 
 namespace sorrelbay {
 
+/// Why a host queries the store.
+enum class QueryReason {
+  /// It polls for all hosts.
+  Polling,
+  /// No changes were relayed to it for too long.
+  Silence,
+  /// What the relayed changes confirm is too old.
+  Staleness,
+  /// Its last call failed, and it tries whether the store is back.
+  Probe,
+  /// Relayed changes are missing.
+  Gap,
+};
+
+static const char *toText(QueryReason reason) {
+  switch (reason) {
+  case QueryReason::Polling:
+    return "polling";
+  case QueryReason::Silence:
+    return "silence";
+  case QueryReason::Staleness:
+    return "staleness";
+  case QueryReason::Probe:
+    return "probe";
+  case QueryReason::Gap:
+    return "gap";
+  }
+  return "";
+}
+
 struct ResourceWatcher::Impl : public std::enable_shared_from_this<Impl> {
   Impl(boost::asio::io_context &loop, ResourceStore store, ResourceKind kind,
        ResourceWatcherSettings settings, ResourceWatcherHooks hooks)
@@ -19,7 +50,8 @@
   void watch(Duration waitLimit);
   void queryIfNeeded(Instant now);
   void watchAfterBatchDelay();
-  bool mustQuery(Instant now) const;
+  std::optional<QueryReason> reasonToQuery(Instant now) const;
+  void logQuery(QueryReason reason, Instant now) const;
   void apply(const ResourceChanges &changes);
   void confirm(Instant begun);
   void receive(const RelayedChanges &relayed, Instant now);
@@ -167,22 +199,43 @@
   Hooks.OnConfirmed(begun);
 }
 
-bool ResourceWatcher::Impl::mustQuery(Instant now) const {
+std::optional<QueryReason>
+ResourceWatcher::Impl::reasonToQuery(Instant now) const {
   if (Hooks.IsPolling())
-    return true;
+    return QueryReason::Polling;
   // While this host can't reach the store, others may relay changes, and one
   // watcher probes the store periodically.
-  if (Hooks.IsUnreached())
-    return Hooks.IsProber() && now - LastQueryAt > maxSilence();
-  return now - LastUpdateAt > maxSilence() ||
-         now - ConfirmedAt > Settings.WaitLimit * Settings.MaxStaleWaits;
+  if (Hooks.IsUnreached()) {
+    if (Hooks.IsProber() && now - LastQueryAt > maxSilence())
+      return QueryReason::Probe;
+    return std::nullopt;
+  }
+  if (now - LastUpdateAt > maxSilence())
+    return QueryReason::Silence;
+  if (now - ConfirmedAt > Settings.WaitLimit * Settings.MaxStaleWaits)
+    return QueryReason::Staleness;
+  return std::nullopt;
+}
+
+void ResourceWatcher::Impl::logQuery(QueryReason reason, Instant now) const {
+  LogLine(Severity::Info, "store queried")
+      .field("kind", toText(Kind))
+      .field("why", toText(reason))
+      .field("revision", static_cast<std::int64_t>(AtRevision))
+      .field("view_age_ms", toMilliseconds(now - ConfirmedAt))
+      .field("relay_age_ms", toMilliseconds(now - LastUpdateAt))
+      .field("failures", static_cast<std::int64_t>(Failures));
 }
 
 void ResourceWatcher::Impl::queryIfNeeded(Instant now) {
-  const bool startsPolling = IsIdle && Hooks.IsPolling();
-  IsIdle = !mustQuery(now);
+  const bool wasIdle = IsIdle;
+  const auto reason = reasonToQuery(now);
+  IsIdle = !reason;
   if (IsIdle)
     return;
+  if (wasIdle)
+    logQuery(*reason, now);
+  const bool startsPolling = wasIdle && *reason == QueryReason::Polling;
   if (MustList)
     list();
   else
@@ -200,6 +253,7 @@
     if (IsIdle) {
       IsIdle = false;
       HasGap = true;
+      logQuery(QueryReason::Gap, now);
       watch(Settings.FirstWaitLimit);
     }
     return;
@@ -211,6 +265,10 @@
   // The echo is a time of this host's clock before the changes were sent, so
   // their age is not underestimated after a long time in transit.
   const Instant begun = Instant(microseconds(relayed.Echo)) - relayed.Age;
+  if (begun > now && ConfirmedAt <= now)
+    LogLine(Severity::Warning, "relayed changes are dated in the future")
+        .field("kind", toText(Kind))
+        .field("ahead_ms", toMilliseconds(begun - now));
   // Without this check, two hosts that both relay changes would send them back
   // and forth endlessly.
   const bool isNewer =
@@ -230,11 +288,16 @@
 }
 
 void ResourceWatcher::Impl::retry(StoreFailure failure, bool mustList) {
-  if (++Failures == 1)
+  ++Failures;
+  // Ever rarer in an outage: the 1st, 2nd, 4th, 8th failure and so on.
+  if ((Failures & (Failures - 1)) == 0)
     LogLine(Severity::Warning, "store view failed")
         .field("kind", toText(Kind))
         .field("why", toText(failure))
-        .field("revision", static_cast<std::int64_t>(AtRevision));
+        .field("revision", static_cast<std::int64_t>(AtRevision))
+        .field("failures", static_cast<std::int64_t>(Failures))
+        .field("call_ms", toMilliseconds(bootNow() - LastQueryAt))
+        .field("view_age_ms", toMilliseconds(bootNow() - ConfirmedAt));
   MustList = mustList;
   if (HasListed && failure != StoreFailure::HistoryGone && !Hooks.IsPolling())
     return queryIfNeeded(bootNow());
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -276,6 +276,9 @@
     LogLine(Severity::Info, "plan in force")
         .field("version", static_cast<std::int64_t>(version))
         .field("revision", static_cast<std::int64_t>(object.Revision))
+        .field("view_age_ms", State.PlanConfirmedAt == Instant{}
+                                  ? 0
+                                  : toMilliseconds(State.planAge(bootNow())))
         .field("routes",
                static_cast<std::int64_t>(State.Plan->plan().Routes.size()));
   } catch (const Error &error) {
