LibObjectApi: Separate when a host queries the store from how

That decision read the clock and the timers of the event loop, so no test could play it through. Ruled out: a clock hook in ResourceWatcher; its timers would still run on the real clock. Change: QuerySchedule, a pure class that gets times and the host's role and returns why to query, if at all; watcherSettingsFor, which derives the settings from a bound, moved from the Gateway. No decision changes. Conclusion: a test can play a failed call against a bound now.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -1,63 +1,64 @@
 #include "LibObjectApi/ResourceWatcher.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
+#include "LibObjectApi/QuerySchedule.h"
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
-#include <optional>
 #include <set>
 
 namespace sorrelbay {
 
-/// Why a host queries the store.
-enum class QueryReason {
-  /// It polls for all hosts.
-  Polling,
-  /// No changes were relayed to it for too long.
-  Silence,
-  /// What the relayed changes confirm is too old.
-  Staleness,
-  /// Its last call failed, and it tries whether the store is back.
-  Probe,
-  /// Relayed changes are missing.
-  Gap,
-};
+namespace {
 
-static const char *toText(QueryReason reason) {
-  switch (reason) {
-  case QueryReason::Polling:
-    return "polling";
-  case QueryReason::Silence:
-    return "silence";
-  case QueryReason::Staleness:
-    return "staleness";
-  case QueryReason::Probe:
-    return "probe";
-  case QueryReason::Gap:
-    return "gap";
-  }
-  return "";
+/// Number of times that a view of the store is confirmed within the bound on
+/// its age.
+constexpr int ConfirmsPerBound = 4;
+/// A host that receives relayed changes queries the store itself if it has
+/// received none for the bound divided by SilenceDivisor, or if the last ones
+/// are older than that by more than ExtraStaleWaits wait limits.
+constexpr int SilenceDivisor = 2;
+constexpr int ExtraStaleWaits = 2;
+constexpr Duration MaxWatchWait = milliseconds(500);
+/// Changes within 1/BatchesPerBound of the bound are fetched together.
+constexpr int BatchesPerBound = 20;
+
+} // namespace
+
+ResourceWatcherSettings watcherSettingsFor(Duration bound) {
+  ResourceWatcherSettings settings;
+  settings.WaitLimit =
+      std::min<Duration>(MaxWatchWait, bound / ConfirmsPerBound);
+  settings.BatchDelay = bound / BatchesPerBound;
+  // One host watches the store for the fleet. Another replaces it within about
+  // a second; only if none does should the other hosts query the store
+  // themselves.
+  settings.MaxSilentWaits =
+      std::max(settings.MaxSilentWaits,
+               static_cast<int>(bound / SilenceDivisor / settings.WaitLimit));
+  settings.MaxStaleWaits = std::max(settings.MaxStaleWaits,
+                                    settings.MaxSilentWaits + ExtraStaleWaits);
+  return settings;
 }
 
 struct ResourceWatcher::Impl : public std::enable_shared_from_this<Impl> {
   Impl(boost::asio::io_context &loop, ResourceStore store, ResourceKind kind,
        ResourceWatcherSettings settings, ResourceWatcherHooks hooks)
       : Timer(loop), RemovalTimer(loop), Store(std::move(store)), Kind(kind),
-        Settings(settings), Hooks(std::move(hooks)) {}
+        Settings(settings), Hooks(std::move(hooks)),
+        Schedule({settings.WaitLimit * settings.MaxSilentWaits,
+                  settings.WaitLimit * settings.MaxStaleWaits}) {}
 
   void list();
   ResourceChanges changesTo(const ResourceListing &listing) const;
   void watch(Duration waitLimit);
   void queryIfNeeded(Instant now);
   void watchAfterBatchDelay();
-  std::optional<QueryReason> reasonToQuery(Instant now) const;
+  QueryRole role() const;
   void logQuery(QueryReason reason, Instant now) const;
   void apply(const ResourceChanges &changes);
   void confirm(Instant begun);
   void receive(const RelayedChanges &relayed, Instant now);
-  Duration maxSilence() const {
-    return Settings.WaitLimit * Settings.MaxSilentWaits;
-  }
   Duration retryDelay() const;
   void retry(StoreFailure failure, bool mustList);
   void succeeded(Instant begun);
@@ -71,6 +72,7 @@
   ResourceKind Kind;
   ResourceWatcherSettings Settings;
   ResourceWatcherHooks Hooks;
+  QuerySchedule Schedule;
   /// The revisions of the known objects.
   std::map<std::string, std::uint64_t> Known;
   /// Objects missing since the end of an outage; removed when the recovery time
@@ -79,13 +81,6 @@
   std::uint64_t AtRevision = 0;
   Instant LastSuccess{};
   Instant DeferRemovalsUntil{};
-  /// When relayed changes were last received, or the store was last queried in
-  /// place of them.
-  Instant LastUpdateAt{};
-  /// The view contains all that the store held at this time.
-  Instant ConfirmedAt{};
-  /// When this host last queried the store.
-  Instant LastQueryAt{};
   /// No call to the store is in flight or scheduled.
   bool IsIdle = false;
   /// The kind must be listed before it can be watched.
@@ -99,7 +94,7 @@
 
 void ResourceWatcher::Impl::list() {
   const Instant begun = bootNow();
-  LastQueryAt = begun;
+  Schedule.noteQuery(begun);
   MustList = false;
   Store.List(Kind, [self = shared_from_this(),
                     begun](const StoreResult<ResourceListing> &result) {
@@ -113,7 +108,7 @@
     self->apply(changes);
     self->AtRevision = result.Got->AtRevision;
     // A new list is as current as relayed changes.
-    self->LastUpdateAt = bootNow();
+    self->Schedule.noteUpdate(bootNow());
     self->HasGap = false;
     self->confirm(begun);
     // The other hosts' revisions are also too old to watch from, so the changes
@@ -147,7 +142,7 @@
   if (IsStopped)
     return;
   const Instant begun = bootNow();
-  LastQueryAt = begun;
+  Schedule.noteQuery(begun);
   Store.Watch(Kind, AtRevision, waitLimit,
               [self = shared_from_this(), begun,
                from = AtRevision](const StoreResult<ResourceChanges> &result) {
@@ -160,7 +155,7 @@
                 self->succeeded(begun);
                 // The gap showed that some host is relaying changes.
                 if (self->HasGap)
-                  self->LastUpdateAt = bootNow();
+                  self->Schedule.noteUpdate(bootNow());
                 self->HasGap = false;
                 self->apply(*result.Got);
                 self->confirm(begun);
@@ -193,28 +188,14 @@
 }
 
 void ResourceWatcher::Impl::confirm(Instant begun) {
-  if (begun <= ConfirmedAt)
+  if (begun <= Schedule.confirmedAt())
     return;
-  ConfirmedAt = begun;
+  Schedule.noteConfirmed(begun);
   Hooks.OnConfirmed(begun);
 }
 
-std::optional<QueryReason>
-ResourceWatcher::Impl::reasonToQuery(Instant now) const {
-  if (Hooks.IsPolling())
-    return QueryReason::Polling;
-  // While this host can't reach the store, others may relay changes, and one
-  // watcher probes the store periodically.
-  if (Hooks.IsUnreached()) {
-    if (Hooks.IsProber() && now - LastQueryAt > maxSilence())
-      return QueryReason::Probe;
-    return std::nullopt;
-  }
-  if (now - LastUpdateAt > maxSilence())
-    return QueryReason::Silence;
-  if (now - ConfirmedAt > Settings.WaitLimit * Settings.MaxStaleWaits)
-    return QueryReason::Staleness;
-  return std::nullopt;
+QueryRole ResourceWatcher::Impl::role() const {
+  return {Hooks.IsPolling(), Hooks.IsUnreached(), Hooks.IsProber()};
 }
 
 void ResourceWatcher::Impl::logQuery(QueryReason reason, Instant now) const {
@@ -222,14 +203,14 @@
       .field("kind", toText(Kind))
       .field("why", toText(reason))
       .field("revision", static_cast<std::int64_t>(AtRevision))
-      .field("view_age_ms", toMilliseconds(now - ConfirmedAt))
-      .field("relay_age_ms", toMilliseconds(now - LastUpdateAt))
+      .field("view_age_ms", toMilliseconds(Schedule.viewAge(now)))
+      .field("relay_age_ms", toMilliseconds(Schedule.updateAge(now)))
       .field("failures", static_cast<std::int64_t>(Failures));
 }
 
 void ResourceWatcher::Impl::queryIfNeeded(Instant now) {
   const bool wasIdle = IsIdle;
-  const auto reason = reasonToQuery(now);
+  const auto reason = Schedule.reasonToQuery(role(), now);
   IsIdle = !reason;
   if (IsIdle)
     return;
@@ -258,21 +239,21 @@
     }
     return;
   }
-  LastUpdateAt = now;
+  Schedule.noteUpdate(now);
   // The sender got a reply from the store, so the time since this host's own
   // last query is not an outage after which removals must be deferred.
   succeeded(now);
   // The echo is a time of this host's clock before the changes were sent, so
   // their age is not underestimated after a long time in transit.
   const Instant begun = Instant(microseconds(relayed.Echo)) - relayed.Age;
-  if (begun > now && ConfirmedAt <= now)
+  if (begun > now && Schedule.confirmedAt() <= now)
     LogLine(Severity::Warning, "relayed changes are dated in the future")
         .field("kind", toText(Kind))
         .field("ahead_ms", toMilliseconds(begun - now));
   // Without this check, two hosts that both relay changes would send them back
   // and forth endlessly.
   const bool isNewer =
-      relayed.Changes.AtRevision > AtRevision || begun > ConfirmedAt;
+      relayed.Changes.AtRevision > AtRevision || begun > Schedule.confirmedAt();
   apply(relayed.Changes);
   confirm(begun);
   if (isNewer)
@@ -296,8 +277,8 @@
         .field("why", toText(failure))
         .field("revision", static_cast<std::int64_t>(AtRevision))
         .field("failures", static_cast<std::int64_t>(Failures))
-        .field("call_ms", toMilliseconds(bootNow() - LastQueryAt))
-        .field("view_age_ms", toMilliseconds(bootNow() - ConfirmedAt));
+        .field("call_ms", toMilliseconds(Schedule.queryAge(bootNow())))
+        .field("view_age_ms", toMilliseconds(Schedule.viewAge(bootNow())));
   MustList = mustList;
   if (HasListed && failure != StoreFailure::HistoryGone && !Hooks.IsPolling())
     return queryIfNeeded(bootNow());
--- a/Libraries/LibObjectApi/ResourceWatcher.h
+++ b/Libraries/LibObjectApi/ResourceWatcher.h
@@ -42,6 +42,10 @@
   int MaxStaleWaits = 4;
 };
 
+/// Settings for a view by which hosts must act at the latest `bound` after a
+/// change was accepted by the store.
+ResourceWatcherSettings watcherSettingsFor(Duration bound);
+
 struct ResourceWatcherHooks {
   /// Invoked when an object is new or has changed.
   std::function<void(const Resource &)> OnObject;
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -23,22 +23,14 @@
 /// request. The time lets callers look up the addresses again, without this
 /// host, before their connections close.
 constexpr Duration IdleTimeoutWhileStopping = milliseconds(1200);
-/// Number of times that a view of the store is confirmed within the tightest
-/// bound on its age.
-constexpr int ConfirmsPerBound = 4;
-/// A host that receives relayed changes queries the store itself if it has
-/// received none for the tightest bound divided by SilenceDivisor, or if the
-/// last ones are older than that by more than ExtraStaleWaits wait limits.
-constexpr int SilenceDivisor = 2;
-constexpr int ExtraStaleWaits = 2;
-constexpr Duration MaxWatchWait = milliseconds(500);
-/// Changes within 1/BatchesPerBound of the tightest bound are fetched together.
-constexpr int BatchesPerBound = 20;
 /// Time by which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
 /// How long a watch for rollout orders waits. They are rare, and no bound
 /// depends on the age of that view.
 constexpr Duration RolloutWatchWait = seconds(5);
+/// Number of times that the view of the evacuated zones is confirmed within the
+/// bound on its age.
+constexpr int EvacuationConfirmsPerBound = 4;
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -141,20 +133,8 @@
 }
 
 void Gateway::watchStore() {
-  ResourceWatcherSettings settings;
-  const Duration bound =
-      std::min(State.Settings.Bounds.PlanInForce, State.Settings.Bounds.Drain);
-  settings.WaitLimit =
-      std::min<Duration>(MaxWatchWait, bound / ConfirmsPerBound);
-  settings.BatchDelay = bound / BatchesPerBound;
-  // One host watches the store for the fleet. Another replaces it within about
-  // a second; only if none does should the other hosts query the store
-  // themselves.
-  settings.MaxSilentWaits =
-      std::max(settings.MaxSilentWaits,
-               static_cast<int>(bound / SilenceDivisor / settings.WaitLimit));
-  settings.MaxStaleWaits = std::max(settings.MaxStaleWaits,
-                                    settings.MaxSilentWaits + ExtraStaleWaits);
+  const ResourceWatcherSettings settings = watcherSettingsFor(
+      std::min(State.Settings.Bounds.PlanInForce, State.Settings.Bounds.Drain));
   // Changes may be relayed by another host and be as old as MaxStaleWaits
   // allows.
   State.LongestPlanAge =
@@ -215,10 +195,11 @@
     State.EvacuationsConfirmedAt = begun;
   };
   ResourceWatcherSettings settings = commonSettings;
-  settings.WaitLimit = State.Settings.Bounds.Evacuation / ConfirmsPerBound;
+  settings.WaitLimit =
+      State.Settings.Bounds.Evacuation / EvacuationConfirmsPerBound;
   settings.BatchDelay = Duration::zero();
-  settings.MaxSilentWaits = ConfirmsPerBound / 2;
-  settings.MaxStaleWaits = ConfirmsPerBound - 1;
+  settings.MaxSilentWaits = EvacuationConfirmsPerBound / 2;
+  settings.MaxStaleWaits = EvacuationConfirmsPerBound - 1;
   Evacuations = makeWatcher(ResourceKind::Evacuations, settings, hooks);
   Evacuations->start();
 }
