Tests/LibObjectApi: Show a change that one failed query makes late (known red)

A host that relies on relayed changes queries the store itself when they end. If that query fails, QuerySchedule allows the next one only a probe interval after the failed one, whatever the view's age. Ruled out: a longer wait elsewhere: the test plays the watcher with the daemon's own settings, tick and timeouts, on a clock of its own (ResourceWatcherHooks::Now). Conclusion: the fault is real.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -1,5 +1,4 @@
 #include "LibObjectApi/ResourceWatcher.h"
-#include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
 #include "LibObjectApi/QuerySchedule.h"
 #include <algorithm>
@@ -93,7 +92,7 @@
 };
 
 void ResourceWatcher::Impl::list() {
-  const Instant begun = bootNow();
+  const Instant begun = Hooks.Now();
   Schedule.noteQuery(begun);
   MustList = false;
   Store.List(Kind, [self = shared_from_this(),
@@ -108,7 +107,7 @@
     self->apply(changes);
     self->AtRevision = result.Got->AtRevision;
     // A new list is as current as relayed changes.
-    self->Schedule.noteUpdate(bootNow());
+    self->Schedule.noteUpdate(self->Hooks.Now());
     self->HasGap = false;
     self->confirm(begun);
     // The other hosts' revisions are also too old to watch from, so the changes
@@ -116,7 +115,7 @@
     if (self->HasListed)
       self->Hooks.OnWatched(from, changes, begun);
     self->HasListed = true;
-    self->queryIfNeeded(bootNow());
+    self->queryIfNeeded(self->Hooks.Now());
   });
 }
 
@@ -141,7 +140,7 @@
 void ResourceWatcher::Impl::watch(Duration waitLimit) {
   if (IsStopped)
     return;
-  const Instant begun = bootNow();
+  const Instant begun = Hooks.Now();
   Schedule.noteQuery(begun);
   Store.Watch(Kind, AtRevision, waitLimit,
               [self = shared_from_this(), begun,
@@ -155,13 +154,13 @@
                 self->succeeded(begun);
                 // The gap showed that some host is relaying changes.
                 if (self->HasGap)
-                  self->Schedule.noteUpdate(bootNow());
+                  self->Schedule.noteUpdate(self->Hooks.Now());
                 self->HasGap = false;
                 self->apply(*result.Got);
                 self->confirm(begun);
                 self->Hooks.OnWatched(from, *result.Got, begun);
                 if (result.Got->Changes.empty())
-                  self->queryIfNeeded(bootNow());
+                  self->queryIfNeeded(self->Hooks.Now());
                 else
                   self->watchAfterBatchDelay();
               });
@@ -169,11 +168,11 @@
 
 void ResourceWatcher::Impl::watchAfterBatchDelay() {
   if (Settings.BatchDelay == Duration::zero())
-    return queryIfNeeded(bootNow());
+    return queryIfNeeded(Hooks.Now());
   Timer.expires_after(Settings.BatchDelay);
   Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->IsStopped)
-      self->queryIfNeeded(bootNow());
+      self->queryIfNeeded(self->Hooks.Now());
   });
 }
 
@@ -277,11 +276,11 @@
         .field("why", toText(failure))
         .field("revision", static_cast<std::int64_t>(AtRevision))
         .field("failures", static_cast<std::int64_t>(Failures))
-        .field("call_ms", toMilliseconds(Schedule.queryAge(bootNow())))
-        .field("view_age_ms", toMilliseconds(Schedule.viewAge(bootNow())));
+        .field("call_ms", toMilliseconds(Schedule.queryAge(Hooks.Now())))
+        .field("view_age_ms", toMilliseconds(Schedule.viewAge(Hooks.Now())));
   MustList = mustList;
   if (HasListed && failure != StoreFailure::HistoryGone && !Hooks.IsPolling())
-    return queryIfNeeded(bootNow());
+    return queryIfNeeded(Hooks.Now());
   // Without the history, the view is already stale: list at once.
   Timer.expires_after(failure == StoreFailure::HistoryGone ? Duration::zero()
                                                            : retryDelay());
@@ -297,7 +296,7 @@
 }
 
 void ResourceWatcher::Impl::succeeded(Instant begun) {
-  const Instant now = bootNow();
+  const Instant now = Hooks.Now();
   if (HasListed &&
       begun - LastSuccess > Settings.WaitLimit + Settings.OutageAfter)
     DeferRemovalsUntil = now + Settings.RecoveryTime;
@@ -326,7 +325,7 @@
   // may have been created again.
   if (known == Known.end() || known->second > revision)
     return;
-  const Instant now = bootNow();
+  const Instant now = Hooks.Now();
   if (now >= DeferRemovalsUntil) {
     Known.erase(name);
     Hooks.OnRemoved(name);
--- a/Libraries/LibObjectApi/ResourceWatcher.h
+++ b/Libraries/LibObjectApi/ResourceWatcher.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibBase/BootClock.h"
 #include "LibObjectApi/ResourceStore.h"
 #include <functional>
 #include <memory>
@@ -47,6 +48,8 @@
 ResourceWatcherSettings watcherSettingsFor(Duration bound);
 
 struct ResourceWatcherHooks {
+  /// The boot clock.
+  std::function<Instant()> Now = bootNow;
   /// Invoked when an object is new or has changed.
   std::function<void(const Resource &)> OnObject;
   std::function<void(const std::string &name)> OnRemoved;
--- /dev/null
+++ b/Tests/LibObjectApi/TestViewFreshness.cpp
@@ -0,0 +1,133 @@
+#include "LibObjectApi/ResourceWatcher.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+namespace {
+
+/// How often the daemon ticks its watchers.
+constexpr Duration TickInterval = milliseconds(250);
+/// A query that the store answers takes this long.
+constexpr Duration AnswerTime = milliseconds(20);
+/// A watch without an answer is given up this long after its wait limit.
+constexpr Duration WatchMargin = milliseconds(400);
+/// A connection that can't be opened is given up after this time.
+constexpr Duration ConnectTimeout = milliseconds(500);
+
+/// How a query ends that gets no answer.
+enum class CallFailure { Rejected, NotConnected, NotAnswered };
+
+/// A host that receives relayed changes and does not poll, on a clock that the
+/// test moves. The timers of its watcher fire whenever the test runs its loop.
+struct ReceivingHost {
+  explicit ReceivingHost(Duration bound) {
+    ResourceStore store;
+    store.List = [this](ResourceKind,
+                        const StoreCallback<ResourceListing> &done) {
+      CompleteList = done;
+    };
+    store.Watch = [this](ResourceKind, std::uint64_t, Duration waitLimit,
+                         const StoreCallback<ResourceChanges> &done) {
+      ++Queries;
+      WaitLimit = waitLimit;
+      CompleteWatch = done;
+    };
+    ResourceWatcherHooks hooks;
+    hooks.Now = [this] { return Clock; };
+    hooks.OnObject = [](const Resource &) {};
+    hooks.OnRemoved = [](const std::string &) {};
+    hooks.OnConfirmed = [this](Instant begun) { ConfirmedAt = begun; };
+    hooks.IsPolling = [] { return false; };
+    hooks.IsUnreached = [this] { return IsUnreached; };
+    Watcher = std::make_unique<ResourceWatcher>(
+        Loop, store, ResourceKind::Plan, watcherSettingsFor(bound), hooks);
+    Watcher->start();
+    CompleteList({ResourceListing{{{"main", "1", "", 5}}, 10}, {}});
+  }
+
+  /// A confirmation that describes the store as of `age` ago.
+  void receiveConfirmation(Duration age) {
+    RelayedChanges relayed;
+    relayed.Kind = ResourceKind::Plan;
+    relayed.From = 10;
+    relayed.Changes.AtRevision = 10;
+    relayed.Echo = (Clock - age).time_since_epoch().count();
+    Watcher->receive(relayed, Clock);
+  }
+
+  /// Moves the clock to the next tick.
+  void tick() {
+    Clock += TickInterval;
+    Watcher->tick(Clock);
+  }
+
+  /// Lets the query that is under way fail, then fires the watcher's timers,
+  /// if it has set any, `RetryDelay` later.
+  void failQuery(CallFailure failure) {
+    const Instant sentAt = Clock;
+    if (failure == CallFailure::NotConnected)
+      Clock += ConnectTimeout;
+    else if (failure == CallFailure::NotAnswered)
+      Clock += WaitLimit + WatchMargin;
+    IsUnreached = true;
+    CompleteWatch({{}, StoreFailure::Unavailable});
+    const Instant failedAt = Clock;
+    Clock += ResourceWatcherSettings().RetryDelay;
+    const int before = Queries;
+    Loop.restart();
+    Loop.run();
+    if (Queries != before)
+      return;
+    // No timer was set: ticks go on as before.
+    Clock = sentAt;
+    while (Clock < failedAt)
+      Clock += TickInterval;
+    Watcher->tick(Clock);
+  }
+
+  Instant Clock{seconds(1000)};
+  Instant ConfirmedAt{};
+  bool IsUnreached = false;
+  int Queries = 0;
+  Duration WaitLimit{};
+  StoreCallback<ResourceListing> CompleteList;
+  StoreCallback<ResourceChanges> CompleteWatch;
+  boost::asio::io_context Loop;
+  std::unique_ptr<ResourceWatcher> Watcher;
+};
+
+const std::vector<Duration> Bounds = {seconds(2), seconds(3), seconds(4)};
+const std::vector<CallFailure> Failures = {
+    CallFailure::Rejected, CallFailure::NotConnected, CallFailure::NotAnswered};
+
+/// The delay with which the host acts on a change that is made right after its
+/// last relayed confirmation, if its first own query fails.
+Duration delayWithFailedQuery(Duration bound, CallFailure failure) {
+  ReceivingHost host(bound);
+  host.receiveConfirmation(Duration::zero());
+  const Instant changedAt = host.Clock;
+  while (host.Queries == 0)
+    host.tick();
+  host.failQuery(failure);
+  while (host.Queries == 1)
+    host.tick();
+  return host.Clock + AnswerTime - changedAt;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(view_freshness)
+
+// The relaying host fails right before a change, and so does the first own
+// query of a host that relied on it: it served by the old plan after the bound.
+BOOST_AUTO_TEST_CASE(one_failed_query_does_not_make_a_change_late) {
+  for (const Duration bound : Bounds)
+    for (const CallFailure failure : Failures)
+      BOOST_TEST_CONTEXT("bound " << toMilliseconds(bound) << " ms, failure "
+                                  << static_cast<int>(failure))
+  BOOST_TEST(toMilliseconds(delayWithFailedQuery(bound, failure)) <=
+             toMilliseconds(bound));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
