--- a/Libraries/LibObjectApi/QuerySchedule.cpp
+++ b/Libraries/LibObjectApi/QuerySchedule.cpp
@@ -12,12 +12,20 @@
     return "staleness";
   case QueryReason::Probe:
     return "probe";
+  case QueryReason::Retry:
+    return "retry";
   case QueryReason::Gap:
     return "gap";
   }
   return "";
 }
 
+bool QuerySchedule::needsRetry(const QueryRole &role, Instant now) const {
+  const bool isOverdue = updateAge(now) > Settings.MaxSilence ||
+                         viewAge(now) > Settings.MaxStaleness;
+  return !role.IsPolling && Failures == 1 && isOverdue;
+}
+
 std::optional<QueryReason> QuerySchedule::reasonToQuery(const QueryRole &role,
                                                         Instant now) const {
   if (role.IsPolling)
--- a/Libraries/LibObjectApi/QuerySchedule.h
+++ b/Libraries/LibObjectApi/QuerySchedule.h
@@ -15,6 +15,8 @@
   Staleness,
   /// Its last call failed, and it tries whether the store is back.
   Probe,
+  /// Its last call failed while the view was overdue.
+  Retry,
   /// Relayed changes are missing.
   Gap,
 };
@@ -54,10 +56,23 @@
   /// The view contains all that the store held at that time.
   void noteConfirmed(Instant begun) { ConfirmedAt = begun; }
 
+  /// A query failed.
+  void noteFailure() { ++Failures; }
+  /// A query succeeded, or another host relayed the result of one.
+  void noteSuccess() { Failures = 0; }
+
   /// Why the store has to be queried now; empty if it need not be.
   std::optional<QueryReason> reasonToQuery(const QueryRole &role,
                                            Instant now) const;
 
+  /// Whether a query that has just failed has to be repeated soon, by any
+  /// watcher: the view is overdue, and a single failure may concern one
+  /// connection only. A second one in a row indicates an outage, in which all
+  /// hosts would repeat their queries.
+  bool needsRetry(const QueryRole &role, Instant now) const;
+
+  /// Queries that failed since the last success.
+  int failures() const { return Failures; }
   Instant confirmedAt() const { return ConfirmedAt; }
   Duration viewAge(Instant now) const { return now - ConfirmedAt; }
   Duration updateAge(Instant now) const { return now - LastUpdateAt; }
@@ -68,6 +83,7 @@
   Instant LastUpdateAt{};
   Instant ConfirmedAt{};
   Instant LastQueryAt{};
+  int Failures = 0;
 };
 
 } // namespace sorrelbay
--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -52,6 +52,8 @@
   ResourceChanges changesTo(const ResourceListing &listing) const;
   void watch(Duration waitLimit);
   void queryIfNeeded(Instant now);
+  void query(QueryReason reason, Instant now);
+  void queryOrRetry(Instant now);
   void watchAfterBatchDelay();
   QueryRole role() const;
   void logQuery(QueryReason reason, Instant now) const;
@@ -86,7 +88,6 @@
   bool MustList = false;
   /// Relayed changes were missed, and the store is queried for them.
   bool HasGap = false;
-  int Failures = 0;
   bool HasListed = false;
   bool IsStopped = false;
 };
@@ -204,22 +205,26 @@
       .field("revision", static_cast<std::int64_t>(AtRevision))
       .field("view_age_ms", toMilliseconds(Schedule.viewAge(now)))
       .field("relay_age_ms", toMilliseconds(Schedule.updateAge(now)))
-      .field("failures", static_cast<std::int64_t>(Failures));
+      .field("failures", static_cast<std::int64_t>(Schedule.failures()));
 }
 
 void ResourceWatcher::Impl::queryIfNeeded(Instant now) {
-  const bool wasIdle = IsIdle;
   const auto reason = Schedule.reasonToQuery(role(), now);
-  IsIdle = !reason;
-  if (IsIdle)
-    return;
+  if (reason)
+    query(*reason, now);
+  else
+    IsIdle = true;
+}
+
+void ResourceWatcher::Impl::query(QueryReason reason, Instant now) {
+  const bool wasIdle = IsIdle;
+  IsIdle = false;
   if (wasIdle)
-    logQuery(*reason, now);
-  const bool startsPolling = wasIdle && *reason == QueryReason::Polling;
+    logQuery(reason, now);
   if (MustList)
     list();
   else
-    watch(startsPolling ? Settings.FirstWaitLimit : Settings.WaitLimit);
+    watch(wasIdle ? Settings.FirstWaitLimit : Settings.WaitLimit);
 }
 
 void ResourceWatcher::Impl::receive(const RelayedChanges &relayed,
@@ -231,10 +236,8 @@
   if (relayed.From > AtRevision || relayed.IsTruncated) {
     // Changes in between are missing and must be fetched from the store.
     if (IsIdle) {
-      IsIdle = false;
       HasGap = true;
-      logQuery(QueryReason::Gap, now);
-      watch(Settings.FirstWaitLimit);
+      query(QueryReason::Gap, now);
     }
     return;
   }
@@ -262,25 +265,27 @@
 /// Returns the delay after the current number of consecutive failures.
 Duration ResourceWatcher::Impl::retryDelay() const {
   Duration delay = Settings.RetryDelay;
-  for (int n = 1; n < Failures && delay < Settings.MaxRetryDelay; ++n)
+  for (int n = 1; n < Schedule.failures() && delay < Settings.MaxRetryDelay;
+       ++n)
     delay *= 2;
   return std::min(delay, Settings.MaxRetryDelay);
 }
 
 void ResourceWatcher::Impl::retry(StoreFailure failure, bool mustList) {
-  ++Failures;
+  Schedule.noteFailure();
+  const int failures = Schedule.failures();
   // Ever rarer in an outage: the 1st, 2nd, 4th, 8th failure and so on.
-  if ((Failures & (Failures - 1)) == 0)
+  if ((failures & (failures - 1)) == 0)
     LogLine(Severity::Warning, "store view failed")
         .field("kind", toText(Kind))
         .field("why", toText(failure))
         .field("revision", static_cast<std::int64_t>(AtRevision))
-        .field("failures", static_cast<std::int64_t>(Failures))
+        .field("failures", static_cast<std::int64_t>(failures))
         .field("call_ms", toMilliseconds(Schedule.queryAge(Hooks.Now())))
         .field("view_age_ms", toMilliseconds(Schedule.viewAge(Hooks.Now())));
   MustList = mustList;
   if (HasListed && failure != StoreFailure::HistoryGone && !Hooks.IsPolling())
-    return queryIfNeeded(Hooks.Now());
+    return queryOrRetry(Hooks.Now());
   // Without the history, the view is already stale: list at once.
   Timer.expires_after(failure == StoreFailure::HistoryGone ? Duration::zero()
                                                            : retryDelay());
@@ -295,17 +300,32 @@
       });
 }
 
+/// Continues after a failed query of a host that does not poll.
+void ResourceWatcher::Impl::queryOrRetry(Instant now) {
+  queryIfNeeded(now);
+  if (!IsIdle || !Schedule.needsRetry(role(), now))
+    return;
+  Timer.expires_after(Settings.RetryDelay);
+  Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    const Instant retryAt = self->Hooks.Now();
+    if (ec || self->IsStopped || !self->IsIdle ||
+        !self->Schedule.needsRetry(self->role(), retryAt))
+      return;
+    self->query(QueryReason::Retry, retryAt);
+  });
+}
+
 void ResourceWatcher::Impl::succeeded(Instant begun) {
   const Instant now = Hooks.Now();
   if (HasListed &&
       begun - LastSuccess > Settings.WaitLimit + Settings.OutageAfter)
     DeferRemovalsUntil = now + Settings.RecoveryTime;
-  if (Failures != 0)
+  if (Schedule.failures() != 0)
     LogLine(Severity::Info, "store view regained")
         .field("kind", toText(Kind))
-        .field("failures", static_cast<std::int64_t>(Failures))
+        .field("failures", static_cast<std::int64_t>(Schedule.failures()))
         .field("silent_ms", HasListed ? toMilliseconds(now - LastSuccess) : 0);
-  Failures = 0;
+  Schedule.noteSuccess();
   LastSuccess = now;
 }
 
--- a/Libraries/LibObjectApi/ResourceWatcher.h
+++ b/Libraries/LibObjectApi/ResourceWatcher.h
@@ -16,9 +16,9 @@
   /// The longest time that one watch waits for changes. The view is confirmed
   /// only when the watch returns.
   Duration WaitLimit = seconds(1);
-  /// The wait limit of the first watch after this host has taken over polling
-  /// from a failed host. It is short because the other hosts have received no
-  /// changes since that failure.
+  /// The wait limit of the first watch after a time without queries. It is
+  /// short because this host and, if it has taken over polling, the others have
+  /// received no changes for a while.
   Duration FirstWaitLimit = milliseconds(50);
   /// The delay between a watch that returned changes and the next watch, so
   /// that changes made together are returned together. Each watch is a billed
