LibObjectApi: Let an echo of an earlier boot's clock confirm nothing

Callers would have seen: calls accepted by a removed key, or served by an old plan, for as long as the machine had run before it was restarted (not reported). Relayed changes are dated by the receiver's boot clock as the sender last received it. After a restart of the receiver's machine that clock begins anew, and the sender's echo may lie ahead of it. The view was then dated in the future: it never became overdue, and keys that should fail closed did not. Change: an echo ahead of the receiver's clock confirms nothing; the changes are applied. An echo of an earlier boot that the new clock has already passed can't be told by this; the sender has had newer reports by then unless it received none since the restart. Before and after: view_freshness/an_echo_of_an_earlier_boot_confirms_nothing: the view was confirmed 100 s ahead of the clock; green now. TestLibObjectApi green.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -60,6 +60,7 @@
   void apply(const ResourceChanges &changes);
   void confirm(Instant begun);
   void receive(const RelayedChanges &relayed, Instant now);
+  Instant confirmedBy(const RelayedChanges &relayed, Instant now) const;
   Duration retryDelay() const;
   void retry(StoreFailure failure, bool mustList);
   void succeeded(Instant begun);
@@ -227,6 +228,21 @@
     watch(wasIdle ? Settings.FirstWaitLimit : Settings.WaitLimit);
 }
 
+/// The time up to which the relayed changes confirm the view. The echo is a
+/// time of this host's clock before the changes were sent, so their age is not
+/// underestimated after a long time in transit. An echo of an earlier boot's
+/// clock, which may be ahead of this one, confirms nothing.
+Instant ResourceWatcher::Impl::confirmedBy(const RelayedChanges &relayed,
+                                           Instant now) const {
+  const Instant echo{microseconds(relayed.Echo)};
+  if (echo <= now)
+    return echo - relayed.Age;
+  LogLine(Severity::Warning, "relayed changes are dated in the future")
+      .field("kind", toText(Kind))
+      .field("ahead_ms", toMilliseconds(echo - now));
+  return {};
+}
+
 void ResourceWatcher::Impl::receive(const RelayedChanges &relayed,
                                     Instant now) {
   // Ignore changes older than the view. Before the first list there is no view
@@ -245,13 +261,7 @@
   // The sender got a reply from the store, so the time since this host's own
   // last query is not an outage after which removals must be deferred.
   succeeded(now);
-  // The echo is a time of this host's clock before the changes were sent, so
-  // their age is not underestimated after a long time in transit.
-  const Instant begun = Instant(microseconds(relayed.Echo)) - relayed.Age;
-  if (begun > now && Schedule.confirmedAt() <= now)
-    LogLine(Severity::Warning, "relayed changes are dated in the future")
-        .field("kind", toText(Kind))
-        .field("ahead_ms", toMilliseconds(begun - now));
+  const Instant begun = confirmedBy(relayed, now);
   // Without this check, two hosts that both relay changes would send them back
   // and forth endlessly.
   const bool isNewer =
--- a/Tests/LibObjectApi/TestViewFreshness.cpp
+++ b/Tests/LibObjectApi/TestViewFreshness.cpp
@@ -151,4 +151,12 @@
              toMilliseconds(bound));
 }
 
+// The receiver's machine restarted, and its boot clock with it. An echo of the
+// earlier clock made the view look confirmed for as long as that had run.
+BOOST_AUTO_TEST_CASE(an_echo_of_an_earlier_boot_confirms_nothing) {
+  ReceivingHost host(seconds(3));
+  host.receiveConfirmation(-seconds(100));
+  BOOST_TEST((host.ConfirmedAt <= host.Clock));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
