--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -14,6 +14,8 @@
 
 /// Interval of the periodic work, which sends a report to peers.
 constexpr Duration TickInterval = milliseconds(250);
+/// A longer delay of the periodic work is logged.
+constexpr Duration MaxLoopDelay = milliseconds(500);
 /// Most addresses in the response to an address lookup.
 constexpr std::size_t MaxLookupAddresses = 64;
 /// How long callers cache an address from a lookup, unless AddressTimeToLive is
@@ -307,6 +309,10 @@
 
 void Gateway::tick() {
   const Instant now = bootNow();
+  if (State.TickedAt != Instant{} &&
+      now - State.TickedAt > TickInterval + MaxLoopDelay)
+    LogLine(Severity::Warning, "event loop delayed")
+        .field("late_ms", toMilliseconds(now - State.TickedAt - TickInterval));
   State.TickedAt = now;
   for (ResourceWatcher *it : {Plans.get(), Replicas.get(), RolloutOrders.get()})
     it->tick(now);
