--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -1,5 +1,4 @@
 #include "LibObjectApi/ResourceWatcher.h"
-#include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
 #include "LibObjectApi/QuerySchedule.h"
 #include <algorithm>
@@ -16,9 +15,10 @@
 constexpr int ConfirmsPerBound = 4;
 /// A host that receives relayed changes queries the store itself if it has
 /// received none for the bound divided by SilenceDivisor, or if the last ones
-/// are older than that by more than ExtraStaleWaits wait limits.
+/// are older than that by more than ExtraStaleWaits wait limits. The rest of
+/// the bound covers the interval of the check and the query.
 constexpr int SilenceDivisor = 2;
-constexpr int ExtraStaleWaits = 2;
+constexpr int ExtraStaleWaits = 1;
 constexpr Duration MaxWatchWait = milliseconds(500);
 /// Changes within 1/BatchesPerBound of the bound are fetched together.
 constexpr int BatchesPerBound = 20;
@@ -36,8 +36,7 @@
   settings.MaxSilentWaits =
       std::max(settings.MaxSilentWaits,
                static_cast<int>(bound / SilenceDivisor / settings.WaitLimit));
-  settings.MaxStaleWaits = std::max(settings.MaxStaleWaits,
-                                    settings.MaxSilentWaits + ExtraStaleWaits);
+  settings.MaxStaleWaits = settings.MaxSilentWaits + ExtraStaleWaits;
   return settings;
 }
 
@@ -53,12 +52,15 @@
   ResourceChanges changesTo(const ResourceListing &listing) const;
   void watch(Duration waitLimit);
   void queryIfNeeded(Instant now);
+  void query(QueryReason reason, Instant now);
+  void queryOrRetry(Instant now);
   void watchAfterBatchDelay();
   QueryRole role() const;
   void logQuery(QueryReason reason, Instant now) const;
   void apply(const ResourceChanges &changes);
   void confirm(Instant begun);
   void receive(const RelayedChanges &relayed, Instant now);
+  Instant confirmedBy(const RelayedChanges &relayed, Instant now) const;
   Duration retryDelay() const;
   void retry(StoreFailure failure, bool mustList);
   void succeeded(Instant begun);
@@ -87,13 +89,12 @@
   bool MustList = false;
   /// Relayed changes were missed, and the store is queried for them.
   bool HasGap = false;
-  int Failures = 0;
   bool HasListed = false;
   bool IsStopped = false;
 };
 
 void ResourceWatcher::Impl::list() {
-  const Instant begun = bootNow();
+  const Instant begun = Hooks.Now();
   Schedule.noteQuery(begun);
   MustList = false;
   Store.List(Kind, [self = shared_from_this(),
@@ -108,7 +109,7 @@
     self->apply(changes);
     self->AtRevision = result.Got->AtRevision;
     // A new list is as current as relayed changes.
-    self->Schedule.noteUpdate(bootNow());
+    self->Schedule.noteUpdate(self->Hooks.Now());
     self->HasGap = false;
     self->confirm(begun);
     // The other hosts' revisions are also too old to watch from, so the changes
@@ -116,7 +117,7 @@
     if (self->HasListed)
       self->Hooks.OnWatched(from, changes, begun);
     self->HasListed = true;
-    self->queryIfNeeded(bootNow());
+    self->queryIfNeeded(self->Hooks.Now());
   });
 }
 
@@ -141,7 +142,7 @@
 void ResourceWatcher::Impl::watch(Duration waitLimit) {
   if (IsStopped)
     return;
-  const Instant begun = bootNow();
+  const Instant begun = Hooks.Now();
   Schedule.noteQuery(begun);
   Store.Watch(Kind, AtRevision, waitLimit,
               [self = shared_from_this(), begun,
@@ -155,13 +156,13 @@
                 self->succeeded(begun);
                 // The gap showed that some host is relaying changes.
                 if (self->HasGap)
-                  self->Schedule.noteUpdate(bootNow());
+                  self->Schedule.noteUpdate(self->Hooks.Now());
                 self->HasGap = false;
                 self->apply(*result.Got);
                 self->confirm(begun);
                 self->Hooks.OnWatched(from, *result.Got, begun);
                 if (result.Got->Changes.empty())
-                  self->queryIfNeeded(bootNow());
+                  self->queryIfNeeded(self->Hooks.Now());
                 else
                   self->watchAfterBatchDelay();
               });
@@ -169,11 +170,11 @@
 
 void ResourceWatcher::Impl::watchAfterBatchDelay() {
   if (Settings.BatchDelay == Duration::zero())
-    return queryIfNeeded(bootNow());
+    return queryIfNeeded(Hooks.Now());
   Timer.expires_after(Settings.BatchDelay);
   Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->IsStopped)
-      self->queryIfNeeded(bootNow());
+      self->queryIfNeeded(self->Hooks.Now());
   });
 }
 
@@ -205,22 +206,41 @@
       .field("revision", static_cast<std::int64_t>(AtRevision))
       .field("view_age_ms", toMilliseconds(Schedule.viewAge(now)))
       .field("relay_age_ms", toMilliseconds(Schedule.updateAge(now)))
-      .field("failures", static_cast<std::int64_t>(Failures));
+      .field("failures", static_cast<std::int64_t>(Schedule.failures()));
 }
 
 void ResourceWatcher::Impl::queryIfNeeded(Instant now) {
-  const bool wasIdle = IsIdle;
   const auto reason = Schedule.reasonToQuery(role(), now);
-  IsIdle = !reason;
-  if (IsIdle)
-    return;
+  if (reason)
+    query(*reason, now);
+  else
+    IsIdle = true;
+}
+
+void ResourceWatcher::Impl::query(QueryReason reason, Instant now) {
+  const bool wasIdle = IsIdle;
+  IsIdle = false;
   if (wasIdle)
-    logQuery(*reason, now);
-  const bool startsPolling = wasIdle && *reason == QueryReason::Polling;
+    logQuery(reason, now);
   if (MustList)
     list();
   else
-    watch(startsPolling ? Settings.FirstWaitLimit : Settings.WaitLimit);
+    watch(wasIdle ? Settings.FirstWaitLimit : Settings.WaitLimit);
+}
+
+/// The time up to which the relayed changes confirm the view. The echo is a
+/// time of this host's clock before the changes were sent, so their age is not
+/// underestimated after a long time in transit. An echo of an earlier boot's
+/// clock, which may be ahead of this one, confirms nothing.
+Instant ResourceWatcher::Impl::confirmedBy(const RelayedChanges &relayed,
+                                           Instant now) const {
+  const Instant echo{microseconds(relayed.Echo)};
+  if (echo <= now)
+    return echo - relayed.Age;
+  LogLine(Severity::Warning, "relayed changes are dated in the future")
+      .field("kind", toText(Kind))
+      .field("ahead_ms", toMilliseconds(echo - now));
+  return {};
 }
 
 void ResourceWatcher::Impl::receive(const RelayedChanges &relayed,
@@ -232,10 +252,8 @@
   if (relayed.From > AtRevision || relayed.IsTruncated) {
     // Changes in between are missing and must be fetched from the store.
     if (IsIdle) {
-      IsIdle = false;
       HasGap = true;
-      logQuery(QueryReason::Gap, now);
-      watch(Settings.FirstWaitLimit);
+      query(QueryReason::Gap, now);
     }
     return;
   }
@@ -243,13 +261,7 @@
   // The sender got a reply from the store, so the time since this host's own
   // last query is not an outage after which removals must be deferred.
   succeeded(now);
-  // The echo is a time of this host's clock before the changes were sent, so
-  // their age is not underestimated after a long time in transit.
-  const Instant begun = Instant(microseconds(relayed.Echo)) - relayed.Age;
-  if (begun > now && Schedule.confirmedAt() <= now)
-    LogLine(Severity::Warning, "relayed changes are dated in the future")
-        .field("kind", toText(Kind))
-        .field("ahead_ms", toMilliseconds(begun - now));
+  const Instant begun = confirmedBy(relayed, now);
   // Without this check, two hosts that both relay changes would send them back
   // and forth endlessly.
   const bool isNewer =
@@ -263,25 +275,27 @@
 /// Returns the delay after the current number of consecutive failures.
 Duration ResourceWatcher::Impl::retryDelay() const {
   Duration delay = Settings.RetryDelay;
-  for (int n = 1; n < Failures && delay < Settings.MaxRetryDelay; ++n)
+  for (int n = 1; n < Schedule.failures() && delay < Settings.MaxRetryDelay;
+       ++n)
     delay *= 2;
   return std::min(delay, Settings.MaxRetryDelay);
 }
 
 void ResourceWatcher::Impl::retry(StoreFailure failure, bool mustList) {
-  ++Failures;
+  Schedule.noteFailure();
+  const int failures = Schedule.failures();
   // Ever rarer in an outage: the 1st, 2nd, 4th, 8th failure and so on.
-  if ((Failures & (Failures - 1)) == 0)
+  if ((failures & (failures - 1)) == 0)
     LogLine(Severity::Warning, "store view failed")
         .field("kind", toText(Kind))
         .field("why", toText(failure))
         .field("revision", static_cast<std::int64_t>(AtRevision))
-        .field("failures", static_cast<std::int64_t>(Failures))
-        .field("call_ms", toMilliseconds(Schedule.queryAge(bootNow())))
-        .field("view_age_ms", toMilliseconds(Schedule.viewAge(bootNow())));
+        .field("failures", static_cast<std::int64_t>(failures))
+        .field("call_ms", toMilliseconds(Schedule.queryAge(Hooks.Now())))
+        .field("view_age_ms", toMilliseconds(Schedule.viewAge(Hooks.Now())));
   MustList = mustList;
   if (HasListed && failure != StoreFailure::HistoryGone && !Hooks.IsPolling())
-    return queryIfNeeded(bootNow());
+    return queryOrRetry(Hooks.Now());
   // Without the history, the view is already stale: list at once.
   Timer.expires_after(failure == StoreFailure::HistoryGone ? Duration::zero()
                                                            : retryDelay());
@@ -296,17 +310,32 @@
       });
 }
 
+/// Continues after a failed query of a host that does not poll.
+void ResourceWatcher::Impl::queryOrRetry(Instant now) {
+  queryIfNeeded(now);
+  if (!IsIdle || !Schedule.needsRetry(role(), now))
+    return;
+  Timer.expires_after(Settings.RetryDelay);
+  Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
+    const Instant retryAt = self->Hooks.Now();
+    if (ec || self->IsStopped || !self->IsIdle ||
+        !self->Schedule.needsRetry(self->role(), retryAt))
+      return;
+    self->query(QueryReason::Retry, retryAt);
+  });
+}
+
 void ResourceWatcher::Impl::succeeded(Instant begun) {
-  const Instant now = bootNow();
+  const Instant now = Hooks.Now();
   if (HasListed &&
       begun - LastSuccess > Settings.WaitLimit + Settings.OutageAfter)
     DeferRemovalsUntil = now + Settings.RecoveryTime;
-  if (Failures != 0)
+  if (Schedule.failures() != 0)
     LogLine(Severity::Info, "store view regained")
         .field("kind", toText(Kind))
-        .field("failures", static_cast<std::int64_t>(Failures))
+        .field("failures", static_cast<std::int64_t>(Schedule.failures()))
         .field("silent_ms", HasListed ? toMilliseconds(now - LastSuccess) : 0);
-  Failures = 0;
+  Schedule.noteSuccess();
   LastSuccess = now;
 }
 
@@ -326,7 +355,7 @@
   // may have been created again.
   if (known == Known.end() || known->second > revision)
     return;
-  const Instant now = bootNow();
+  const Instant now = Hooks.Now();
   if (now >= DeferRemovalsUntil) {
     Known.erase(name);
     Hooks.OnRemoved(name);
