LibObjectApi, sorrelbayd: Derive the view of rollout orders from its bound

Callers would have seen: an untried version with its full share of their calls for up to 15 s at a host to which orders are no longer relayed (not reported). Cause: the same class as the late configuration: the time without relayed changes after which a host asks for orders was three wait limits of its own long watch, 15 s, and the limit on the view's age 20 s. Nothing related them to the bound on trials (5 s). Ruled out: evacuations: their limits did follow from their bound, by the same numbers that both use now. Change: rareChangeSettingsFor, for evacuations and rollout orders. Orders are watched for a quarter of their bound at a time instead of 5 s. Before and after: view_freshness/rare_changes_are_acted_on_within_their_bound with the limits as they were: 15,420 to 15,920 ms with a failed query and 20,270 ms with lagging relays, of 4,000 to 8,000; green now. TestLibObjectApi and Testsorrelbayd green. Conclusion: each view of the store follows from the bound that it serves.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -40,6 +40,14 @@
   return settings;
 }
 
+ResourceWatcherSettings rareChangeSettingsFor(Duration bound) {
+  ResourceWatcherSettings settings;
+  settings.WaitLimit = bound / ConfirmsPerBound;
+  settings.MaxSilentWaits = ConfirmsPerBound / SilenceDivisor;
+  settings.MaxStaleWaits = settings.MaxSilentWaits + ExtraStaleWaits;
+  return settings;
+}
+
 struct ResourceWatcher::Impl : public std::enable_shared_from_this<Impl> {
   Impl(boost::asio::io_context &loop, ResourceStore store, ResourceKind kind,
        ResourceWatcherSettings settings, ResourceWatcherHooks hooks)
--- a/Libraries/LibObjectApi/ResourceWatcher.h
+++ b/Libraries/LibObjectApi/ResourceWatcher.h
@@ -47,6 +47,10 @@
 /// change was accepted by the store.
 ResourceWatcherSettings watcherSettingsFor(Duration bound);
 
+/// The same for objects that change rarely: the view is confirmed less often,
+/// which takes fewer calls, and changes are not fetched together.
+ResourceWatcherSettings rareChangeSettingsFor(Duration bound);
+
 struct ResourceWatcherHooks {
   /// The boot clock.
   std::function<Instant()> Now = bootNow;
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -27,12 +27,6 @@
 constexpr Duration IdleTimeoutWhileStopping = milliseconds(1200);
 /// Time by which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
-/// How long a watch for rollout orders waits. They are rare, and no bound
-/// depends on the age of that view.
-constexpr Duration RolloutWatchWait = seconds(5);
-/// Number of times that the view of the evacuated zones is confirmed within the
-/// bound on its age.
-constexpr int EvacuationConfirmsPerBound = 4;
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -167,18 +161,17 @@
     ServiceRollouts.remove(name);
   };
   rolloutHooks.OnConfirmed = [](Instant) {};
-  ResourceWatcherSettings rolloutSettings = settings;
-  rolloutSettings.WaitLimit = RolloutWatchWait;
-  RolloutOrders =
-      makeWatcher(ResourceKind::Moves, rolloutSettings, rolloutHooks);
+  RolloutOrders = makeWatcher(
+      ResourceKind::Moves,
+      rareChangeSettingsFor(State.Settings.Bounds.TrialEnd), rolloutHooks);
   Plans->start();
   Replicas->start();
   RolloutOrders->start();
   if (State.Settings.Bounds.Evacuation > Duration::zero())
-    watchEvacuations(settings);
+    watchEvacuations();
 }
 
-void Gateway::watchEvacuations(const ResourceWatcherSettings &commonSettings) {
+void Gateway::watchEvacuations() {
   ResourceWatcherHooks hooks;
   hooks.OnObject = [this](const Resource &order) {
     const ZoneId zone(order.Name);
@@ -196,13 +189,9 @@
   hooks.OnConfirmed = [this](Instant begun) {
     State.EvacuationsConfirmedAt = begun;
   };
-  ResourceWatcherSettings settings = commonSettings;
-  settings.WaitLimit =
-      State.Settings.Bounds.Evacuation / EvacuationConfirmsPerBound;
-  settings.BatchDelay = Duration::zero();
-  settings.MaxSilentWaits = EvacuationConfirmsPerBound / 2;
-  settings.MaxStaleWaits = EvacuationConfirmsPerBound - 1;
-  Evacuations = makeWatcher(ResourceKind::Evacuations, settings, hooks);
+  Evacuations = makeWatcher(
+      ResourceKind::Evacuations,
+      rareChangeSettingsFor(State.Settings.Bounds.Evacuation), hooks);
   Evacuations->start();
 }
 
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -47,7 +47,7 @@
   void watchStore();
   void applyPlan(const Resource &object);
   void applyReplica(const Resource &object);
-  void watchEvacuations(const ResourceWatcherSettings &commonSettings);
+  void watchEvacuations();
   void repeat(boost::asio::steady_timer &timer, Duration interval,
               std::function<void()> work);
   void tick();
--- a/Tests/LibObjectApi/TestViewFreshness.cpp
+++ b/Tests/LibObjectApi/TestViewFreshness.cpp
@@ -21,7 +21,7 @@
 /// A host that receives relayed changes and does not poll, on a clock that the
 /// test moves. The timers of its watcher fire whenever the test runs its loop.
 struct ReceivingHost {
-  explicit ReceivingHost(Duration bound) {
+  explicit ReceivingHost(const ResourceWatcherSettings &settings) {
     ResourceStore store;
     store.List = [this](ResourceKind,
                         const StoreCallback<ResourceListing> &done) {
@@ -40,8 +40,8 @@
     hooks.OnConfirmed = [this](Instant begun) { ConfirmedAt = begun; };
     hooks.IsPolling = [] { return false; };
     hooks.IsUnreached = [this] { return IsUnreached; };
-    Watcher = std::make_unique<ResourceWatcher>(
-        Loop, store, ResourceKind::Plan, watcherSettingsFor(bound), hooks);
+    Watcher = std::make_unique<ResourceWatcher>(Loop, store, ResourceKind::Plan,
+                                                settings, hooks);
     Watcher->start();
     CompleteList({ResourceListing{{{"main", "1", "", 5}}, 10}, {}});
   }
@@ -103,8 +103,9 @@
 
 /// The delay with which the host acts on a change that is made right after its
 /// last relayed confirmation, if its first own query fails.
-Duration delayWithFailedQuery(Duration bound, CallFailure failure) {
-  ReceivingHost host(bound);
+Duration delayWithFailedQuery(const ResourceWatcherSettings &settings,
+                              CallFailure failure) {
+  ReceivingHost host(settings);
   host.receiveConfirmation(Duration::zero());
   const Instant changedAt = host.Clock;
   while (host.Queries == 0)
@@ -117,8 +118,8 @@
 
 /// The delay with which the host acts on a change if the confirmations that it
 /// goes on to receive describe the store before the change.
-Duration delayWithLaggingRelays(Duration bound) {
-  ReceivingHost host(bound);
+Duration delayWithLaggingRelays(const ResourceWatcherSettings &settings) {
+  ReceivingHost host(settings);
   const Instant changedAt = host.Clock;
   while (host.Queries == 0) {
     host.tick();
@@ -138,8 +139,8 @@
     for (const CallFailure failure : Failures)
       BOOST_TEST_CONTEXT("bound " << toMilliseconds(bound) << " ms, failure "
                                   << static_cast<int>(failure))
-  BOOST_TEST(toMilliseconds(delayWithFailedQuery(bound, failure)) <=
-             toMilliseconds(bound));
+  BOOST_TEST(toMilliseconds(delayWithFailedQuery(
+                 watcherSettingsFor(bound), failure)) <= toMilliseconds(bound));
 }
 
 // The relaying host lags behind, so that its confirmations arrive regularly but
@@ -147,14 +148,27 @@
 BOOST_AUTO_TEST_CASE(lagging_relays_do_not_make_a_change_late) {
   for (const Duration bound : Bounds)
     BOOST_TEST_CONTEXT("bound " << toMilliseconds(bound) << " ms")
-  BOOST_TEST(toMilliseconds(delayWithLaggingRelays(bound)) <=
-             toMilliseconds(bound));
+  BOOST_TEST(toMilliseconds(delayWithLaggingRelays(
+                 watcherSettingsFor(bound))) <= toMilliseconds(bound));
+}
+
+// The same for what changes rarely, such as orders to roll out a version: until
+// a host has read one, it sends calls to the untried version as to any other.
+BOOST_AUTO_TEST_CASE(rare_changes_are_acted_on_within_their_bound) {
+  for (const Duration bound : {seconds(4), seconds(5), seconds(8)}) {
+    const ResourceWatcherSettings settings = rareChangeSettingsFor(bound);
+    BOOST_TEST(toMilliseconds(delayWithLaggingRelays(settings)) <=
+               toMilliseconds(bound));
+    for (const CallFailure failure : Failures)
+      BOOST_TEST(toMilliseconds(delayWithFailedQuery(settings, failure)) <=
+                 toMilliseconds(bound));
+  }
 }
 
 // The receiver's machine restarted, and its boot clock with it. An echo of the
 // earlier clock made the view look confirmed for as long as that had run.
 BOOST_AUTO_TEST_CASE(an_echo_of_an_earlier_boot_confirms_nothing) {
-  ReceivingHost host(seconds(3));
+  ReceivingHost host(watcherSettingsFor(seconds(3)));
   host.receiveConfirmation(-seconds(100));
   BOOST_TEST((host.ConfirmedAt <= host.Clock));
 }
