platform, LibServing, sorrelbayd: Log the rate limit that an upstream names

Cause: the logs can't distinguish the hypotheses of the upstream above its rate limit (docs/incidents): nothing says which limit a host knows, and from which response. Ruled out: the figures by server; they show that the calls did not fall, not what each host knew. Change: the limit is read from a response and kept with the upstream. A host logs when it begins, changes or ends by its own responses. An upstream that is not the expected one (421) states nothing; only a successful response without a limit ends one, as of the time when its call was sent. No call is chosen differently. Conclusion: what a host knows can be read; it does nothing with it yet, which is the first hypothesis.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -138,6 +138,16 @@
   return entry.ColdLimiter.hasCapacity(*entry.ColdShare, now);
 }
 
+bool ReplicaTable::noteRateLimit(const UpstreamId &id,
+                                 const RateLimitStatement &statement) {
+  const auto it = Entries.find(id);
+  if (it == Entries.end() || statement.At <= it->second.RateLimit.At)
+    return false;
+  const std::optional<double> before = it->second.RateLimit.PerSecond;
+  it->second.RateLimit = statement;
+  return before != statement.PerSecond;
+}
+
 bool ReplicaTable::isInAllowedRegion(
     const ZoneId &zone, const std::vector<std::string> &allowedRegions) const {
   if (allowedRegions.empty())
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -7,6 +7,7 @@
 #include "LibServing/ColdShare.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ServingCall.h"
+#include "LibServing/UpstreamRateLimit.h"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -182,6 +183,10 @@
   /// The number of the service's upstreams that are cold and not leaving.
   int cold(const ServiceId &service, Instant now) const;
 
+  /// Records what a response stated about the rate of calls that the upstream
+  /// accepts. Returns whether the known limit has changed.
+  bool noteRateLimit(const UpstreamId &id, const RateLimitStatement &statement);
+
   /// The upstream for a call; empty if none may take it.
   std::optional<ReplicaChoice> choose(const ReplicaRequest &request,
                                       Instant now);
@@ -245,6 +250,7 @@
     ColdRateLimiter ColdLimiter;
     /// This host's share of the cold rate; empty until it is computed.
     std::optional<int> ColdShare;
+    RateLimitStatement RateLimit;
   };
 
   /// An upstream that may take a call, and its cost.
--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -62,6 +62,9 @@
     int Slots = 0;
   };
   std::optional<Load> Reported;
+  /// Calls per second that the upstream accepts at the moment from all hosts
+  /// together; empty if it does not limit them.
+  std::optional<double> RateLimit;
 };
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -339,11 +339,32 @@
     Handle->cancel();
     return onFailure(HttpFailure::Broken);
   }
+  if (hasCallId)
+    noteRateLimit(replyInfo);
   // An error response must not continue a response of which another attempt has
   // sent a part.
   CurrentSend.IsDiscarded = CurrentSend.DidNotRun || (HasBegun && !isSuccess());
 }
 
+/// Records the rate limit that the response names. Only a successful response
+/// without one ends a limit; it describes the upstream at some time after the
+/// call was sent.
+void GatewayCall::noteRateLimit(const UpstreamReplyInfo &replyInfo) {
+  if (!replyInfo.RateLimit && !isSuccess())
+    return;
+  const Instant now = bootNow();
+  const RateLimitStatement statement{
+      replyInfo.RateLimit, replyInfo.RateLimit ? now : CurrentSend.At};
+  if (!State.Replicas.noteRateLimit(CurrentSend.Replica, statement))
+    return;
+  LogLine line(Severity::Info, replyInfo.RateLimit
+                                   ? "upstream names a rate limit"
+                                   : "upstream rate limit over");
+  line.field("upstream", CurrentSend.Replica.text()).field("id", Call.Id);
+  if (replyInfo.RateLimit)
+    line.field("per_second", *replyInfo.RateLimit);
+}
+
 void GatewayCall::noteCallStarted() {
   if (IsCounted || !Team)
     return;
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -61,6 +61,7 @@
   std::optional<ReplicaChoice> chooseUpstream(Instant now);
   bool exceedsFirstTokenLimit(const ReplicaChoice &choice) const;
   void noteFirstByte();
+  void noteRateLimit(const UpstreamReplyInfo &replyInfo);
   bool hasConnectionCapacity(const std::string &address) const;
   bool resume();
   void abortResponse(const char *cause);
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -143,4 +143,20 @@
     BOOST_TEST(parseUpstreamReplyInfo(head).DidNotRun == isNotRun);
 }
 
+// Another upstream that has the address of the expected one states its own
+// limit.
+BOOST_AUTO_TEST_CASE(a_rate_limit_is_read_from_the_expected_upstream_only) {
+  const std::pair<HttpReplyHead, std::optional<double>> cases[] = {
+      {{200, {{"Server-Limit", "2.2"}}, {}}, 2.2},
+      {{503, {{"Not-Executed", "1"}, {"server-limit", "1"}}, {}}, 1.0},
+      {{200, {{"Server-Limit", "0"}}, {}}, 0.0},
+      {{200, {}, {}}, std::nullopt},
+      {{200, {{"Server-Limit", "-1"}}, {}}, std::nullopt},
+      {{200, {{"Server-Limit", "2,2"}}, {}}, std::nullopt},
+      {{200, {{"Server-Limit", "inf"}}, {}}, std::nullopt},
+      {{421, {{"Server-Limit", "2.2"}}, {}}, std::nullopt}};
+  for (const auto &[head, limit] : cases)
+    BOOST_TEST((parseUpstreamReplyInfo(head).RateLimit == limit));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
