LibServing, LibPeer, sorrelbayd: Keep together to the rate limits that upstreams name

Cause: hypothesis 1: no host read the limit, it was passed on to callers and nothing else. Change: a host keeps the newest statement of each upstream, by its own responses and by its peers' reports; a limit is dated by the response that names it, its end by the send whose response names none, so that a late response ends nothing. A change is published at once, and goes with reports and sums. A limit that no response has confirmed for 2 s gets the next call of a host with a share, and passes to other hosts each 5 s. A new process of the upstream has no limit. Calls that nobody may take are refused as not run, with the time until the next may be sent.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -58,6 +58,29 @@
   return out;
 }
 
+/// The position of the rate limits in a report.
+constexpr std::size_t RateLimitsField = 19;
+
+json rateLimitsToJson(const RateLimitStatements &limits) {
+  json out = json::array();
+  for (const auto &[id, it] : limits)
+    out.push_back({id.text(), it.PerSecond ? json(*it.PerSecond) : json(),
+                   it.At.time_since_epoch().count()});
+  return out;
+}
+
+RateLimitStatements rateLimitsFromJson(const json &from) {
+  RateLimitStatements out;
+  for (const json &it : from) {
+    RateLimitStatement &statement =
+        out[UpstreamId(it.at(0).get<std::string>())];
+    if (!it.at(1).is_null())
+      statement.PerSecond = it.at(1).get<double>();
+    statement.At = Instant(Duration(it.at(2).get<std::int64_t>()));
+  }
+  return out;
+}
+
 FleetReport fleetReportFromJson(const json &messageFields) {
   FleetReport report;
   const int scope = messageFields.at(2).get<int>();
@@ -90,6 +113,9 @@
   for (const json &it : messageFields.at(18))
     report.Included[HostId(it.at(0).get<std::string>())] =
         it.at(1).get<std::uint64_t>();
+  // Hosts of an earlier version send no rate limits.
+  if (messageFields.size() > RateLimitsField)
+    report.RateLimits = rateLimitsFromJson(messageFields.at(RateLimitsField));
   return report;
 }
 
@@ -134,13 +160,26 @@
   json included = json::array();
   for (const auto &[host, sequence] : report.Included)
     included.push_back({host.text(), sequence});
-  return toBytes({FormatNumber, static_cast<int>(MessageKind::Report),
-                  static_cast<int>(report.Scope), report.Reporter.text(),
-                  report.Zone.text(), report.Incarnation.text(),
-                  report.Sequence, report.Uptime.count(), report.SentAt,
-                  report.FleetTimeMs, members, open, teamsToJson(report.Used),
-                  teamsToJson(report.Levels), usage, report.Moves,
-                  teamsToJson(report.Pace), demand, included});
+  return toBytes({FormatNumber,
+                  static_cast<int>(MessageKind::Report),
+                  static_cast<int>(report.Scope),
+                  report.Reporter.text(),
+                  report.Zone.text(),
+                  report.Incarnation.text(),
+                  report.Sequence,
+                  report.Uptime.count(),
+                  report.SentAt,
+                  report.FleetTimeMs,
+                  members,
+                  open,
+                  teamsToJson(report.Used),
+                  teamsToJson(report.Levels),
+                  usage,
+                  report.Moves,
+                  teamsToJson(report.Pace),
+                  demand,
+                  included,
+                  rateLimitsToJson(report.RateLimits)});
 }
 
 std::string encodeFleetMessage(const RelayedChanges &relayedChanges) {
--- a/Libraries/LibServing/ColdShare.cpp
+++ b/Libraries/LibServing/ColdShare.cpp
@@ -1,5 +1,5 @@
 #include "LibServing/ColdShare.h"
-#include "LibBase/Hash.h"
+#include "LibServing/RendezvousRank.h"
 #include <algorithm>
 
 namespace sorrelbay {
@@ -15,17 +15,8 @@
   if (calls == 0 || hosts.empty())
     return 0;
   const std::size_t senders = std::min(hosts.size(), calls);
-  const std::uint64_t upstreamHash = stableHash(upstream.text());
-  const std::uint64_t ownRank = stableHash(self.text(), upstreamHash);
-  std::size_t hostsBefore = 0;
-  bool isListed = false;
-  for (const HostId &it : hosts) {
-    isListed = isListed || it == self;
-    if (stableHash(it.text(), upstreamHash) < ownRank &&
-        ++hostsBefore == senders)
-      return 0;
-  }
-  return isListed ? static_cast<int>(calls / senders) : 0;
+  const auto rank = rendezvousRank(upstream, self, hosts);
+  return rank && *rank < senders ? static_cast<int>(calls / senders) : 0;
 }
 
 bool ColdRateLimiter::hasCapacity(int share, Instant now) const {
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -91,6 +91,11 @@
   /// report included from each host. The receiver uses it to subtract its own
   /// contribution.
   std::map<HostId, std::uint64_t> Included;
+  /// The newest statements of upstreams about the rate of calls that they
+  /// accept, made to the hosts that the report covers. Their times are those of
+  /// the reporter's boot clock until a FleetView has received the report, and
+  /// then those of its host's.
+  RateLimitStatements RateLimits;
   /// The hosts' records of rollouts, as encoded by RolloutCodec; empty if there
   /// are none.
   std::string Moves;
--- a/Libraries/LibServing/FleetReportMerger.cpp
+++ b/Libraries/LibServing/FleetReportMerger.cpp
@@ -43,6 +43,8 @@
 void FleetReportMerger::applyReport(const FleetReport &report, Instant now) {
   const SourceId source = sourceOf(report);
   Tables.Replicas.notePeer(source, report.Open);
+  for (const auto &[id, statement] : report.RateLimits)
+    Tables.Replicas.notePeerRateLimit(id, statement);
   Tables.Demand.notePeer(source, report.Demand);
   const bool isSum = report.Scope != ReportScope::Host;
   // When this host becomes or stops being an aggregator, the teams have already
@@ -82,6 +84,7 @@
 }
 
 void FleetReportMerger::recount(const FleetMember &self, Instant now) {
+  Tables.Replicas.setServingHosts(self.Host, View.servingHosts(self, now), now);
   std::set<SourceId> countedSources;
   for (const FleetReport *it : View.counted(self, now)) {
     const SourceId source = sourceOf(*it);
@@ -110,6 +113,7 @@
 void FleetReportMerger::fillOwnReport(FleetReport &report, Instant now) const {
   report.Open = Tables.Replicas.ownWork();
   report.Demand = Tables.Demand.own(now);
+  report.RateLimits = Tables.Replicas.ownRateLimits(now);
   for (const auto &[team, limiter] : Tables.RateLimiters) {
     report.Used[team] = limiter.used();
     if (const auto level = limiter.settledLevel())
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -101,6 +101,10 @@
                     now);
   storedReport.Report = report;
   storedReport.At = now;
+  // The time in transit is not known; it makes statements look newer.
+  const Duration clockOffset = now - Instant(Duration(report.SentAt));
+  for (auto &[id, it] : storedReport.Report.RateLimits)
+    it.At += clockOffset;
   if (report.Scope == ReportScope::OwnZone)
     subtractOwnContribution(storedReport.Report);
   return true;
@@ -477,6 +481,7 @@
     summed.push_back(&storedReport.Report);
     addTo(out.Open, storedReport.Report.Open);
     addTo(out.Demand, storedReport.Report.Demand);
+    mergeNewest(out.RateLimits, storedReport.Report.RateLimits);
     out.Uptime = std::max(out.Uptime, storedReport.Report.Uptime);
   }
   for (const auto &[host, it] : Known)
@@ -513,6 +518,7 @@
     summed.push_back(&storedReport.Report);
     addTo(out.Open, storedReport.Report.Open);
     addTo(out.Demand, storedReport.Report.Demand);
+    mergeNewest(out.RateLimits, storedReport.Report.RateLimits);
     out.Uptime = std::max(out.Uptime, storedReport.Report.Uptime);
   }
   out.Members.clear();
@@ -557,6 +563,18 @@
   return {out.begin(), out.end()};
 }
 
+std::vector<HostId> FleetView::servingHosts(const FleetMember &self,
+                                            Instant now) const {
+  std::vector<HostId> out;
+  if (self.IsReady && !self.IsLeaving)
+    out.push_back(Settings.Self);
+  for (const auto &[host, it] : Known)
+    if (it.Member.IsReady && !it.Member.IsLeaving && isAnswering(it, now))
+      out.push_back(host);
+  std::sort(out.begin(), out.end());
+  return out;
+}
+
 int FleetView::hostCount() const {
   const auto n = std::count_if(Known.begin(), Known.end(), [](const auto &it) {
     return !it.second.Member.IsLeaving;
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -5,6 +5,15 @@
 
 namespace sorrelbay {
 
+/// The end of a limit is reported to other hosts for this long.
+static constexpr Duration RateLimitEndReportTime = seconds(5);
+/// The limit of an upstream that is not registered is kept for this long.
+static constexpr Duration RateLimitRetention = seconds(60);
+/// A limit that no response has confirmed for this long is checked by the next
+/// call of a host that may send one.
+static constexpr Duration RateLimitCheckAfter = seconds(2);
+/// A limit that no response confirms passes to other hosts this often.
+static constexpr Duration RateShareTurn = seconds(5);
 /// Sends before which an upstream's failure share is not relied on.
 static constexpr double MinSendsSeen = 3;
 /// Upper bound of the number of sends that a failure share covers.
@@ -28,6 +37,7 @@
   const Instant coldUntil = record.ColdDuration > Duration::zero()
                                 ? now + record.ColdDuration + ColdMargin
                                 : Instant{};
+  forgetRateLimitOf(record, now);
   const auto found = Entries.find(record.Id);
   if (found != Entries.end()) {
     const bool isNewIncarnation =
@@ -140,12 +150,98 @@
 
 bool ReplicaTable::noteRateLimit(const UpstreamId &id,
                                  const RateLimitStatement &statement) {
-  const auto it = Entries.find(id);
-  if (it == Entries.end() || statement.At <= it->second.RateLimit.At)
+  return acceptRateLimit(id, statement, true);
+}
+
+void ReplicaTable::notePeerRateLimit(const UpstreamId &id,
+                                     const RateLimitStatement &statement) {
+  acceptRateLimit(id, statement, false);
+}
+
+/// Keeps the statement if it is newer than what is known. Returns whether the
+/// limit has changed.
+bool ReplicaTable::acceptRateLimit(const UpstreamId &id,
+                                   const RateLimitStatement &statement,
+                                   bool isOwn) {
+  const auto known = RateLimits.find(id);
+  if (known == RateLimits.end() && !statement.PerSecond)
+    return false;
+  UpstreamRateLimit &it =
+      known == RateLimits.end() ? RateLimits[id] : known->second;
+  const bool isNewer =
+      statement.At > it.Statement.At && statement.At > it.Since;
+  const bool isEndOfNone = !statement.PerSecond && !it.Statement.PerSecond;
+  if (!isNewer || isEndOfNone)
     return false;
-  const std::optional<double> before = it->second.RateLimit.PerSecond;
-  it->second.RateLimit = statement;
-  return before != statement.PerSecond;
+  const bool hasChanged = it.Statement.PerSecond != statement.PerSecond;
+  it.Statement = statement;
+  it.IsOwn = isOwn;
+  return hasChanged;
+}
+
+RateLimitStatements ReplicaTable::ownRateLimits(Instant now) const {
+  RateLimitStatements out;
+  for (const auto &[id, it] : RateLimits)
+    if (it.IsOwn && (it.Statement.PerSecond ||
+                     now - it.Statement.At < RateLimitEndReportTime))
+      out.emplace(id, it.Statement);
+  return out;
+}
+
+void ReplicaTable::setServingHosts(const HostId &self,
+                                   std::vector<HostId> hosts, Instant now) {
+  Self = self;
+  ServingHosts = std::move(hosts);
+  for (auto it = RateLimits.begin(); it != RateLimits.end();) {
+    const bool isUsed = Entries.count(it->first) != 0 ||
+                        now - it->second.Statement.At < RateLimitRetention;
+    it = isUsed ? std::next(it) : RateLimits.erase(it);
+  }
+}
+
+/// A new process of the upstream has no limit until it names one.
+void ReplicaTable::forgetRateLimitOf(const ReplicaRecord &record, Instant now) {
+  const auto known = RateLimits.find(record.Id);
+  if (known == RateLimits.end())
+    return;
+  UpstreamRateLimit &it = known->second;
+  if (it.StartedMs != 0 && it.StartedMs != record.StartedMs) {
+    it = {};
+    it.Since = now;
+  }
+  it.StartedMs = record.StartedMs;
+}
+
+/// This host's share of the upstream's rate limit in calls per second. A limit
+/// that no response has confirmed for a while passes to other hosts: those that
+/// hold it may have no calls for the upstream, or no path to it.
+double ReplicaTable::rateShare(const UpstreamId &id, Instant now) const {
+  const RateLimitStatement &statement = RateLimits.at(id).Statement;
+  const Duration age = std::max<Duration>(now - statement.At, Duration::zero());
+  return rateLimitShare(id, Self, ServingHosts, *statement.PerSecond,
+                        static_cast<std::size_t>(age / RateShareTurn));
+}
+
+/// Whether the upstream does not limit its calls, or this host may send it
+/// another one within its share of the limit.
+bool ReplicaTable::hasRateCapacity(const UpstreamId &id, Instant now) const {
+  const auto it = RateLimits.find(id);
+  return it == RateLimits.end() || !it->second.Statement.PerSecond ||
+         it->second.Limiter.hasCapacity(rateShare(id, now), now);
+}
+
+std::optional<Duration> ReplicaTable::rateLimitWait(const ServiceId &service,
+                                                    Instant now) const {
+  std::optional<Duration> shortest;
+  for (const auto &[id, it] : RateLimits) {
+    const auto entry = Entries.find(id);
+    if (entry == Entries.end() || entry->second.Record.OfService != service ||
+        entry->second.Record.IsLeaving || !it.Statement.PerSecond)
+      continue;
+    const Duration wait = it.Limiter.wait(rateShare(id, now), now);
+    shortest = std::min(shortest.value_or(wait), wait);
+  }
+  return shortest;
 }
 
 bool ReplicaTable::isInAllowedRegion(
@@ -194,7 +290,8 @@
   std::vector<Entry *> eligible;
   std::vector<Entry *> unhealthy;
   for (auto &[id, entry] : Entries) {
-    if (!fits(entry, request) || !hasColdCapacity(entry, now))
+    if (!fits(entry, request) || !hasColdCapacity(entry, now) ||
+        !hasRateCapacity(id, now))
       continue;
     const bool isHealthy = now >= entry.EjectedUntil && !entry.IsBeingProbed;
     (isHealthy ? eligible : unhealthy).push_back(&entry);
@@ -314,9 +411,25 @@
   return *best;
 }
 
+/// The upstreams whose rate limit no response has confirmed for a while, or all
+/// if there are none: only a response shows that a limit has ended.
+std::vector<ReplicaTable::Entry *>
+ReplicaTable::preferUnconfirmedLimits(std::vector<Entry *> eligible,
+                                      Instant now) const {
+  std::vector<Entry *> unconfirmed;
+  for (Entry *it : eligible) {
+    const auto limit = RateLimits.find(it->Record.Id);
+    if (limit != RateLimits.end() && limit->second.Statement.PerSecond &&
+        now - limit->second.Statement.At > RateLimitCheckAfter)
+      unconfirmed.push_back(it);
+  }
+  return unconfirmed.empty() ? eligible : unconfirmed;
+}
+
 std::optional<ReplicaChoice>
 ReplicaTable::chooseOfVersion(const ReplicaRequest &request, Instant now) {
-  const std::vector<Entry *> eligible = eligibleUpstreams(request, now);
+  const std::vector<Entry *> eligible =
+      preferUnconfirmedLimits(eligibleUpstreams(request, now), now);
   if (eligible.empty())
     return std::nullopt;
   ReplicaChoice choice;
@@ -360,6 +473,9 @@
     entry.IsBeingProbed = true;
   if (isCold(entry, now))
     entry.ColdLimiter.note(now);
+  const auto rateLimit = RateLimits.find(id);
+  if (rateLimit != RateLimits.end() && rateLimit->second.Statement.PerSecond)
+    rateLimit->second.Limiter.note(rateShare(id, now), now);
   ++it->second.Own.Calls;
   it->second.Own.PromptTokens += work.PromptTokens;
   it->second.Own.Tokens += work.Tokens;
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -183,9 +183,24 @@
   /// The number of the service's upstreams that are cold and not leaving.
   int cold(const ServiceId &service, Instant now) const;
 
-  /// Records what a response stated about the rate of calls that the upstream
-  /// accepts. Returns whether the known limit has changed.
+  /// Records what a response to this host stated about the rate of calls that
+  /// the upstream accepts. Returns whether the known limit has changed.
   bool noteRateLimit(const UpstreamId &id, const RateLimitStatement &statement);
+  /// The same for a response to another host, as that host reports it.
+  void notePeerRateLimit(const UpstreamId &id,
+                         const RateLimitStatement &statement);
+  /// The newest statements, as far as they were made to this host: limits, and
+  /// recent ends of limits. Those of other hosts are left out, or hosts would
+  /// pass them back and forth, each time with a later time.
+  RateLimitStatements ownRateLimits(Instant now) const;
+  /// Sets the hosts that divide the upstreams' rate limits: those that serve
+  /// calls now, including this one if it does.
+  void setServingHosts(const HostId &self, std::vector<HostId> hosts,
+                       Instant now);
+  /// Whether the service has upstreams with a rate limit that are not leaving;
+  /// if so, the shortest time until this host may send one of them a call.
+  std::optional<Duration> rateLimitWait(const ServiceId &service,
+                                        Instant now) const;
 
   /// The upstream for a call; empty if none may take it.
   std::optional<ReplicaChoice> choose(const ReplicaRequest &request,
@@ -250,7 +265,6 @@
     ColdRateLimiter ColdLimiter;
     /// This host's share of the cold rate; empty until it is computed.
     std::optional<int> ColdShare;
-    RateLimitStatement RateLimit;
   };
 
   /// An upstream that may take a call, and its cost.
@@ -270,6 +284,8 @@
                                                Instant now);
   std::vector<Entry *> eligibleUpstreams(const ReplicaRequest &request,
                                          Instant now);
+  std::vector<Entry *> preferUnconfirmedLimits(std::vector<Entry *> eligible,
+                                               Instant now) const;
   static std::vector<Entry *> sampleTwo(std::vector<Entry *> eligible,
                                         std::uint64_t seed);
   static Entry *leastBusy(const std::vector<Entry *> &all,
@@ -285,6 +301,11 @@
   bool fits(const Entry &entry, const ReplicaRequest &request) const;
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdCapacity(Entry &entry, Instant now);
+  double rateShare(const UpstreamId &id, Instant now) const;
+  bool hasRateCapacity(const UpstreamId &id, Instant now) const;
+  bool acceptRateLimit(const UpstreamId &id,
+                       const RateLimitStatement &statement, bool isOwn);
+  void forgetRateLimitOf(const ReplicaRecord &record, Instant now);
   void updateHealth(Entry &entry, SendResult result, Instant now);
   double othersFailureShare(const Entry &entry) const;
 
@@ -296,6 +317,10 @@
   std::map<ServiceId, double> ColdRates;
   HostId Self;
   std::vector<HostId> Hosts;
+  std::vector<HostId> ServingHosts;
+  /// Kept apart from the entries: an upstream whose registration lapses for a
+  /// moment still limits its calls afterwards.
+  std::map<UpstreamId, UpstreamRateLimit> RateLimits;
   std::set<ZoneId> Evacuated;
   std::map<ZoneId, std::string> RegionOf;
   Instant ConfirmedAt{};
--- a/Libraries/LibServing/UpstreamRateLimit.h
+++ b/Libraries/LibServing/UpstreamRateLimit.h
@@ -1,7 +1,12 @@
 #pragma once
 
+#include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
+#include <cstddef>
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -16,4 +21,51 @@
   Instant At{};
 };
 
+using RateLimitStatements = std::map<UpstreamId, RateLimitStatement>;
+
+/// Adds the statements that are newer than those known.
+void mergeNewest(RateLimitStatements &known, const RateLimitStatements &others);
+
+/// The calls per second that the host `self` may send to an upstream that
+/// accepts `perSecond` calls from all hosts together. As many hosts as the
+/// limit has whole calls a second, and at least one, get equal shares and the
+/// others none: each share is large enough to be used and to show soon that the
+/// limit has changed. The hosts follow the upstream's rendezvous hashing order;
+/// each `turn` begins with the host after those of the previous one. Returns 0
+/// if `self` is not in `hosts`.
+double rateLimitShare(const UpstreamId &upstream, const HostId &self,
+                      const std::vector<HostId> &hosts, double perSecond,
+                      std::size_t turn = 0);
+
+/// Limits the calls that one host sends to one upstream to its share: a token
+/// bucket that holds the calls of half a second, and at least one. Not
+/// thread-safe.
+class RateShareLimiter {
+public:
+  bool hasCapacity(double share, Instant now) const;
+  /// The time until another call may be sent; a long time if the share is 0.
+  Duration wait(double share, Instant now) const;
+  void note(double share, Instant now);
+
+private:
+  double tokens(double share, Instant now) const;
+
+  /// The calls that could be sent at the time RefilledAt. The bucket is full
+  /// before the first call.
+  double Tokens = 0;
+  Instant RefilledAt{};
+};
+
+/// What a host knows about one upstream's rate limit, and its own use of it.
+struct UpstreamRateLimit {
+  RateLimitStatement Statement;
+  /// The statement was made to this host, not to another.
+  bool IsOwn = false;
+  /// Statements up to this time are about an earlier process of the upstream.
+  Instant Since{};
+  /// ReplicaRecord::StartedMs of the upstream's process; 0 if not known.
+  std::int64_t StartedMs = 0;
+  RateShareLimiter Limiter;
+};
+
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -33,6 +33,8 @@
 /// Reading from the upstream pauses while more than this many bytes wait for a
 /// slow caller.
 constexpr std::size_t MaxQueuedBytes = 256UL * 1024;
+/// Shortest Retry-After of a call that did not run, before jitter.
+constexpr Duration MinRetryAfter = milliseconds(100);
 /// Share of the caller's remaining time that Retry-After may take.
 constexpr double MaxRetryAfterShare = 0.3;
 /// An idempotent call is sent to another upstream if no response has arrived
@@ -272,9 +274,7 @@
     return finishLocally("no_attempt_left");
   const auto chosen = chooseUpstream(now);
   if (!chosen)
-    return finishLocally(State.Replicas.cold(Service, now) > 0
-                             ? "upstreams_cold"
-                             : "no_upstream");
+    return finishWithoutUpstream(now);
   const EngineModel &model = State.Replicas.modelOf(Service);
   const double prefillMs =
       model.prefillTime(static_cast<double>(chosen->TokensToPrefill));
@@ -357,6 +357,7 @@
       replyInfo.RateLimit, replyInfo.RateLimit ? now : CurrentSend.At};
   if (!State.Replicas.noteRateLimit(CurrentSend.Replica, statement))
     return;
+  State.NotifyPeers();
   LogLine line(Severity::Info, replyInfo.RateLimit
                                    ? "upstream names a rate limit"
                                    : "upstream rate limit over");
@@ -575,12 +576,22 @@
   log("caller_left", 0, "");
 }
 
-void GatewayCall::finishLocally(const char *cause) {
+/// Ends the call because no upstream may take it.
+void GatewayCall::finishWithoutUpstream(Instant now) {
+  if (State.Replicas.cold(Service, now) > 0)
+    return finishLocally("upstreams_cold");
+  if (const auto wait = State.Replicas.rateLimitWait(Service, now))
+    return finishLocally("upstreams_limited", *wait);
+  finishLocally("no_upstream");
+}
+
+void GatewayCall::finishLocally(const char *cause, Duration retryDelay) {
   if (HasBegun)
     return abortResponse(cause);
   switch (RetryState->failureKind(bootNow())) {
   case CallFailureKind::NotRun:
-    return refuse(Unavailable, cause, jitteredRetryAfter(milliseconds(100)));
+    return refuse(Unavailable, cause,
+                  jitteredRetryAfter(std::max(retryDelay, MinRetryAfter)));
   case CallFailureKind::Unknown:
     return refuse(BadGateway, cause, std::nullopt);
   case CallFailureKind::TimedOut:
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -72,7 +72,8 @@
   void noteCallStarted();
   /// Ends the call without an upstream's response: with an error response or,
   /// if a response has begun, by aborting it.
-  void finishLocally(const char *cause);
+  void finishLocally(const char *cause, Duration retryDelay = {});
+  void finishWithoutUpstream(Instant now);
   void refuse(int status, const char *cause,
               std::optional<Duration> retryAfter);
   Duration jitteredRetryAfter(Duration shortestDelay);
--- a/Tests/LibServing/TestRateLimits.cpp
+++ b/Tests/LibServing/TestRateLimits.cpp
@@ -15,6 +15,40 @@
 
 constexpr int Seconds = 60;
 
+const HostId Self("self");
+const UpstreamId Limited("limited");
+const Instant Begin{seconds(1000)};
+
+ReplicaRecord record(std::int64_t startedMs) {
+  ReplicaRecord out;
+  out.Id = Limited;
+  out.OfService = ServiceId("service");
+  out.StartedMs = startedMs;
+  return out;
+}
+
+/// A table with one upstream, which has named a limit of one call a second.
+ReplicaTable tableWithLimit() {
+  ReplicaTable table;
+  table.note(record(1), Begin);
+  table.setServingHosts(Self, {Self}, Begin);
+  table.noteRateLimit(Limited, {1.0, Begin});
+  return table;
+}
+
+/// Whether the table allows two calls at once, which a limit of one call a
+/// second does not.
+bool isUnlimited(ReplicaTable &table, Instant now) {
+  ReplicaRequest request;
+  request.ForService = ServiceId("service");
+  for (int n = 0; n < 2; ++n) {
+    if (!table.choose(request, now))
+      return false;
+    table.noteSent(Limited, {}, now);
+  }
+  return true;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(rate_limits)
@@ -52,6 +86,61 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_limit_holds_until_a_response_names_none) {
+  ReplicaTable table = tableWithLimit();
+  BOOST_TEST(!isUnlimited(table, Begin + seconds(1)));
+  BOOST_TEST(!isUnlimited(table, Begin + seconds(100)));
+  table.noteRateLimit(Limited, {std::nullopt, Begin + seconds(101)});
+  BOOST_TEST(isUnlimited(table, Begin + seconds(102)));
+}
+
+// The response to a call that was sent before the upstream named its limit
+// arrives late. It says nothing of the time since.
+BOOST_AUTO_TEST_CASE(a_response_to_an_earlier_call_does_not_end_a_limit) {
+  ReplicaTable table = tableWithLimit();
+  table.noteRateLimit(Limited, {std::nullopt, Begin - milliseconds(50)});
+  BOOST_TEST(!isUnlimited(table, Begin + seconds(1)));
+}
+
+// A report of another host is late and repeats a limit that has ended.
+BOOST_AUTO_TEST_CASE(a_late_report_does_not_revive_a_limit) {
+  ReplicaTable table = tableWithLimit();
+  table.noteRateLimit(Limited, {std::nullopt, Begin + seconds(1)});
+  table.notePeerRateLimit(Limited, {1.0, Begin + milliseconds(900)});
+  BOOST_TEST(isUnlimited(table, Begin + seconds(2)));
+}
+
+// The upstream restarted under its id, and other hosts still report the limit
+// of its earlier process.
+BOOST_AUTO_TEST_CASE(a_restarted_upstream_has_no_limit) {
+  ReplicaTable table = tableWithLimit();
+  table.note(record(1), Begin + seconds(1));
+  BOOST_TEST(!isUnlimited(table, Begin + seconds(2)));
+  table.note(record(2), Begin + seconds(3));
+  table.notePeerRateLimit(Limited, {1.0, Begin + seconds(2)});
+  BOOST_TEST(isUnlimited(table, Begin + seconds(4)));
+}
+
+// The registrations of upstreams lapse while the store is away. Hosts that
+// forgot the limits would send at full rate when they are back.
+BOOST_AUTO_TEST_CASE(a_limit_outlasts_a_lapse_of_the_registration) {
+  ReplicaTable table = tableWithLimit();
+  table.remove(Limited);
+  table.setServingHosts(Self, {Self}, Begin + seconds(3));
+  table.note(record(1), Begin + seconds(4));
+  BOOST_TEST(!isUnlimited(table, Begin + seconds(5)));
+}
+
+// A host that doesn't know which hosts serve would take the whole rate.
+BOOST_AUTO_TEST_CASE(a_host_that_does_not_serve_sends_nothing) {
+  ReplicaTable table = tableWithLimit();
+  table.setServingHosts(Self, {HostId("other")}, Begin);
+  ReplicaRequest request;
+  request.ForService = ServiceId("service");
+  BOOST_TEST(!table.choose(request, Begin + seconds(1)).has_value());
+  BOOST_TEST(table.rateLimitWait(ServiceId("service"), Begin).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(omitted_mechanisms_of_rate_limits_are_detected) {
   for (const RateLimitOmission omission :
        {RateLimitOmission::Statements, RateLimitOmission::Division}) {
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -263,6 +263,8 @@
     UpstreamReplyInfo verdict;
     verdict.Id = headerValue(head.Headers, "X-Call");
     verdict.DidNotRun = hasHeader(head.Headers, "X-Not-Run");
+    if (hasHeader(head.Headers, "X-Limit"))
+      verdict.RateLimit = std::stod(headerValue(head.Headers, "X-Limit"));
     return verdict;
   };
   out.ResponseHeaders = [](const HttpHeaders &) { return HttpHeaders{}; };
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -112,6 +112,28 @@
   BOOST_TEST(hasHeader(reply.Headers, "Retry-After"));
 }
 
+// An upstream names a rate limit and gets calls as before. Calls beyond the
+// limit have to be refused with the time of their retry, and go on once the
+// upstream no longer names one.
+BOOST_AUTO_TEST_CASE(calls_beyond_an_upstreams_rate_limit_are_refused) {
+  GatewayFixture fixture;
+  fixture.callUntil(200, "key");
+  std::atomic<bool> isLimited{true};
+  fixture.Upstream = [&](const std::shared_ptr<HttpExchange> &it) {
+    HttpHeaders headers = {
+        {"X-Call", headerValue(it->request().Headers, "X-Call")}};
+    if (isLimited)
+      headers.push_back({"X-Limit", "0.5"});
+    it->respond(200, headers, "");
+  };
+  const HttpReply refused = fixture.callUntil(503, "key");
+  BOOST_TEST(hasHeader(refused.Headers, "Retry-After"));
+  isLimited = false;
+  fixture.callUntil(200, "key");
+  for (int n = 0; n < 10; ++n)
+    BOOST_TEST(fixture.call("key").Status == 200);
+}
+
 // A replica is reclaimed in the middle of an event of a stream. The caller must
 // get neither a part of the response nor the same tokens twice.
 BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_upstream) {
