LibHttp: Answer a request that arrives before its idle timeout on a busy host

Cause: reading a large configuration keeps the event loop busy for hundreds of milliseconds. If the idle timeout of a connection ends in that time, the timer's handler is queued with those of the input that arrived before. It ran first, or after the timer had been started anew for the request, and closed the connection: an expired handler runs without an error also after a restart, and input that the reactor has read is in no socket any more. Ruled out: the idle timeout itself; callers keep to four fifths of it, which leaves 400 ms at the 2 s that some configurations set. Change: the timer's handler lets queued handlers run, then closes the connection only if its present expiry time has passed and, while idle, no input is unread. Before and after: async_http/a_request_before_the_idle_timeout_of_a_busy_server_is_answered: closed before, answered now. TestLibHttp green three times.

--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -1,6 +1,7 @@
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibBase/LogLine.h"
 #include "LibHttp/BeastCommon.h"
+#include "LibHttp/TimerExpiry.h"
 #include <set>
 
 namespace sorrelbay {
@@ -69,6 +70,8 @@
 
 private:
   void startTimer(Duration limit);
+  void closeIfExpired();
+  bool hasUnreadInput() const;
   void readHeader();
   void readBody();
   void handleRequest();
@@ -91,6 +94,8 @@
   std::optional<RequestParser> Parser;
   HttpLimits Limits;
   bool HasRequest = false;
+  /// The connection is idle, and a read waits for the next request.
+  bool WaitsForRequest = false;
   bool KeepsAlive = true;
   bool IsHead = false;
   bool IsChunked = false;
@@ -176,11 +181,24 @@
 void Connection::startTimer(Duration limit) {
   Timer.expires_after(limit);
   Timer.async_wait([self = shared_from_this()](ErrorCode ec) {
-    if (!ec && !self->HasRequest)
-      self->close();
+    // If the loop was busy, input that arrived meanwhile may have been read and
+    // its handler be queued; that one goes first.
+    if (!ec)
+      asio::post(self->ServerState->Loop, [self] { self->closeIfExpired(); });
   });
 }
 
+void Connection::closeIfExpired() {
+  const bool hasNextRequest = WaitsForRequest && hasUnreadInput();
+  if (!IsClosed && !HasRequest && hasExpired(Timer) && !hasNextRequest)
+    close();
+}
+
+bool Connection::hasUnreadInput() const {
+  ErrorCode ec;
+  return Socket.available(ec) != 0;
+}
+
 void Connection::close() {
   if (IsClosed)
     return;
@@ -208,9 +226,11 @@
   if (Buffer.size() == 0) {
     startTimer(ServerState->IsClosing ? ServerState->IdleTimeoutWhileClosing
                                       : Limits.IdleTimeout);
+    WaitsForRequest = true;
     Socket.async_read_some(
         Buffer.prepare(FirstReadBytes),
         [self = shared_from_this()](ErrorCode ec, std::size_t n) {
+          self->WaitsForRequest = false;
           if (ec)
             return self->close();
           self->Buffer.commit(n);
--- a/Tests/LibHttp/TestAsyncHttp.cpp
+++ b/Tests/LibHttp/TestAsyncHttp.cpp
@@ -1,8 +1,10 @@
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibHttp/AsyncHttpServer.h"
+#include <array>
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
+#include <thread>
 
 using namespace sorrelbay;
 namespace asio = boost::asio;
@@ -196,4 +198,41 @@
   BOOST_TEST(!isHandled);
 }
 
+// The event loop is busy while a request arrives on an idle connection and its
+// idle timeout ends. The connection was closed without an answer.
+BOOST_AUTO_TEST_CASE(
+    a_request_before_the_idle_timeout_of_a_busy_server_is_answered) {
+  Pair pair;
+  pair.Limits.IdleTimeout = milliseconds(100);
+  pair.Handle = [](const std::shared_ptr<HttpExchange> &it) {
+    it->respond(200, {}, "");
+  };
+  const std::string address = pair.Server.address();
+  const std::size_t colon = address.rfind(':');
+  asio::ip::tcp::socket client(pair.Loop);
+  client.connect(
+      {asio::ip::make_address(address.substr(0, colon)),
+       static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1)))});
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  const auto answer = [&] {
+    std::string text;
+    bool isClosed = false;
+    client.non_blocking(true);
+    pair.runUntil([&] {
+      std::array<char, 1000> buf{};
+      boost::system::error_code ec;
+      text.append(buf.data(), client.read_some(asio::buffer(buf), ec));
+      isClosed = isClosed || (ec && ec != asio::error::would_block);
+      return isClosed || !text.empty();
+    });
+    return text.substr(0, text.find('\r'));
+  };
+  asio::write(client, asio::buffer(request));
+  BOOST_TEST(answer() == "HTTP/1.1 200 OK");
+  pair.Loop.poll();
+  asio::write(client, asio::buffer(request));
+  std::this_thread::sleep_for(std::chrono::milliseconds(300));
+  BOOST_TEST(answer() == "HTTP/1.1 200 OK");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
