platform, sorrelbayd: Ignore an expired timer that was restarted

Cause: the class of the connection that was closed on a busy host: a timer's handler that is queued when its timer is started anew runs without an error. The call to the store that is given up for a pause restarts its timer with each part, and a call to an upstream with each attempt; a busy event loop could cancel a response that had just gone on, or count an attempt that had just begun as silent. Ruled out: the other timers that are restarted (watchers, lookups, idle connections of clients); their handlers check a state of their own.

--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -2,6 +2,7 @@
 #include "LibBase/BootClock.h"
 #include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
+#include "LibHttp/TimerExpiry.h"
 #include "LibServing/Allotment.h"
 #include "LibServing/StopPolicy.h"
 #include <algorithm>
@@ -170,7 +171,7 @@
                   CurrentSend.At + Route->LatencyTarget * SilenceTimeoutFactor);
   Timer.expires_after(std::max<Duration>(at - bootNow(), Duration::zero()));
   Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
-    if (!ec && !self->IsDone)
+    if (!ec && !self->IsDone && hasExpired(self->Timer))
       self->onTimer();
   });
 }
@@ -187,7 +188,7 @@
     }
     Timer.expires_after(RetryState->deadline() - now);
     Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
-      if (!ec && !self->IsDone)
+      if (!ec && !self->IsDone && hasExpired(self->Timer))
         self->onTimer();
     });
     return;
