LibCaller: Send the addresses of other daemons with a refusal

Callers saw: a daemon that stops, or has no bundle yet, refused their call without the addresses that its manual page promises; they waited for their next lookup. Ruled out: the caller of withAlternatives; it passes the addresses on. Change: `addresses` in the body where there are any. Before and after: problem/a_refusal_names_the_addresses_of_other_daemons red before, green now; TestLibCaller green. Conclusion: the response is as sorrelbayd(8) describes it.

--- a/Libraries/LibCaller/Problem.cpp
+++ b/Libraries/LibCaller/Problem.cpp
@@ -44,6 +44,8 @@
     response.Headers.push_back(
         {"Retry-After", std::to_string((wait + 999) / 1000)});
   }
+  if (!problem.alternatives().empty())
+    body["addresses"] = problem.alternatives();
   response.Body = body.dump(-1, ' ', false,
                             nlohmann::ordered_json::error_handler_t::replace) +
                   "\n";
--- a/Libraries/LibCaller/Problem.h
+++ b/Libraries/LibCaller/Problem.h
@@ -53,8 +53,8 @@
 };
 
 /// The problem as an HTTP response, with `Retry-After` in whole seconds
-/// (rounded up) and the exact delay as `retry_after_ms` in the body.
-/// FIXME: The addresses of other daemons are not part of the response.
+/// (rounded up) and the exact delay as `retry_after_ms` in the body, and with
+/// the alternative addresses, if there are any, as `addresses`.
 HttpResponse renderProblem(const Problem &problem);
 
 } // namespace sorrelbay
