Tests/LibPeer: Remove a declaration without a definition

Ruled out: nothing further was looked at. Change: the line is gone. Conclusion: no behaviour changes.

--- a/Tests/LibPeer/BundleSpread.h
+++ b/Tests/LibPeer/BundleSpread.h
@@ -90,7 +90,6 @@
   void recordInForce(const std::string &name, const std::string &bytes);
   void roll();
   void rollOnce(const SignedBundle &bundle);
-  void rollWithoutCondition(const SignedBundle &bundle);
   void replay();
   void forge();
   ObjectApi objectApi();
