LibHttp: Count only input as unexpected, not a close by the server

Ruled out: a change for calls; the connection is closed and not used again in both cases. Change: only a connection with unread bytes is counted. Conclusion: the count means what its comment says.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -362,7 +362,8 @@
       Tcp::socket::wait_read, [self = shared_from_this()](ErrorCode ec) {
         if (ec || self->IsActive || self->IsClosed)
           return;
-        ++self->ClientState->Counts.UnexpectedInput;
+        if (hasUnreadInput(self->Socket))
+          ++self->ClientState->Counts.UnexpectedInput;
         self->close();
         auto &idle = self->ClientState->Idle[self->Address];
         idle.erase(std::remove(idle.begin(), idle.end(), self), idle.end());
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -68,8 +68,7 @@
   std::uint64_t Reused = 0;
   /// Responses that belonged to an earlier call.
   std::uint64_t LateResponses = 0;
-  /// Connections closed because they had input that belongs to no call, or were
-  /// closed by the server while idle.
+  /// Connections closed because they had input that belongs to no call.
   std::uint64_t UnexpectedInput = 0;
 };
 
--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -71,7 +71,6 @@
 private:
   void startTimer(Duration limit);
   void closeIfExpired();
-  bool hasUnreadInput() const;
   void readHeader();
   void readBody();
   void handleRequest();
@@ -189,16 +188,11 @@
 }
 
 void Connection::closeIfExpired() {
-  const bool hasNextRequest = WaitsForRequest && hasUnreadInput();
+  const bool hasNextRequest = WaitsForRequest && hasUnreadInput(Socket);
   if (!IsClosed && !HasRequest && hasExpired(Timer) && !hasNextRequest)
     close();
 }
 
-bool Connection::hasUnreadInput() const {
-  ErrorCode ec;
-  return Socket.available(ec) != 0;
-}
-
 void Connection::close() {
   if (IsClosed)
     return;
--- a/Libraries/LibHttp/BeastCommon.h
+++ b/Libraries/LibHttp/BeastCommon.h
@@ -22,6 +22,12 @@
 /// default.
 void configureSocket(Tcp::socket &socket);
 
+/// Whether bytes have arrived that were not read.
+inline bool hasUnreadInput(const Tcp::socket &socket) {
+  ErrorCode ec;
+  return socket.available(ec) != 0;
+}
+
 /// Copies all header fields of a received message.
 template <typename Fields> HttpHeaders headersOf(const Fields &fields) {
   HttpHeaders out;
--- a/Tests/LibHttp/TestAsyncHttp.cpp
+++ b/Tests/LibHttp/TestAsyncHttp.cpp
@@ -235,4 +235,19 @@
   BOOST_TEST(answer() == "HTTP/1.1 200 OK");
 }
 
+// A server closes idle connections as it may. Counted as input that belongs to
+// no call, each would look like a protocol error of the server.
+BOOST_AUTO_TEST_CASE(a_close_of_an_idle_connection_is_not_unexpected_input) {
+  Pair pair;
+  pair.Limits.IdleTimeout = milliseconds(50);
+  pair.Handle = [](const std::shared_ptr<HttpExchange> &it) {
+    it->respond(200, {}, "");
+  };
+  pair.Client.send(pair.Server.address(), {}, pair.hooks());
+  pair.runUntil([&] { return pair.HasEnded; });
+  pair.runUntil(
+      [&] { return pair.Client.connections(pair.Server.address()) == 0; });
+  BOOST_TEST(pair.Client.counts().UnexpectedInput == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
