LibServing: Compute a host's share of a rate limit once

Cause: the share of a limited upstream was computed for each call from a hash for each host: 58 hashes an upstream and call on a fleet of 58 hosts, several hundred on the size that is built towards. Ruled out: by no measurement; the work is counted from the code. Change: the share is kept with the limit and the turn that it was computed for, until the serving hosts change. Conclusion: the same decisions, less work for each call.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -190,8 +190,12 @@
 
 void ReplicaTable::setServingHosts(const HostId &self,
                                    std::vector<HostId> hosts, Instant now) {
-  Self = self;
-  ServingHosts = std::move(hosts);
+  if (Self != self || ServingHosts != hosts) {
+    Self = self;
+    ServingHosts = std::move(hosts);
+    for (auto &[id, it] : RateLimits)
+      it.Cached.reset();
+  }
   for (auto it = RateLimits.begin(); it != RateLimits.end();) {
     const bool isUsed = Entries.count(it->first) != 0 ||
                         now - it->second.Statement.At < RateLimitRetention;
@@ -215,23 +219,29 @@
 /// This host's share of the upstream's rate limit in calls per second. A limit
 /// that no response has confirmed for a while passes to other hosts: those that
 /// hold it may have no calls for the upstream, or no path to it.
-double ReplicaTable::rateShare(const UpstreamId &id, Instant now) const {
-  const RateLimitStatement &statement = RateLimits.at(id).Statement;
-  const Duration age = std::max<Duration>(now - statement.At, Duration::zero());
-  return rateLimitShare(id, Self, ServingHosts, *statement.PerSecond,
-                        static_cast<std::size_t>(age / RateShareTurn));
+double ReplicaTable::rateShare(const UpstreamId &id, Instant now) {
+  UpstreamRateLimit &it = RateLimits.at(id);
+  const double perSecond = *it.Statement.PerSecond;
+  const Duration age =
+      std::max<Duration>(now - it.Statement.At, Duration::zero());
+  const auto turn = static_cast<std::size_t>(age / RateShareTurn);
+  if (!it.Cached || it.Cached->PerSecond != perSecond ||
+      it.Cached->Turn != turn)
+    it.Cached = {perSecond, turn,
+                 rateLimitShare(id, Self, ServingHosts, perSecond, turn)};
+  return it.Cached->Share;
 }
 
 /// Whether the upstream does not limit its calls, or this host may send it
 /// another one within its share of the limit.
-bool ReplicaTable::hasRateCapacity(const UpstreamId &id, Instant now) const {
+bool ReplicaTable::hasRateCapacity(const UpstreamId &id, Instant now) {
   const auto it = RateLimits.find(id);
   return it == RateLimits.end() || !it->second.Statement.PerSecond ||
          it->second.Limiter.hasCapacity(rateShare(id, now), now);
 }
 
 std::optional<Duration> ReplicaTable::rateLimitWait(const ServiceId &service,
-                                                    Instant now) const {
+                                                    Instant now) {
   std::optional<Duration> shortest;
   for (const auto &[id, it] : RateLimits) {
     const auto entry = Entries.find(id);
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -199,8 +199,7 @@
                        Instant now);
   /// Whether the service has upstreams with a rate limit that are not leaving;
   /// if so, the shortest time until this host may send one of them a call.
-  std::optional<Duration> rateLimitWait(const ServiceId &service,
-                                        Instant now) const;
+  std::optional<Duration> rateLimitWait(const ServiceId &service, Instant now);
 
   /// The upstream for a call; empty if none may take it.
   std::optional<ReplicaChoice> choose(const ReplicaRequest &request,
@@ -301,8 +300,8 @@
   bool fits(const Entry &entry, const ReplicaRequest &request) const;
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdCapacity(Entry &entry, Instant now);
-  double rateShare(const UpstreamId &id, Instant now) const;
-  bool hasRateCapacity(const UpstreamId &id, Instant now) const;
+  double rateShare(const UpstreamId &id, Instant now);
+  bool hasRateCapacity(const UpstreamId &id, Instant now);
   bool acceptRateLimit(const UpstreamId &id,
                        const RateLimitStatement &statement, bool isOwn);
   void forgetRateLimitOf(const ReplicaRecord &record, Instant now);
--- a/Libraries/LibServing/UpstreamRateLimit.h
+++ b/Libraries/LibServing/UpstreamRateLimit.h
@@ -66,6 +66,14 @@
   /// ReplicaRecord::StartedMs of the upstream's process; 0 if not known.
   std::int64_t StartedMs = 0;
   RateShareLimiter Limiter;
+  /// This host's share, for the limit and the turn that it was computed for;
+  /// empty until it is computed.
+  struct CachedShare {
+    double PerSecond = 0;
+    std::size_t Turn = 0;
+    double Share = 0;
+  };
+  std::optional<CachedShare> Cached;
 };
 
 } // namespace sorrelbay
