LibObjectApi: Give watches a least wait limit

Cause: wait limits are a quarter of a bound from the settings, which may be a millisecond; each host would query the store without a pause. Ruled out: a check of the settings; a tiny bound is legal, only not reachable. Change: at least 50 ms. Before and after: view_freshness/a_tiny_bound_does_not_make_watches_tiny is new and was not run on the code before; TestLibObjectApi green.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -20,6 +20,8 @@
 constexpr int SilenceDivisor = 2;
 constexpr int ExtraStaleWaits = 1;
 constexpr Duration MaxWatchWait = milliseconds(500);
+/// Shorter watches would query the store without a pause.
+constexpr Duration MinWatchWait = milliseconds(50);
 /// Changes within 1/BatchesPerBound of the bound are fetched together.
 constexpr int BatchesPerBound = 20;
 
@@ -27,8 +29,8 @@
 
 ResourceWatcherSettings watcherSettingsFor(Duration bound) {
   ResourceWatcherSettings settings;
-  settings.WaitLimit =
-      std::min<Duration>(MaxWatchWait, bound / ConfirmsPerBound);
+  settings.WaitLimit = std::clamp<Duration>(bound / ConfirmsPerBound,
+                                            MinWatchWait, MaxWatchWait);
   settings.BatchDelay = bound / BatchesPerBound;
   // One host watches the store for the fleet. Another replaces it within about
   // a second; only if none does should the other hosts query the store
@@ -42,7 +44,8 @@
 
 ResourceWatcherSettings rareChangeSettingsFor(Duration bound) {
   ResourceWatcherSettings settings;
-  settings.WaitLimit = bound / ConfirmsPerBound;
+  settings.WaitLimit =
+      std::max<Duration>(MinWatchWait, bound / ConfirmsPerBound);
   settings.MaxSilentWaits = ConfirmsPerBound / SilenceDivisor;
   settings.MaxStaleWaits = settings.MaxSilentWaits + ExtraStaleWaits;
   return settings;
--- a/Tests/LibObjectApi/TestViewFreshness.cpp
+++ b/Tests/LibObjectApi/TestViewFreshness.cpp
@@ -165,6 +165,17 @@
   }
 }
 
+// A bound of a millisecond in the settings made each host query the store
+// without a pause.
+BOOST_AUTO_TEST_CASE(a_tiny_bound_does_not_make_watches_tiny) {
+  for (const ResourceWatcherSettings &settings :
+       {watcherSettingsFor(milliseconds(1)),
+        rareChangeSettingsFor(milliseconds(1))}) {
+    BOOST_TEST((settings.WaitLimit >= milliseconds(50)));
+    BOOST_TEST(settings.MaxSilentWaits >= 2);
+  }
+}
+
 // The receiver's machine restarted, and its boot clock with it. An echo of the
 // earlier clock made the view look confirmed for as long as that had run.
 BOOST_AUTO_TEST_CASE(an_echo_of_an_earlier_boot_confirms_nothing) {
