--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -424,7 +424,7 @@
 /// The upstreams whose rate limit no response has confirmed for a while, or all
 /// if there are none: only a response shows that a limit has ended.
 std::vector<ReplicaTable::Entry *>
-ReplicaTable::preferUnconfirmedLimits(std::vector<Entry *> eligible,
+ReplicaTable::preferUnconfirmedLimits(const std::vector<Entry *> &eligible,
                                       Instant now) const {
   std::vector<Entry *> unconfirmed;
   for (Entry *it : eligible) {
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -283,8 +283,9 @@
                                                Instant now);
   std::vector<Entry *> eligibleUpstreams(const ReplicaRequest &request,
                                          Instant now);
-  std::vector<Entry *> preferUnconfirmedLimits(std::vector<Entry *> eligible,
-                                               Instant now) const;
+  std::vector<Entry *>
+  preferUnconfirmedLimits(const std::vector<Entry *> &eligible,
+                          Instant now) const;
   static std::vector<Entry *> sampleTwo(std::vector<Entry *> eligible,
                                         std::uint64_t seed);
   static Entry *leastBusy(const std::vector<Entry *> &all,
