LibObjectApi: Give the store its usual time after a failed query

Callers would have seen: a host whose link answers after 450 to 900 ms, which the platform does not excuse, never gets a change that is not relayed to it. After a failure the host is idle again, so that each later query was as short. Ruled out: a longer margin for all; at a bound of 2 s one failed query would make a change late. Change: only a query without a failure before it is short. Conclusion: the retry costs at most 900 ms; at a bound of 2 s a loaded link can still make a change late.

--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -233,10 +233,12 @@
   IsIdle = false;
   if (wasIdle)
     logQuery(reason, now);
+  // After a failure the store may need more time to respond.
+  const bool isShort = wasIdle && Schedule.failures() == 0;
   if (MustList)
     list();
   else
-    watch(wasIdle ? Settings.FirstWaitLimit : Settings.WaitLimit);
+    watch(isShort ? Settings.FirstWaitLimit : Settings.WaitLimit);
 }
 
 /// The time up to which the relayed changes confirm the view. The echo is a
--- a/Tests/LibObjectApi/TestViewFreshness.cpp
+++ b/Tests/LibObjectApi/TestViewFreshness.cpp
@@ -128,6 +128,28 @@
   return host.Clock + AnswerTime - changedAt;
 }
 
+/// The delay with which the host acts on a change that is made right after its
+/// last relayed confirmation, if responses take `responseTime` to arrive; a
+/// minute if it never does.
+Duration delayOnSlowLink(const ResourceWatcherSettings &settings,
+                         Duration responseTime) {
+  ReceivingHost host(settings);
+  host.receiveConfirmation(Duration::zero());
+  const Instant changedAt = host.Clock;
+  int failed = 0;
+  while (host.Clock - changedAt < minutes(1)) {
+    if (host.Queries == failed) {
+      host.tick();
+      continue;
+    }
+    failed = host.Queries;
+    if (responseTime < host.WaitLimit + WatchMargin)
+      return host.Clock + responseTime - changedAt;
+    host.failQuery(CallFailure::NotAnswered);
+  }
+  return minutes(1);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(view_freshness)
@@ -143,6 +165,15 @@
                  watcherSettingsFor(bound), failure)) <= toMilliseconds(bound));
 }
 
+// The relaying host fails while the host's own link is loaded, so that the
+// response to its first, short query comes too late.
+BOOST_AUTO_TEST_CASE(a_loaded_link_does_not_make_a_change_late) {
+  for (const Duration bound : {seconds(3), seconds(4)})
+    BOOST_TEST(toMilliseconds(delayOnSlowLink(watcherSettingsFor(bound),
+                                              milliseconds(550))) <=
+               toMilliseconds(bound));
+}
+
 // The relaying host lags behind, so that its confirmations arrive regularly but
 // describe the store before the change.
 BOOST_AUTO_TEST_CASE(lagging_relays_do_not_make_a_change_late) {
