LibServing: Describe the shares of a rate limit as they are

Cause: a comment told of the first design, in which as many hosts as the limit has whole calls a second got a share; it is three more. Found in the read-through. Change: two comments. Before and after: rate_limits/* green. Conclusion: no behaviour changes.

--- a/Libraries/LibServing/UpstreamRateLimit.cpp
+++ b/Libraries/LibServing/UpstreamRateLimit.cpp
@@ -12,6 +12,7 @@
 static constexpr std::size_t ExtraSenders = 3;
 /// The time over which a share may be used at once.
 static constexpr Duration BurstTime = milliseconds(500);
+/// The wait of a host without a share, whose caller may find another host.
 static constexpr Duration NoShareWait = seconds(1);
 
 void mergeNewest(RateLimitStatements &known,
--- a/Libraries/LibServing/UpstreamRateLimit.h
+++ b/Libraries/LibServing/UpstreamRateLimit.h
@@ -27,12 +27,12 @@
 void mergeNewest(RateLimitStatements &known, const RateLimitStatements &others);
 
 /// The calls per second that the host `self` may send to an upstream that
-/// accepts `perSecond` calls from all hosts together. As many hosts as the
-/// limit has whole calls a second, and at least one, get equal shares and the
-/// others none: each share is large enough to be used and to show soon that the
-/// limit has changed. The hosts follow the upstream's rendezvous hashing order;
-/// each `turn` begins with the host after those of the previous one. Returns 0
-/// if `self` is not in `hosts`.
+/// accepts `perSecond` calls from all hosts together. A few more hosts than the
+/// limit has whole calls a second get equal shares and the others none: each
+/// host may send one call at once, so that shares for all hosts of a large
+/// fleet would exceed the limit. The hosts follow the upstream's rendezvous
+/// hashing order; each `turn` begins with the host after those of the previous
+/// one. Returns 0 if `self` is not in `hosts`.
 double rateLimitShare(const UpstreamId &upstream, const HostId &self,
                       const std::vector<HostId> &hosts, double perSecond,
                       std::size_t turn = 0);
