LibServing, sorrelbayd: Log and count what upstreams state about themselves

Ruled out: nothing yet; the statement has no effect still. Change: platform/ reads Retry-After of a 503 and names the statements that can't be used, with the reason (malformed, another upstream's, another status, another call's). The daemon logs `upstream asks for a pause` and `upstream statement ignored`, at most 50 a second, and counts both in sorrelbay_upstream_statements_total; responses and bytes that belong to no call show in sorrelbay_upstream_ignored_input_total. Before and after: translation/a_requested_pause_is_read_from_an_unavailable_upstream is new; no decision changes.

--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
+#include "LibServing/UpstreamStatement.h"
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -65,6 +66,11 @@
   /// Calls per second that the upstream accepts at the moment from all hosts
   /// together; empty if it does not limit them.
   std::optional<double> RateLimit;
+  /// The time for which the upstream wants no calls from this host, from the
+  /// response on; empty if it states none.
+  std::optional<Duration> Pause;
+  /// Statements of the response that can't be used.
+  std::vector<IgnoredStatement> Ignored;
 };
 
 } // namespace sorrelbay
--- /dev/null
+++ b/Libraries/LibServing/UpstreamStatement.cpp
@@ -0,0 +1,29 @@
+#include "LibServing/UpstreamStatement.h"
+
+namespace sorrelbay {
+
+const char *toText(StatementKind kind) {
+  switch (kind) {
+  case StatementKind::RateLimit:
+    return "rate_limit";
+  case StatementKind::Pause:
+    return "pause";
+  }
+  return "";
+}
+
+const char *toText(IgnoredReason reason) {
+  switch (reason) {
+  case IgnoredReason::Malformed:
+    return "malformed";
+  case IgnoredReason::OtherUpstream:
+    return "other_upstream";
+  case IgnoredReason::OtherStatus:
+    return "other_status";
+  case IgnoredReason::OtherCall:
+    return "other_call";
+  }
+  return "";
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Libraries/LibServing/UpstreamStatement.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <string>
+
+namespace sorrelbay {
+
+/// What an upstream can state about itself in a response, besides the response
+/// to the call.
+enum class StatementKind {
+  /// The calls per second that it accepts from all hosts together.
+  RateLimit,
+  /// The time for which it wants no calls from this host.
+  Pause,
+};
+
+/// Why a statement of an upstream had no effect.
+enum class IgnoredReason {
+  /// The value can't be read.
+  Malformed,
+  /// Another upstream than the expected one responded.
+  OtherUpstream,
+  /// The statement has no meaning in a response with that status.
+  OtherStatus,
+  /// The response is for an earlier call on the connection, or for an unknown
+  /// one.
+  OtherCall,
+};
+
+/// A statement that had no effect.
+struct IgnoredStatement {
+  StatementKind Kind = StatementKind::RateLimit;
+  IgnoredReason Reason = IgnoredReason::Malformed;
+  /// The value as it was received.
+  std::string Value;
+
+  friend bool operator==(const IgnoredStatement &a, const IgnoredStatement &b) {
+    return a.Kind == b.Kind && a.Reason == b.Reason && a.Value == b.Value;
+  }
+};
+
+/// The names of both in logs and metrics.
+const char *toText(StatementKind kind);
+const char *toText(IgnoredReason reason);
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -119,6 +119,7 @@
   hooks.Limits = [] { return HttpLimits{}; };
   hooks.Handle = [this](const std::shared_ptr<HttpExchange> &exchange) {
     State.Counts.setOpenCalls(Callers->openRequests());
+    State.Counts.setUpstreamConnectionCounts(State.Client.counts());
     State.Counts.setBundleGeneration(State.Plan ? State.Plan->plan().Version
                                                 : 0);
     exchange->respond(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -44,6 +44,8 @@
 /// Prompts whose prefill takes at least this long are reported to peers at
 /// once, so that they do not send other calls to the same engine.
 constexpr Duration LargePrompt = milliseconds(100);
+/// Characters of a header field's value that are logged.
+constexpr std::size_t MaxLoggedValue = 64;
 /// Margin before the end of the key removal bound.
 constexpr Duration KeyRemovalMargin = milliseconds(100);
 
@@ -316,8 +318,12 @@
   HttpCallHooks hooks;
   const auto self = shared_from_this();
   hooks.IsForThisCall = [self](const HttpReplyHead &head) {
-    const std::string id = self->State.Hooks.ReadReplyInfo(head).Id;
-    return id.empty() || id == self->Call.Id;
+    const UpstreamReplyInfo replyInfo = self->State.Hooks.ReadReplyInfo(head);
+    const bool isForThisCall =
+        replyInfo.Id.empty() || replyInfo.Id == self->Call.Id;
+    if (!isForThisCall)
+      self->ignoreStatementsOfOtherCall(replyInfo);
+    return isForThisCall;
   };
   hooks.OnSending = [self] {
     self->CurrentSend.WasSending = true;
@@ -335,18 +341,63 @@
   const UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
   CurrentSend.DidNotRun = replyInfo.DidNotRun;
   const bool hasCallId = !replyInfo.Id.empty() || Call.Id.empty();
+  if (hasCallId)
+    noteStatements(replyInfo);
+  else
+    ignoreStatementsOfOtherCall(replyInfo);
   // A successful response without an id may belong to any call.
   if (isSuccess() && !hasCallId) {
     Handle->cancel();
     return onFailure(HttpFailure::Broken);
   }
-  if (hasCallId)
-    noteRateLimit(replyInfo);
   // An error response must not continue a response of which another attempt has
   // sent a part.
   CurrentSend.IsDiscarded = CurrentSend.DidNotRun || (HasBegun && !isSuccess());
 }
 
+/// Records what the upstream states about itself in the response.
+void GatewayCall::noteStatements(const UpstreamReplyInfo &replyInfo) {
+  noteRateLimit(replyInfo);
+  if (replyInfo.Pause)
+    notePause(*replyInfo.Pause);
+  for (const IgnoredStatement &it : replyInfo.Ignored)
+    ignoreStatement(it);
+}
+
+void GatewayCall::notePause(Duration pause) {
+  State.Counts.countUpstreamStatement(toText(StatementKind::Pause), "ignored");
+  if (State.StatementLogBudget.take(bootNow()))
+    LogLine(Severity::Info, "upstream asks for a pause")
+        .field("upstream", CurrentSend.Replica.text())
+        .field("id", Call.Id)
+        .field("pause_ms", toMilliseconds(pause));
+}
+
+void GatewayCall::ignoreStatement(const IgnoredStatement &statement) {
+  State.Counts.countUpstreamStatement(toText(statement.Kind),
+                                      toText(statement.Reason));
+  if (State.StatementLogBudget.take(bootNow()))
+    LogLine(Severity::Warning, "upstream statement ignored")
+        .field("upstream", CurrentSend.Replica.text())
+        .field("id", Call.Id)
+        .field("statement", toText(statement.Kind))
+        .field("why", toText(statement.Reason))
+        .field("value", statement.Value.substr(0, MaxLoggedValue));
+}
+
+/// Logs the statements of a response that is not known to be for this call.
+void GatewayCall::ignoreStatementsOfOtherCall(
+    const UpstreamReplyInfo &replyInfo) {
+  if (replyInfo.RateLimit)
+    ignoreStatement({StatementKind::RateLimit, IgnoredReason::OtherCall,
+                     std::to_string(*replyInfo.RateLimit)});
+  if (replyInfo.Pause)
+    ignoreStatement({StatementKind::Pause, IgnoredReason::OtherCall,
+                     std::to_string(toSeconds(*replyInfo.Pause))});
+  for (const IgnoredStatement &it : replyInfo.Ignored)
+    ignoreStatement(it);
+}
+
 /// Records the rate limit that the response names. Only a successful response
 /// without one ends a limit; it describes the upstream at some time after the
 /// call was sent.
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -61,7 +61,11 @@
   std::optional<ReplicaChoice> chooseUpstream(Instant now);
   bool exceedsFirstTokenLimit(const ReplicaChoice &choice) const;
   void noteFirstByte();
+  void noteStatements(const UpstreamReplyInfo &replyInfo);
   void noteRateLimit(const UpstreamReplyInfo &replyInfo);
+  void notePause(Duration pause);
+  void ignoreStatement(const IgnoredStatement &statement);
+  void ignoreStatementsOfOtherCall(const UpstreamReplyInfo &replyInfo);
   bool hasConnectionCapacity(const std::string &address) const;
   bool resume();
   void abortResponse(const char *cause);
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -64,6 +64,8 @@
   /// so that successes cannot displace failures.
   LogRateLimiter SuccessLogBudget{20};
   LogRateLimiter FailureLogBudget{200};
+  /// Log lines a second for statements of upstreams.
+  LogRateLimiter StatementLogBudget{50};
   /// When the stop was requested; empty while the host serves.
   std::optional<Instant> StoppingSince;
   Metrics Counts;
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -25,6 +25,8 @@
   Family<Histogram> &ExpectedFirstToken;
   Family<Gauge> &Replicas;
   Family<Counter> &Dropped;
+  Family<Counter> &Statements;
+  Family<Counter> &IgnoredInput;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -72,6 +74,12 @@
                    .Register(Registry)),
       Dropped(counterFamily(Registry, "sorrelbay_dropped_arrivals_total",
                             "Arrivals from engines not taken, by cause.")),
+      Statements(counterFamily(
+          Registry, "sorrelbay_upstream_statements_total",
+          "Statements of upstreams about themselves by kind and result.")),
+      IgnoredInput(counterFamily(
+          Registry, "sorrelbay_upstream_ignored_input_total",
+          "Input from upstreams that belongs to no call, by kind.")),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -141,6 +149,12 @@
     All->Dropped.Add({{"cause", cause}}).Increment(static_cast<double>(n));
 }
 
+void Metrics::countUpstreamStatement(const std::string &statement,
+                                     const std::string &result) {
+  All->Statements.Add({{"statement", statement}, {"result", result}})
+      .Increment();
+}
+
 void Metrics::countObjectApi(const std::string &call,
                              const std::string &result) {
   All->ObjectApi.Add({{"call", call}, {"result", result}}).Increment();
@@ -159,6 +173,13 @@
   counter.Increment(static_cast<double>(count) - counter.Value());
 }
 
+void Metrics::setUpstreamConnectionCounts(const HttpClientCounts &counts) {
+  raiseTo(All->IgnoredInput.Add({{"kind", "late_response"}}),
+          counts.LateResponses);
+  raiseTo(All->IgnoredInput.Add({{"kind", "unexpected_input"}}),
+          counts.UnexpectedInput);
+}
+
 void Metrics::setPeerCounts(const MeshCounts &counts) {
   All->PeerLinks.Set(static_cast<double>(counts.LiveLinks));
   raiseTo(All->PeerWrongHellos, counts.HandshakeFailures);
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibHttp/AsyncHttpClient.h"
 #include "LibPeer/MeshCounts.h"
 #include <cstdint>
 #include <memory>
@@ -37,6 +38,12 @@
   /// Counts the tokens and ends from engines that were dropped, by cause.
   void countDropped(const std::string &cause, std::uint64_t n);
   void countObjectApi(const std::string &call, const std::string &result);
+  /// Counts a statement of an upstream about itself, such as "pause", by what
+  /// became of it: "applied", or why it was ignored.
+  void countUpstreamStatement(const std::string &statement,
+                              const std::string &result);
+  /// Sets the counts of the connections to upstreams.
+  void setUpstreamConnectionCounts(const HttpClientCounts &counts);
   void setOpenCalls(std::size_t n);
   void setBundleGeneration(std::uint64_t generation);
   void setPeerCounts(const MeshCounts &counts);
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -159,4 +159,41 @@
     BOOST_TEST((parseUpstreamReplyInfo(head).RateLimit == limit));
 }
 
+// A malformed time would keep an upstream without calls for ever, or not at
+// all.
+BOOST_AUTO_TEST_CASE(a_requested_pause_is_read_from_an_unavailable_upstream) {
+  using Reason = IgnoredReason;
+  struct Case {
+    int Status;
+    const char *Value;
+    std::optional<Duration> Pause;
+    std::optional<Reason> Ignored;
+  };
+  const Case cases[] = {
+      {503, "3", seconds(3), {}},
+      {503, "0.25", milliseconds(250), {}},
+      {503, "0", Duration::zero(), {}},
+      {503, "", {}, Reason::Malformed},
+      {503, "3 s", {}, Reason::Malformed},
+      {503, "-1", {}, Reason::Malformed},
+      {503, "1,5", {}, Reason::Malformed},
+      {503, "nan", {}, Reason::Malformed},
+      {503, "1e300", {}, Reason::Malformed},
+      {503, "Thu, 03 Dec 2026 18:00:00 GMT", {}, Reason::Malformed},
+      {200, "3", {}, Reason::OtherStatus},
+      {429, "3", {}, Reason::OtherStatus},
+      {421, "3", {}, Reason::OtherUpstream}};
+  for (const Case &it : cases) {
+    const auto info = parseUpstreamReplyInfo(
+        {it.Status, {{"Not-Executed", "1"}, {"retry-after", it.Value}}, {}});
+    BOOST_TEST((info.Pause == it.Pause), it.Status << " " << it.Value);
+    BOOST_TEST(info.Ignored.empty() != it.Ignored.has_value());
+    if (it.Ignored)
+      BOOST_TEST(
+          (info.Ignored == std::vector<IgnoredStatement>{
+                               {StatementKind::Pause, *it.Ignored, it.Value}}));
+  }
+  BOOST_TEST(!parseUpstreamReplyInfo({503, {}, {}}).Pause.has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
