Tests/sorrelbayd: Show the calls that reach an upstream during a requested pause

An upstream rejects a call and asks for a pause of 60 s; callers go on being sent there and rejected, and are told to come back after 0.1 to 0.2 s.

--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -134,6 +134,46 @@
     BOOST_TEST(fixture.call("key").Status == 200);
 }
 
+namespace {
+
+/// Rejects the call, asking for a pause of that many seconds.
+void rejectAndAskForPause(const std::shared_ptr<HttpExchange> &it,
+                          const char *pauseSeconds) {
+  it->respond(503,
+              {{"X-Call", headerValue(it->request().Headers, "X-Call")},
+               {"X-Not-Run", "1"},
+               {"X-Pause", pauseSeconds}},
+              "");
+}
+
+double retryAfterOf(const HttpReply &reply) {
+  const std::string text = headerValue(reply.Headers, "Retry-After");
+  return text.empty() ? 0 : std::stod(text);
+}
+
+} // namespace
+
+// An upstream turns a call away and asks for a pause, and goes on getting calls
+// that keep it from recovering.
+BOOST_AUTO_TEST_CASE(an_upstream_that_asked_for_a_pause_gets_no_calls) {
+  for (const char *path : {"/a/1", "/s/1"}) {
+    GatewayFixture fixture;
+    fixture.callUntil(200, "key");
+    fixture.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+      rejectAndAskForPause(it, "60");
+    };
+    BOOST_TEST(fixture.call("key", path).Status == 503);
+    const int before = fixture.UpstreamCalls;
+    for (int n = 0; n < 5; ++n) {
+      const HttpReply reply = fixture.call("key", path);
+      BOOST_TEST(reply.Status == 503);
+      // As long as the caller's time allows.
+      BOOST_TEST(retryAfterOf(reply) > 5);
+    }
+    BOOST_TEST(fixture.UpstreamCalls == before, path);
+  }
+}
+
 // A replica is reclaimed in the middle of an event of a stream. The caller must
 // get neither a part of the response nor the same tokens twice.
 BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_upstream) {
