LibServing: Give what upstreams state of themselves a unit of its own

Ruled out: keeping the statements in the table's entries, as they must outlast a lapse of the registration. Change: UpstreamStatements holds the statements by upstream and the process that made them, the share of a rate limit, and whether another call is allowed. One thing differs: the process of an upstream is known from its first registration on; before, a restart between the first statement and the next registration went unnoticed. Conclusion: a place for pauses and leavings.

--- a/Libraries/LibServing/FleetReportMerger.cpp
+++ b/Libraries/LibServing/FleetReportMerger.cpp
@@ -44,7 +44,7 @@
   const SourceId source = sourceOf(report);
   Tables.Replicas.notePeer(source, report.Open);
   for (const auto &[id, statement] : report.RateLimits)
-    Tables.Replicas.notePeerRateLimit(id, statement);
+    Tables.Replicas.statements().notePeerRateLimit(id, statement);
   Tables.Demand.notePeer(source, report.Demand);
   const bool isSum = report.Scope != ReportScope::Host;
   // When this host becomes or stops being an aggregator, the teams have already
@@ -84,7 +84,9 @@
 }
 
 void FleetReportMerger::recount(const FleetMember &self, Instant now) {
-  Tables.Replicas.setServingHosts(self.Host, View.servingHosts(self, now), now);
+  Tables.Replicas.statements().setServingHosts(self.Host,
+                                               View.servingHosts(self, now));
+  Tables.Replicas.forgetOldStatements(now);
   std::set<SourceId> countedSources;
   for (const FleetReport *it : View.counted(self, now)) {
     const SourceId source = sourceOf(*it);
@@ -113,7 +115,7 @@
 void FleetReportMerger::fillOwnReport(FleetReport &report, Instant now) const {
   report.Open = Tables.Replicas.ownWork();
   report.Demand = Tables.Demand.own(now);
-  report.RateLimits = Tables.Replicas.ownRateLimits(now);
+  report.RateLimits = Tables.Replicas.statements().ownRateLimits(now);
   for (const auto &[team, limiter] : Tables.RateLimiters) {
     report.Used[team] = limiter.used();
     if (const auto level = limiter.settledLevel())
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -5,15 +5,6 @@
 
 namespace sorrelbay {
 
-/// The end of a limit is reported to other hosts for this long.
-static constexpr Duration RateLimitEndReportTime = seconds(5);
-/// The limit of an upstream that is not registered is kept for this long.
-static constexpr Duration RateLimitRetention = seconds(60);
-/// A limit that no response has confirmed for this long is checked by the next
-/// call of a host that may send one.
-static constexpr Duration RateLimitCheckAfter = seconds(2);
-/// A limit that no response confirms passes to other hosts this often.
-static constexpr Duration RateShareTurn = seconds(5);
 /// Sends before which an upstream's failure share is not relied on.
 static constexpr double MinSendsSeen = 3;
 /// Upper bound of the number of sends that a failure share covers.
@@ -37,7 +28,7 @@
   const Instant coldUntil = record.ColdDuration > Duration::zero()
                                 ? now + record.ColdDuration + ColdMargin
                                 : Instant{};
-  forgetRateLimitOf(record, now);
+  Statements.noteProcess(record.Id, record.StartedMs, now);
   const auto found = Entries.find(record.Id);
   if (found != Entries.end()) {
     const bool isNewIncarnation =
@@ -148,108 +139,19 @@
   return entry.ColdLimiter.hasCapacity(*entry.ColdShare, now);
 }
 
-bool ReplicaTable::noteRateLimit(const UpstreamId &id,
-                                 const RateLimitStatement &statement) {
-  return acceptRateLimit(id, statement, true);
-}
-
-void ReplicaTable::notePeerRateLimit(const UpstreamId &id,
-                                     const RateLimitStatement &statement) {
-  acceptRateLimit(id, statement, false);
-}
-
-/// Keeps the statement if it is newer than what is known. Returns whether the
-/// limit has changed.
-bool ReplicaTable::acceptRateLimit(const UpstreamId &id,
-                                   const RateLimitStatement &statement,
-                                   bool isOwn) {
-  const auto known = RateLimits.find(id);
-  if (known == RateLimits.end() && !statement.PerSecond)
-    return false;
-  UpstreamRateLimit &it =
-      known == RateLimits.end() ? RateLimits[id] : known->second;
-  const bool isNewer =
-      statement.At > it.Statement.At && statement.At > it.Since;
-  const bool isEndOfNone = !statement.PerSecond && !it.Statement.PerSecond;
-  if (!isNewer || isEndOfNone)
-    return false;
-  const bool hasChanged = it.Statement.PerSecond != statement.PerSecond;
-  it.Statement = statement;
-  it.IsOwn = isOwn;
-  return hasChanged;
-}
-
-RateLimitStatements ReplicaTable::ownRateLimits(Instant now) const {
-  RateLimitStatements out;
-  for (const auto &[id, it] : RateLimits)
-    if (it.IsOwn && (it.Statement.PerSecond ||
-                     now - it.Statement.At < RateLimitEndReportTime))
-      out.emplace(id, it.Statement);
-  return out;
-}
-
-void ReplicaTable::setServingHosts(const HostId &self,
-                                   std::vector<HostId> hosts, Instant now) {
-  if (Self != self || ServingHosts != hosts) {
-    Self = self;
-    ServingHosts = std::move(hosts);
-    for (auto &[id, it] : RateLimits)
-      it.Cached.reset();
-  }
-  for (auto it = RateLimits.begin(); it != RateLimits.end();) {
-    const bool isUsed = Entries.count(it->first) != 0 ||
-                        now - it->second.Statement.At < RateLimitRetention;
-    it = isUsed ? std::next(it) : RateLimits.erase(it);
-  }
-}
-
-/// A new process of the upstream has no limit until it names one.
-void ReplicaTable::forgetRateLimitOf(const ReplicaRecord &record, Instant now) {
-  const auto known = RateLimits.find(record.Id);
-  if (known == RateLimits.end())
-    return;
-  UpstreamRateLimit &it = known->second;
-  if (it.StartedMs != 0 && it.StartedMs != record.StartedMs) {
-    it = {};
-    it.Since = now;
-  }
-  it.StartedMs = record.StartedMs;
-}
-
-/// This host's share of the upstream's rate limit in calls per second. A limit
-/// that no response has confirmed for a while passes to other hosts: those that
-/// hold it may have no calls for the upstream, or no path to it.
-double ReplicaTable::rateShare(const UpstreamId &id, Instant now) {
-  UpstreamRateLimit &it = RateLimits.at(id);
-  const double perSecond = *it.Statement.PerSecond;
-  const Duration age =
-      std::max<Duration>(now - it.Statement.At, Duration::zero());
-  const auto turn = static_cast<std::size_t>(age / RateShareTurn);
-  if (!it.Cached || it.Cached->PerSecond != perSecond ||
-      it.Cached->Turn != turn)
-    it.Cached = {perSecond, turn,
-                 rateLimitShare(id, Self, ServingHosts, perSecond, turn)};
-  return it.Cached->Share;
-}
-
-/// Whether the upstream does not limit its calls, or this host may send it
-/// another one within its share of the limit.
-bool ReplicaTable::hasRateCapacity(const UpstreamId &id, Instant now) {
-  const auto it = RateLimits.find(id);
-  return it == RateLimits.end() || !it->second.Statement.PerSecond ||
-         it->second.Limiter.hasCapacity(rateShare(id, now), now);
+void ReplicaTable::forgetOldStatements(Instant now) {
+  Statements.forgetUnregistered(
+      [this](const UpstreamId &id) { return Entries.count(id) != 0; }, now);
 }
 
 std::optional<Duration> ReplicaTable::rateLimitWait(const ServiceId &service,
                                                     Instant now) {
   std::optional<Duration> shortest;
-  for (const auto &[id, it] : RateLimits) {
-    const auto entry = Entries.find(id);
-    if (entry == Entries.end() || entry->second.Record.OfService != service ||
-        entry->second.Record.IsLeaving || !it.Statement.PerSecond)
+  for (const auto &[id, entry] : Entries) {
+    if (entry.Record.OfService != service || entry.Record.IsLeaving)
       continue;
-    const Duration wait = it.Limiter.wait(rateShare(id, now), now);
-    shortest = std::min(shortest.value_or(wait), wait);
+    if (const auto wait = Statements.rateLimitWait(id, now))
+      shortest = std::min(shortest.value_or(*wait), *wait);
   }
   return shortest;
 }
@@ -301,7 +203,7 @@
   std::vector<Entry *> unhealthy;
   for (auto &[id, entry] : Entries) {
     if (!fits(entry, request) || !hasColdCapacity(entry, now) ||
-        !hasRateCapacity(id, now))
+        !Statements.allowCall(id, now))
       continue;
     const bool isHealthy = now >= entry.EjectedUntil && !entry.IsBeingProbed;
     (isHealthy ? eligible : unhealthy).push_back(&entry);
@@ -427,12 +329,9 @@
 ReplicaTable::preferUnconfirmedLimits(const std::vector<Entry *> &eligible,
                                       Instant now) const {
   std::vector<Entry *> unconfirmed;
-  for (Entry *it : eligible) {
-    const auto limit = RateLimits.find(it->Record.Id);
-    if (limit != RateLimits.end() && limit->second.Statement.PerSecond &&
-        now - limit->second.Statement.At > RateLimitCheckAfter)
+  for (Entry *it : eligible)
+    if (Statements.isRateLimitUnconfirmed(it->Record.Id, now))
       unconfirmed.push_back(it);
-  }
   return unconfirmed.empty() ? eligible : unconfirmed;
 }
 
@@ -483,9 +382,7 @@
     entry.IsBeingProbed = true;
   if (isCold(entry, now))
     entry.ColdLimiter.note(now);
-  const auto rateLimit = RateLimits.find(id);
-  if (rateLimit != RateLimits.end() && rateLimit->second.Statement.PerSecond)
-    rateLimit->second.Limiter.note(rateShare(id, now), now);
+  Statements.noteSent(id, now);
   ++it->second.Own.Calls;
   it->second.Own.PromptTokens += work.PromptTokens;
   it->second.Own.Tokens += work.Tokens;
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -7,7 +7,7 @@
 #include "LibServing/ColdShare.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ServingCall.h"
-#include "LibServing/UpstreamRateLimit.h"
+#include "LibServing/UpstreamStatements.h"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -183,20 +183,12 @@
   /// The number of the service's upstreams that are cold and not leaving.
   int cold(const ServiceId &service, Instant now) const;
 
-  /// Records what a response to this host stated about the rate of calls that
-  /// the upstream accepts. Returns whether the known limit has changed.
-  bool noteRateLimit(const UpstreamId &id, const RateLimitStatement &statement);
-  /// The same for a response to another host, as that host reports it.
-  void notePeerRateLimit(const UpstreamId &id,
-                         const RateLimitStatement &statement);
-  /// The newest statements, as far as they were made to this host: limits, and
-  /// recent ends of limits. Those of other hosts are left out, or hosts would
-  /// pass them back and forth, each time with a later time.
-  RateLimitStatements ownRateLimits(Instant now) const;
-  /// Sets the hosts that divide the upstreams' rate limits: those that serve
-  /// calls now, including this one if it does.
-  void setServingHosts(const HostId &self, std::vector<HostId> hosts,
-                       Instant now);
+  /// What the upstreams state about themselves in their responses.
+  UpstreamStatements &statements() { return Statements; }
+  const UpstreamStatements &statements() const { return Statements; }
+  /// Drops the statements of upstreams that have not been registered for a
+  /// while.
+  void forgetOldStatements(Instant now);
   /// Whether the service has upstreams with a rate limit that are not leaving;
   /// if so, the shortest time until this host may send one of them a call.
   std::optional<Duration> rateLimitWait(const ServiceId &service, Instant now);
@@ -301,11 +293,6 @@
   bool fits(const Entry &entry, const ReplicaRequest &request) const;
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdCapacity(Entry &entry, Instant now);
-  double rateShare(const UpstreamId &id, Instant now);
-  bool hasRateCapacity(const UpstreamId &id, Instant now);
-  bool acceptRateLimit(const UpstreamId &id,
-                       const RateLimitStatement &statement, bool isOwn);
-  void forgetRateLimitOf(const ReplicaRecord &record, Instant now);
   void updateHealth(Entry &entry, SendResult result, Instant now);
   double othersFailureShare(const Entry &entry) const;
 
@@ -317,10 +304,7 @@
   std::map<ServiceId, double> ColdRates;
   HostId Self;
   std::vector<HostId> Hosts;
-  std::vector<HostId> ServingHosts;
-  /// Kept apart from the entries: an upstream whose registration lapses for a
-  /// moment still limits its calls afterwards.
-  std::map<UpstreamId, UpstreamRateLimit> RateLimits;
+  UpstreamStatements Statements;
   std::set<ZoneId> Evacuated;
   std::map<ZoneId, std::string> RegionOf;
   Instant ConfirmedAt{};
--- a/Libraries/LibServing/UpstreamRateLimit.h
+++ b/Libraries/LibServing/UpstreamRateLimit.h
@@ -3,7 +3,6 @@
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
 #include <cstddef>
-#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -61,10 +60,6 @@
   RateLimitStatement Statement;
   /// The statement was made to this host, not to another.
   bool IsOwn = false;
-  /// Statements up to this time are about an earlier process of the upstream.
-  Instant Since{};
-  /// ReplicaRecord::StartedMs of the upstream's process; 0 if not known.
-  std::int64_t StartedMs = 0;
   RateShareLimiter Limiter;
   /// This host's share, for the limit and the turn that it was computed for;
   /// empty until it is computed.
--- /dev/null
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -0,0 +1,151 @@
+#include "LibServing/UpstreamStatements.h"
+#include <algorithm>
+
+namespace sorrelbay {
+
+/// The end of a limit is reported to other hosts for this long.
+static constexpr Duration RateLimitEndReportTime = seconds(5);
+/// A limit that no response has confirmed for this long is checked by the next
+/// call of a host that may send one.
+static constexpr Duration RateLimitCheckAfter = seconds(2);
+/// A limit that no response confirms passes to other hosts this often.
+static constexpr Duration RateShareTurn = seconds(5);
+/// The statements of an upstream that is not registered are kept for this long.
+static constexpr Duration Retention = seconds(60);
+
+/// A new process of the upstream is not bound by what the one before stated.
+void UpstreamStatements::noteProcess(const UpstreamId &id,
+                                     std::int64_t startedMs, Instant now) {
+  if (startedMs == 0)
+    return;
+  const auto [process, isNew] = Processes.try_emplace(id);
+  const bool hasRestarted = !isNew && process->second.StartedMs != startedMs;
+  process->second.StartedMs = startedMs;
+  if (!hasRestarted)
+    return;
+  process->second.Since = now;
+  ByUpstream.erase(id);
+}
+
+Instant UpstreamStatements::processSince(const UpstreamId &id) const {
+  const auto it = Processes.find(id);
+  return it == Processes.end() ? Instant{} : it->second.Since;
+}
+
+bool UpstreamStatements::noteRateLimit(const UpstreamId &id,
+                                       const RateLimitStatement &statement) {
+  return acceptRateLimit(id, statement, true);
+}
+
+void UpstreamStatements::notePeerRateLimit(
+    const UpstreamId &id, const RateLimitStatement &statement) {
+  acceptRateLimit(id, statement, false);
+}
+
+/// Keeps the statement if it is newer than what is known. Returns whether the
+/// limit has changed.
+bool UpstreamStatements::acceptRateLimit(const UpstreamId &id,
+                                         const RateLimitStatement &statement,
+                                         bool isOwn) {
+  const auto known = ByUpstream.find(id);
+  const bool isEndOfNone =
+      !statement.PerSecond && (known == ByUpstream.end() ||
+                               !known->second.RateLimit.Statement.PerSecond);
+  if (isEndOfNone || statement.At <= processSince(id))
+    return false;
+  Statements &it = known == ByUpstream.end() ? ByUpstream[id] : known->second;
+  if (statement.At <= it.RateLimit.Statement.At)
+    return false;
+  const bool hasChanged =
+      it.RateLimit.Statement.PerSecond != statement.PerSecond;
+  it.RateLimit.Statement = statement;
+  it.RateLimit.IsOwn = isOwn;
+  it.LastAt = std::max(it.LastAt, statement.At);
+  return hasChanged;
+}
+
+RateLimitStatements UpstreamStatements::ownRateLimits(Instant now) const {
+  RateLimitStatements out;
+  for (const auto &[id, it] : ByUpstream) {
+    const RateLimitStatement &statement = it.RateLimit.Statement;
+    if (it.RateLimit.IsOwn &&
+        (statement.PerSecond || now - statement.At < RateLimitEndReportTime))
+      out.emplace(id, statement);
+  }
+  return out;
+}
+
+void UpstreamStatements::setServingHosts(const HostId &self,
+                                         std::vector<HostId> hosts) {
+  if (Self == self && ServingHosts == hosts)
+    return;
+  Self = self;
+  ServingHosts = std::move(hosts);
+  for (auto &[id, it] : ByUpstream)
+    it.RateLimit.Cached.reset();
+}
+
+bool UpstreamStatements::isRateLimitUnconfirmed(const UpstreamId &id,
+                                                Instant now) const {
+  const auto it = ByUpstream.find(id);
+  return it != ByUpstream.end() && it->second.RateLimit.Statement.PerSecond &&
+         now - it->second.RateLimit.Statement.At > RateLimitCheckAfter;
+}
+
+/// This host's share of the upstream's rate limit in calls per second. A limit
+/// that no response has confirmed for a while passes to other hosts: those that
+/// hold it may have no calls for the upstream, or no path to it.
+double UpstreamStatements::rateShare(const UpstreamId &id,
+                                     UpstreamRateLimit &limit, Instant now) {
+  const double perSecond = *limit.Statement.PerSecond;
+  const Duration age =
+      std::max<Duration>(now - limit.Statement.At, Duration::zero());
+  const auto turn = static_cast<std::size_t>(age / RateShareTurn);
+  if (!limit.Cached || limit.Cached->PerSecond != perSecond ||
+      limit.Cached->Turn != turn)
+    limit.Cached = {perSecond, turn,
+                    rateLimitShare(id, Self, ServingHosts, perSecond, turn)};
+  return limit.Cached->Share;
+}
+
+std::optional<Duration> UpstreamStatements::rateLimitWait(const UpstreamId &id,
+                                                          Instant now) {
+  const auto it = ByUpstream.find(id);
+  if (it == ByUpstream.end() || !it->second.RateLimit.Statement.PerSecond)
+    return std::nullopt;
+  UpstreamRateLimit &limit = it->second.RateLimit;
+  return limit.Limiter.wait(rateShare(id, limit, now), now);
+}
+
+bool UpstreamStatements::allowCall(const UpstreamId &id, Instant now) {
+  const auto it = ByUpstream.find(id);
+  if (it == ByUpstream.end())
+    return true;
+  UpstreamRateLimit &limit = it->second.RateLimit;
+  return !limit.Statement.PerSecond ||
+         limit.Limiter.hasCapacity(rateShare(id, limit, now), now);
+}
+
+void UpstreamStatements::noteSent(const UpstreamId &id, Instant now) {
+  const auto it = ByUpstream.find(id);
+  if (it == ByUpstream.end() || !it->second.RateLimit.Statement.PerSecond)
+    return;
+  UpstreamRateLimit &limit = it->second.RateLimit;
+  limit.Limiter.note(rateShare(id, limit, now), now);
+}
+
+void UpstreamStatements::forgetUnregistered(
+    const std::function<bool(const UpstreamId &)> &isRegistered, Instant now) {
+  for (auto it = ByUpstream.begin(); it != ByUpstream.end();) {
+    const bool isUsed =
+        isRegistered(it->first) || now - it->second.LastAt < Retention;
+    it = isUsed ? std::next(it) : ByUpstream.erase(it);
+  }
+  for (auto it = Processes.begin(); it != Processes.end();) {
+    const bool isUsed =
+        isRegistered(it->first) || ByUpstream.count(it->first) != 0;
+    it = isUsed ? std::next(it) : Processes.erase(it);
+  }
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "LibBase/Identifier.h"
+#include "LibBase/Time.h"
+#include "LibServing/UpstreamRateLimit.h"
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace sorrelbay {
+
+/// What upstreams state about themselves in their responses, as far as this
+/// host knows it, and whether it allows another call. Statements are kept apart
+/// from the upstreams' registrations: one whose registration lapses for a
+/// moment is still bound by them afterwards, and so is one that an outdated
+/// view of the store shows. A statement holds for the process that made it. Not
+/// thread-safe.
+class UpstreamStatements {
+public:
+  /// Records which process of the upstream is registered. Statements that an
+  /// earlier process made are dropped. `startedMs` is
+  /// ReplicaRecord::StartedMs; 0 says nothing.
+  void noteProcess(const UpstreamId &id, std::int64_t startedMs, Instant now);
+
+  /// Records what a response to this host stated about the rate of calls that
+  /// the upstream accepts. Returns whether the known limit has changed.
+  bool noteRateLimit(const UpstreamId &id, const RateLimitStatement &statement);
+  /// The same for a response to another host, as that host reports it.
+  void notePeerRateLimit(const UpstreamId &id,
+                         const RateLimitStatement &statement);
+  /// The newest statements, as far as they were made to this host: limits, and
+  /// recent ends of limits. Those of other hosts are left out, or hosts would
+  /// pass them back and forth, each time with a later time.
+  RateLimitStatements ownRateLimits(Instant now) const;
+  /// Sets the hosts that divide the upstreams' rate limits: those that serve
+  /// calls now, including this one if it does.
+  void setServingHosts(const HostId &self, std::vector<HostId> hosts);
+  /// Whether no response has confirmed the upstream's rate limit for a while.
+  /// Only a response shows that a limit has ended.
+  bool isRateLimitUnconfirmed(const UpstreamId &id, Instant now) const;
+  /// The time until this host may send the next call within its share of the
+  /// rate limit; empty if the upstream has none.
+  std::optional<Duration> rateLimitWait(const UpstreamId &id, Instant now);
+
+  /// Whether the statements allow this host another call to the upstream.
+  bool allowCall(const UpstreamId &id, Instant now);
+  /// Records that a call is sent to the upstream.
+  void noteSent(const UpstreamId &id, Instant now);
+
+  /// Drops what is known of upstreams that are not registered and have made no
+  /// statement for a while.
+  void forgetUnregistered(
+      const std::function<bool(const UpstreamId &)> &isRegistered, Instant now);
+
+private:
+  /// A process of an upstream.
+  struct Process {
+    std::int64_t StartedMs = 0;
+    /// Statements up to this time were made by an earlier process.
+    Instant Since{};
+  };
+  /// The statements of one upstream, and this host's use of its rate limit.
+  struct Statements {
+    UpstreamRateLimit RateLimit;
+    /// When the last statement was made.
+    Instant LastAt{};
+  };
+
+  Instant processSince(const UpstreamId &id) const;
+  bool acceptRateLimit(const UpstreamId &id,
+                       const RateLimitStatement &statement, bool isOwn);
+  double rateShare(const UpstreamId &id, UpstreamRateLimit &limit, Instant now);
+
+  std::map<UpstreamId, Process> Processes;
+  /// Only upstreams that have made a statement.
+  std::map<UpstreamId, Statements> ByUpstream;
+  HostId Self;
+  std::vector<HostId> ServingHosts;
+};
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -407,7 +407,8 @@
   const Instant now = bootNow();
   const RateLimitStatement statement{
       replyInfo.RateLimit, replyInfo.RateLimit ? now : CurrentSend.At};
-  if (!State.Replicas.noteRateLimit(CurrentSend.Replica, statement))
+  if (!State.Replicas.statements().noteRateLimit(CurrentSend.Replica,
+                                                 statement))
     return;
   State.NotifyPeers();
   LogLine line(Severity::Info, replyInfo.RateLimit
--- a/Tests/LibServing/RateLimitSimulation.cpp
+++ b/Tests/LibServing/RateLimitSimulation.cpp
@@ -201,8 +201,8 @@
   if (call.Limit && upstream.Limit)
     host.PassedOnAt.try_emplace(id, Now);
   if (Plan.Without != RateLimitOmission::Statements)
-    host.Replicas->noteRateLimit(id,
-                                 {call.Limit, call.Limit ? Now : call.SentAt});
+    host.Replicas->statements().noteRateLimit(
+        id, {call.Limit, call.Limit ? Now : call.SentAt});
 }
 
 void RateLimitSimulation::moveCalls() {
--- a/Tests/LibServing/TestRateLimits.cpp
+++ b/Tests/LibServing/TestRateLimits.cpp
@@ -31,8 +31,8 @@
 ReplicaTable tableWithLimit() {
   ReplicaTable table;
   table.note(record(1), Begin);
-  table.setServingHosts(Self, {Self}, Begin);
-  table.noteRateLimit(Limited, {1.0, Begin});
+  table.statements().setServingHosts(Self, {Self});
+  table.statements().noteRateLimit(Limited, {1.0, Begin});
   return table;
 }
 
@@ -90,7 +90,8 @@
   ReplicaTable table = tableWithLimit();
   BOOST_TEST(!isUnlimited(table, Begin + seconds(1)));
   BOOST_TEST(!isUnlimited(table, Begin + seconds(100)));
-  table.noteRateLimit(Limited, {std::nullopt, Begin + seconds(101)});
+  table.statements().noteRateLimit(Limited,
+                                   {std::nullopt, Begin + seconds(101)});
   BOOST_TEST(isUnlimited(table, Begin + seconds(102)));
 }
 
@@ -98,15 +99,17 @@
 // arrives late. It says nothing of the time since.
 BOOST_AUTO_TEST_CASE(a_response_to_an_earlier_call_does_not_end_a_limit) {
   ReplicaTable table = tableWithLimit();
-  table.noteRateLimit(Limited, {std::nullopt, Begin - milliseconds(50)});
+  table.statements().noteRateLimit(Limited,
+                                   {std::nullopt, Begin - milliseconds(50)});
   BOOST_TEST(!isUnlimited(table, Begin + seconds(1)));
 }
 
 // A report of another host is late and repeats a limit that has ended.
 BOOST_AUTO_TEST_CASE(a_late_report_does_not_revive_a_limit) {
   ReplicaTable table = tableWithLimit();
-  table.noteRateLimit(Limited, {std::nullopt, Begin + seconds(1)});
-  table.notePeerRateLimit(Limited, {1.0, Begin + milliseconds(900)});
+  table.statements().noteRateLimit(Limited, {std::nullopt, Begin + seconds(1)});
+  table.statements().notePeerRateLimit(Limited,
+                                       {1.0, Begin + milliseconds(900)});
   BOOST_TEST(isUnlimited(table, Begin + seconds(2)));
 }
 
@@ -117,7 +120,7 @@
   table.note(record(1), Begin + seconds(1));
   BOOST_TEST(!isUnlimited(table, Begin + seconds(2)));
   table.note(record(2), Begin + seconds(3));
-  table.notePeerRateLimit(Limited, {1.0, Begin + seconds(2)});
+  table.statements().notePeerRateLimit(Limited, {1.0, Begin + seconds(2)});
   BOOST_TEST(isUnlimited(table, Begin + seconds(4)));
 }
 
@@ -126,7 +129,7 @@
 BOOST_AUTO_TEST_CASE(a_limit_outlasts_a_lapse_of_the_registration) {
   ReplicaTable table = tableWithLimit();
   table.remove(Limited);
-  table.setServingHosts(Self, {Self}, Begin + seconds(3));
+  table.forgetOldStatements(Begin + seconds(3));
   table.note(record(1), Begin + seconds(4));
   BOOST_TEST(!isUnlimited(table, Begin + seconds(5)));
 }
@@ -134,7 +137,7 @@
 // A host that doesn't know which hosts serve would take the whole rate.
 BOOST_AUTO_TEST_CASE(a_host_that_does_not_serve_sends_nothing) {
   ReplicaTable table = tableWithLimit();
-  table.setServingHosts(Self, {HostId("other")}, Begin);
+  table.statements().setServingHosts(Self, {HostId("other")});
   ReplicaRequest request;
   request.ForService = ServiceId("service");
   BOOST_TEST(!table.choose(request, Begin + seconds(1)).has_value());
