LibServing, sorrelbayd: Send nothing to an upstream during the pause it asked for

Callers saw prompts refused by engines that had asked their host for a pause of 3 s and got 5 and 6 more of its calls in that time. Retry-After of a rejection was forwarded or dropped and never read (hypothesis 1); besides, an engine that rejects everything has no open calls, so that placement preferred it. Change: UpstreamStatements keeps the pauses of an upstream; the one that ends last applies, a shorter one takes none back, and views of the store don't matter. A pause concerns the host that was asked only. Placement leaves the upstream out everywhere: first sends, repeats, resumed streams, the fallback to ejected or probed ones, other versions. If all upstreams that fit are paused, the call is refused at once with the shortest time left (`upstreams_paused`); the same time is told when the last attempt was rejected. Pauses are also taken from responses to earlier calls and from those without an id, as the connection tells the upstream; such a pause can only be counted as too long.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -144,16 +144,42 @@
       [this](const UpstreamId &id) { return Entries.count(id) != 0; }, now);
 }
 
-std::optional<Duration> ReplicaTable::rateLimitWait(const ServiceId &service,
-                                                    Instant now) {
+Unavailability ReplicaTable::unavailability(const ReplicaRequest &request,
+                                            Instant now) {
+  ReplicaRequest anyUpstream = request;
+  anyUpstream.Tried.clear();
+  anyUpstream.Version.Preferred = VersionId();
   std::optional<Duration> shortest;
+  bool areAllPaused = true;
+  bool hasLimited = false;
+  bool hasCold = false;
   for (const auto &[id, entry] : Entries) {
-    if (entry.Record.OfService != service || entry.Record.IsLeaving)
+    if (!fits(entry, anyUpstream))
       continue;
-    if (const auto wait = Statements.rateLimitWait(id, now))
-      shortest = std::min(shortest.value_or(*wait), *wait);
+    const auto limitWait = Statements.rateLimitWait(id, now);
+    const Duration pause = Statements.pauseLeft(id, now);
+    const Duration wait = std::max(pause, limitWait.value_or(Duration::zero()));
+    shortest = std::min(shortest.value_or(wait), wait);
+    areAllPaused = areAllPaused && pause > Duration::zero();
+    hasLimited = hasLimited || limitWait.has_value();
+    hasCold = hasCold || isCold(entry, now);
   }
-  return shortest;
+  if (!shortest)
+    return {};
+  if (areAllPaused)
+    return {UnavailabilityCause::Paused, *shortest};
+  if (hasCold)
+    return {UnavailabilityCause::Cold, Duration::zero()};
+  return {hasLimited ? UnavailabilityCause::Limited
+                     : UnavailabilityCause::NoUpstream,
+          *shortest};
+}
+
+bool ReplicaTable::maySend(const UpstreamId &id, Instant now) const {
+  const auto it = Entries.find(id);
+  return it != Entries.end() && !it->second.Record.IsLeaving &&
+         !isEvacuated(it->second.Record.InZone) &&
+         !Statements.isPaused(id, now);
 }
 
 bool ReplicaTable::isInAllowedRegion(
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -95,6 +95,25 @@
   Duration FirstToken{};
 };
 
+/// Why no upstream may take a call.
+enum class UnavailabilityCause {
+  /// There is none, or the call has been sent to all.
+  NoUpstream,
+  /// Some are cold, and this host has used up its share of their rate.
+  Cold,
+  /// Some name a rate limit, and this host has used up its share of it.
+  Limited,
+  /// All have asked this host for a pause.
+  Paused,
+};
+
+/// Why no upstream may take a call, and the time until one may take another.
+struct Unavailability {
+  UnavailabilityCause Cause = UnavailabilityCause::NoUpstream;
+  /// Zero if it is not known.
+  Duration Wait{};
+};
+
 /// How a send ended, as evidence of the upstream's health.
 enum class SendResult {
   Answered,
@@ -189,14 +208,18 @@
   /// Drops the statements of upstreams that have not been registered for a
   /// while.
   void forgetOldStatements(Instant now);
-  /// Whether the service has upstreams with a rate limit that are not leaving;
-  /// if so, the shortest time until this host may send one of them a call.
-  std::optional<Duration> rateLimitWait(const ServiceId &service, Instant now);
+  /// Why `choose` finds no upstream for the request. Upstreams that the call
+  /// has already been sent to count as well.
+  Unavailability unavailability(const ReplicaRequest &request, Instant now);
 
   /// The upstream for a call; empty if none may take it.
   std::optional<ReplicaChoice> choose(const ReplicaRequest &request,
                                       Instant now);
 
+  /// Whether a call for which the upstream was chosen may still be sent to it.
+  /// The upstream may have left or asked for a pause while the connection was
+  /// being opened.
+  bool maySend(const UpstreamId &id, Instant now) const;
   void noteSent(const UpstreamId &id, const CallCost &work, Instant now);
   /// Records that the prompt was sent to the upstream, which will have it
   /// cached.
--- a/Libraries/LibServing/UpstreamStatement.cpp
+++ b/Libraries/LibServing/UpstreamStatement.cpp
@@ -22,6 +22,8 @@
     return "other_status";
   case IgnoredReason::OtherCall:
     return "other_call";
+  case IgnoredReason::EarlierProcess:
+    return "earlier_process";
   }
   return "";
 }
--- a/Libraries/LibServing/UpstreamStatement.h
+++ b/Libraries/LibServing/UpstreamStatement.h
@@ -24,6 +24,8 @@
   /// The response is for an earlier call on the connection, or for an unknown
   /// one.
   OtherCall,
+  /// An earlier process of the upstream made it.
+  EarlierProcess,
 };
 
 /// A statement that had no effect.
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -10,6 +10,9 @@
 static constexpr Duration RateLimitCheckAfter = seconds(2);
 /// A limit that no response confirms passes to other hosts this often.
 static constexpr Duration RateShareTurn = seconds(5);
+/// A longer pause is cut to this length, so that a wrong value does not keep an
+/// upstream without calls for good.
+static constexpr Duration LongestPause = hours(1);
 /// The statements of an upstream that is not registered are kept for this long.
 static constexpr Duration Retention = seconds(60);
 
@@ -117,10 +120,52 @@
   return limit.Limiter.wait(rateShare(id, limit, now), now);
 }
 
+bool UpstreamStatements::notePause(const UpstreamId &id,
+                                   const PauseStatement &statement) {
+  if (statement.SentAt <= processSince(id))
+    return false;
+  if (statement.Length <= Duration::zero())
+    return true;
+  const Pause added{statement.SentAt,
+                    statement.At + std::min(statement.Length, LongestPause)};
+  Statements &it = ByUpstream[id];
+  it.LastAt = std::max(it.LastAt, added.Until);
+  std::vector<Pause> &pauses = it.Pauses;
+  const auto covers = [](const Pause &a, const Pause &b) {
+    return a.Until >= b.Until && a.SentAt >= b.SentAt;
+  };
+  if (std::any_of(pauses.begin(), pauses.end(),
+                  [&](const Pause &known) { return covers(known, added); }))
+    return true;
+  pauses.erase(std::remove_if(pauses.begin(), pauses.end(),
+                              [&](const Pause &known) {
+                                return covers(added, known) ||
+                                       known.Until <= statement.At;
+                              }),
+               pauses.end());
+  const auto position =
+      std::find_if(pauses.begin(), pauses.end(), [&](const Pause &known) {
+        return known.Until < added.Until;
+      });
+  pauses.insert(position, added);
+  return true;
+}
+
+Duration UpstreamStatements::pauseLeft(const UpstreamId &id,
+                                       Instant now) const {
+  const auto it = ByUpstream.find(id);
+  if (it == ByUpstream.end() || it->second.Pauses.empty())
+    return Duration::zero();
+  return std::max<Duration>(it->second.Pauses.front().Until - now,
+                            Duration::zero());
+}
+
 bool UpstreamStatements::allowCall(const UpstreamId &id, Instant now) {
   const auto it = ByUpstream.find(id);
   if (it == ByUpstream.end())
     return true;
+  if (isPaused(id, now))
+    return false;
   UpstreamRateLimit &limit = it->second.RateLimit;
   return !limit.Statement.PerSecond ||
          limit.Limiter.hasCapacity(rateShare(id, limit, now), now);
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -11,6 +11,15 @@
 
 namespace sorrelbay {
 
+/// An upstream's request to get no calls from this host for some time.
+struct PauseStatement {
+  /// When the call was sent whose response contained the request.
+  Instant SentAt{};
+  /// When the response arrived. The pause begins then.
+  Instant At{};
+  Duration Length{};
+};
+
 /// What upstreams state about themselves in their responses, as far as this
 /// host knows it, and whether it allows another call. Statements are kept apart
 /// from the upstreams' registrations: one whose registration lapses for a
@@ -44,6 +53,17 @@
   /// rate limit; empty if the upstream has none.
   std::optional<Duration> rateLimitWait(const UpstreamId &id, Instant now);
 
+  /// Records a request for a pause. Of several, the one that ends last applies:
+  /// a shorter one does not take back a longer one. Returns false if an earlier
+  /// process of the upstream made it, so that it has no effect.
+  bool notePause(const UpstreamId &id, const PauseStatement &statement);
+  /// The time until the end of the pause that the upstream asked for; zero if
+  /// there is none.
+  Duration pauseLeft(const UpstreamId &id, Instant now) const;
+  bool isPaused(const UpstreamId &id, Instant now) const {
+    return pauseLeft(id, now) > Duration::zero();
+  }
+
   /// Whether the statements allow this host another call to the upstream.
   bool allowCall(const UpstreamId &id, Instant now);
   /// Records that a call is sent to the upstream.
@@ -61,9 +81,17 @@
     /// Statements up to this time were made by an earlier process.
     Instant Since{};
   };
+  /// A pause that has not ended.
+  struct Pause {
+    Instant SentAt{};
+    Instant Until{};
+  };
   /// The statements of one upstream, and this host's use of its rate limit.
   struct Statements {
     UpstreamRateLimit RateLimit;
+    /// Pauses of which each ends earlier than the one before and was requested
+    /// in the response to a later call.
+    std::vector<Pause> Pauses;
     /// When the last statement was made.
     Instant LastAt{};
   };
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -36,6 +36,9 @@
 constexpr std::size_t MaxQueuedBytes = 256UL * 1024;
 /// Shortest Retry-After of a call that did not run, before jitter.
 constexpr Duration MinRetryAfter = milliseconds(100);
+/// Callers that wait for an upstream whose time of return is known return
+/// within this time after it.
+constexpr Duration MaxWaitSpread = seconds(1);
 /// Share of the caller's remaining time that Retry-After may take.
 constexpr double MaxRetryAfterShare = 0.3;
 /// An idempotent call is sent to another upstream if no response has arrived
@@ -49,6 +52,20 @@
 /// Margin before the end of the key removal bound.
 constexpr Duration KeyRemovalMargin = milliseconds(100);
 
+const char *causeOf(UnavailabilityCause cause) {
+  switch (cause) {
+  case UnavailabilityCause::Cold:
+    return "upstreams_cold";
+  case UnavailabilityCause::Limited:
+    return "upstreams_limited";
+  case UnavailabilityCause::Paused:
+    return "upstreams_paused";
+  case UnavailabilityCause::NoUpstream:
+    break;
+  }
+  return "no_upstream";
+}
+
 } // namespace
 
 void GatewayCall::serve(GatewayState &state,
@@ -230,9 +247,7 @@
          static_cast<std::size_t>(maxOwnConnections);
 }
 
-/// Chooses the upstream for the next attempt. Upstreams that may not get
-/// another connection count as tried.
-std::optional<ReplicaChoice> GatewayCall::chooseUpstream(Instant now) {
+ReplicaRequest GatewayCall::replicaRequest() {
   const ServingService *service = Plan->service(Service);
   ReplicaRequest request;
   request.ForService = Service;
@@ -246,6 +261,14 @@
   if (Team)
     request.TeamRegions = Team->PermittedRegions;
   request.Hosts = State.Fleet.hostCount();
+  request.Tried = Tried;
+  return request;
+}
+
+/// Chooses the upstream for the next attempt. Upstreams that may not get
+/// another connection count as tried.
+std::optional<ReplicaChoice> GatewayCall::chooseUpstream(Instant now) {
+  ReplicaRequest request = replicaRequest();
   for (;;) {
     request.Tried = Tried;
     auto chosen = State.Replicas.choose(request, now);
@@ -322,11 +345,12 @@
     const bool isForThisCall =
         replyInfo.Id.empty() || replyInfo.Id == self->Call.Id;
     if (!isForThisCall)
-      self->ignoreStatementsOfOtherCall(replyInfo);
+      self->noteStatements(replyInfo, false);
     return isForThisCall;
   };
   hooks.OnSending = [self] {
     self->CurrentSend.WasSending = true;
+    self->CurrentSend.SentAt = bootNow();
     self->RetryState->recordSend();
   };
   hooks.OnHead = [self](const HttpReplyHead &head) { self->onHead(head); };
@@ -341,10 +365,7 @@
   const UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
   CurrentSend.DidNotRun = replyInfo.DidNotRun;
   const bool hasCallId = !replyInfo.Id.empty() || Call.Id.empty();
-  if (hasCallId)
-    noteStatements(replyInfo);
-  else
-    ignoreStatementsOfOtherCall(replyInfo);
+  noteStatements(replyInfo, hasCallId);
   // A successful response without an id may belong to any call.
   if (isSuccess() && !hasCallId) {
     Handle->cancel();
@@ -355,9 +376,16 @@
   CurrentSend.IsDiscarded = CurrentSend.DidNotRun || (HasBegun && !isSuccess());
 }
 
-/// Records what the upstream states about itself in the response.
-void GatewayCall::noteStatements(const UpstreamReplyInfo &replyInfo) {
-  noteRateLimit(replyInfo);
+/// Records what the upstream states about itself in the response. A response to
+/// an earlier call on the connection may be too old to tell the present rate
+/// limit; a pause that it asks for can only be counted as too long.
+void GatewayCall::noteStatements(const UpstreamReplyInfo &replyInfo,
+                                 bool isForThisCall) {
+  if (isForThisCall)
+    noteRateLimit(replyInfo);
+  else if (replyInfo.RateLimit)
+    ignoreStatement({StatementKind::RateLimit, IgnoredReason::OtherCall,
+                     std::to_string(*replyInfo.RateLimit)});
   if (replyInfo.Pause)
     notePause(*replyInfo.Pause);
   for (const IgnoredStatement &it : replyInfo.Ignored)
@@ -365,8 +393,13 @@
 }
 
 void GatewayCall::notePause(Duration pause) {
-  State.Counts.countUpstreamStatement(toText(StatementKind::Pause), "ignored");
-  if (State.StatementLogBudget.take(bootNow()))
+  const Instant now = bootNow();
+  if (!State.Replicas.statements().notePause(CurrentSend.Replica,
+                                             {CurrentSend.SentAt, now, pause}))
+    return ignoreStatement({StatementKind::Pause, IgnoredReason::EarlierProcess,
+                            std::to_string(toSeconds(pause))});
+  State.Counts.countUpstreamStatement(toText(StatementKind::Pause), "applied");
+  if (State.StatementLogBudget.take(now))
     LogLine(Severity::Info, "upstream asks for a pause")
         .field("upstream", CurrentSend.Replica.text())
         .field("id", Call.Id)
@@ -385,19 +418,6 @@
         .field("value", statement.Value.substr(0, MaxLoggedValue));
 }
 
-/// Logs the statements of a response that is not known to be for this call.
-void GatewayCall::ignoreStatementsOfOtherCall(
-    const UpstreamReplyInfo &replyInfo) {
-  if (replyInfo.RateLimit)
-    ignoreStatement({StatementKind::RateLimit, IgnoredReason::OtherCall,
-                     std::to_string(*replyInfo.RateLimit)});
-  if (replyInfo.Pause)
-    ignoreStatement({StatementKind::Pause, IgnoredReason::OtherCall,
-                     std::to_string(toSeconds(*replyInfo.Pause))});
-  for (const IgnoredStatement &it : replyInfo.Ignored)
-    ignoreStatement(it);
-}
-
 /// Records the rate limit that the response names. Only a successful response
 /// without one ends a limit; it describes the upstream at some time after the
 /// call was sent.
@@ -615,7 +635,8 @@
       HasBegun ? RetryState->canResume(now) : RetryState->canSend(now);
   if (canRetry && takeRetryFromBudget())
     return trySend();
-  finishLocally(cause);
+  finishLocally(cause,
+                State.Replicas.unavailability(replicaRequest(), now).Wait);
 }
 
 void GatewayCall::onCallerDisconnected() {
@@ -631,11 +652,9 @@
 
 /// Ends the call because no upstream may take it.
 void GatewayCall::finishWithoutUpstream(Instant now) {
-  if (State.Replicas.cold(Service, now) > 0)
-    return finishLocally("upstreams_cold");
-  if (const auto wait = State.Replicas.rateLimitWait(Service, now))
-    return finishLocally("upstreams_limited", *wait);
-  finishLocally("no_upstream");
+  const Unavailability why =
+      State.Replicas.unavailability(replicaRequest(), now);
+  finishLocally(causeOf(why.Cause), why.Wait);
 }
 
 void GatewayCall::finishLocally(const char *cause, Duration retryDelay) {
@@ -643,8 +662,9 @@
     return abortResponse(cause);
   switch (RetryState->failureKind(bootNow())) {
   case CallFailureKind::NotRun:
-    return refuse(Unavailable, cause,
-                  jitteredRetryAfter(std::max(retryDelay, MinRetryAfter)));
+    return refuse(
+        Unavailable, cause,
+        jitteredRetryAfter(std::max(retryDelay, MinRetryAfter), MaxWaitSpread));
   case CallFailureKind::Unknown:
     return refuse(BadGateway, cause, std::nullopt);
   case CallFailureKind::TimedOut:
@@ -652,16 +672,18 @@
   }
 }
 
-/// A random time after which the caller may retry: callers must not all return
-/// at the same time, and must have time left for the call itself.
-Duration GatewayCall::jitteredRetryAfter(Duration shortestDelay) {
+/// A random time after which the caller may retry, at most twice the shortest
+/// delay and `longestSpread` more: callers must not all return at the same
+/// time, and must have time left for the call itself.
+Duration GatewayCall::jitteredRetryAfter(Duration shortestDelay,
+                                         Duration longestSpread) {
   const Duration waitLimit = Call.WaitLimit.value_or(DefaultWaitLimit);
   const Duration left = ReceivedAt + waitLimit - bootNow();
   const Duration longestDelay = std::max<Duration>(
       Duration::zero(), fromSeconds(toSeconds(left) * MaxRetryAfterShare));
-  const Duration spread =
-      fromSeconds(toSeconds(shortestDelay) * (1 + State.randomFraction()));
-  return std::min(longestDelay, spread);
+  const double spread = toSeconds(std::min(shortestDelay, longestSpread));
+  return std::min(longestDelay,
+                  shortestDelay + fromSeconds(spread * State.randomFraction()));
 }
 
 void GatewayCall::refuse(int status, const char *cause,
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -28,7 +28,10 @@
   /// One attempt to send the call to an upstream.
   struct Send {
     UpstreamId Replica;
+    /// When the upstream was chosen.
     Instant At{};
+    /// When the call was written to the connection.
+    Instant SentAt{};
     bool WasSending = false;
     bool HasFirstByte = false;
     bool DidNotRun = false;
@@ -58,14 +61,14 @@
   void armTimer();
   void endSend(SendResult result);
   void recordOutcome(SendResult result);
+  ReplicaRequest replicaRequest();
   std::optional<ReplicaChoice> chooseUpstream(Instant now);
   bool exceedsFirstTokenLimit(const ReplicaChoice &choice) const;
   void noteFirstByte();
-  void noteStatements(const UpstreamReplyInfo &replyInfo);
+  void noteStatements(const UpstreamReplyInfo &replyInfo, bool isForThisCall);
   void noteRateLimit(const UpstreamReplyInfo &replyInfo);
   void notePause(Duration pause);
   void ignoreStatement(const IgnoredStatement &statement);
-  void ignoreStatementsOfOtherCall(const UpstreamReplyInfo &replyInfo);
   bool hasConnectionCapacity(const std::string &address) const;
   bool resume();
   void abortResponse(const char *cause);
@@ -80,7 +83,8 @@
   void finishWithoutUpstream(Instant now);
   void refuse(int status, const char *cause,
               std::optional<Duration> retryAfter);
-  Duration jitteredRetryAfter(Duration shortestDelay);
+  Duration jitteredRetryAfter(Duration shortestDelay,
+                              Duration longestSpread = Duration::max());
   void log(const char *outcome, int status, const char *cause);
   bool isSuccess() const { return CurrentSend.Head.Status / 100 == 2; }
 
--- a/Tests/LibServing/TestRateLimits.cpp
+++ b/Tests/LibServing/TestRateLimits.cpp
@@ -141,7 +141,9 @@
   ReplicaRequest request;
   request.ForService = ServiceId("service");
   BOOST_TEST(!table.choose(request, Begin + seconds(1)).has_value());
-  BOOST_TEST(table.rateLimitWait(ServiceId("service"), Begin).has_value());
+  const Unavailability why = table.unavailability(request, Begin);
+  BOOST_TEST((why.Cause == UnavailabilityCause::Limited));
+  BOOST_TEST((why.Wait > Duration::zero()));
 }
 
 BOOST_AUTO_TEST_CASE(omitted_mechanisms_of_rate_limits_are_detected) {
--- /dev/null
+++ b/Tests/LibServing/TestUpstreamStatements.cpp
@@ -0,0 +1,190 @@
+#include "LibServing/ReplicaTable.h"
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+using namespace sorrelbay;
+
+namespace {
+
+const HostId Self("self");
+const ServiceId Service("service");
+const UpstreamId Resting("resting");
+const UpstreamId Other("other");
+const Instant Begin{seconds(1000)};
+
+ReplicaRecord record(const UpstreamId &id, std::int64_t startedMs = 1) {
+  ReplicaRecord out;
+  out.Id = id;
+  out.OfService = Service;
+  out.OfVersion = VersionId("v1");
+  out.StartedMs = startedMs;
+  return out;
+}
+
+/// A table with one upstream, which has asked for a pause of three seconds in
+/// the response to a call that was sent 10 ms before.
+ReplicaTable tableWithPause() {
+  ReplicaTable table;
+  table.note(record(Resting), Begin - seconds(10));
+  table.statements().setServingHosts(Self, {Self});
+  table.statements().notePause(Resting,
+                               {Begin - milliseconds(10), Begin, seconds(3)});
+  return table;
+}
+
+bool getsCalls(ReplicaTable &table, Instant now) {
+  ReplicaRequest request;
+  request.ForService = Service;
+  return table.choose(request, now).has_value();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(upstream_statements)
+
+BOOST_AUTO_TEST_CASE(a_pause_begins_at_once_and_ends_in_time) {
+  ReplicaTable table = tableWithPause();
+  BOOST_TEST(!getsCalls(table, Begin));
+  BOOST_TEST(!getsCalls(table, Begin + milliseconds(2999)));
+  BOOST_TEST(getsCalls(table, Begin + seconds(3)));
+}
+
+// Calls that were sent together are rejected with different times. A shorter
+// one that arrives later must not end the pause.
+BOOST_AUTO_TEST_CASE(of_overlapping_pauses_the_one_that_ends_last_applies) {
+  struct Case {
+    int AtMs;
+    int LengthMs;
+    int EndsAtMs;
+  };
+  const Case cases[] = {{100, 500, 3000},    {100, 0, 3000},
+                        {1000, 2000, 3000},  {1000, 2500, 3500},
+                        {100, 60000, 60100}, {3500, 1000, 4500}};
+  for (const Case &it : cases) {
+    ReplicaTable table = tableWithPause();
+    const Instant at = Begin + milliseconds(it.AtMs);
+    table.statements().notePause(
+        Resting, {at - milliseconds(5), at, milliseconds(it.LengthMs)});
+    const Instant end = Begin + milliseconds(it.EndsAtMs);
+    BOOST_TEST(!getsCalls(table, end - milliseconds(1)));
+    BOOST_TEST(getsCalls(table, end));
+  }
+}
+
+// A wrong value must not keep the upstream without calls for good.
+BOOST_AUTO_TEST_CASE(a_pause_without_a_sensible_end_is_cut) {
+  ReplicaTable table = tableWithPause();
+  table.statements().notePause(Resting, {Begin, Begin, hours(200000)});
+  BOOST_TEST(!getsCalls(table, Begin + minutes(59)));
+  BOOST_TEST(getsCalls(table, Begin + hours(1)));
+}
+
+// All upstreams are ejected, being probed, or of another version than the
+// preferred one. The fallback to these must not reach one that asked for a
+// pause.
+BOOST_AUTO_TEST_CASE(no_fallback_reaches_an_upstream_that_asked_for_a_pause) {
+  ReplicaTable table = tableWithPause();
+  table.note(record(Other), Begin);
+  Instant now = Begin;
+  while (!table.isEjected(Other, now)) {
+    table.noteSent(Other, {}, now);
+    table.noteEnded(Other, {}, false, SendResult::Broken, now);
+    now += milliseconds(1);
+  }
+  ReplicaRequest request;
+  request.ForService = Service;
+  request.Version.Preferred = VersionId("v2");
+  for (int n = 0; n < 20; ++n) {
+    request.Seed = static_cast<std::uint64_t>(n);
+    BOOST_TEST((table.choose(request, now)->Id == Other));
+  }
+  // After its ejection the other one is being probed.
+  const Instant later = now + milliseconds(1600);
+  table.noteSent(Other, {}, later);
+  BOOST_TEST((table.choose(request, later)->Id == Other));
+  request.Tried = {Other};
+  BOOST_TEST(!table.choose(request, later).has_value());
+}
+
+// While a call waits for its connection, its upstream asks for a pause, leaves,
+// is removed, or its zone is evacuated.
+BOOST_AUTO_TEST_CASE(a_call_that_was_chosen_before_a_statement_is_withdrawn) {
+  const std::pair<const char *, std::function<void(ReplicaTable &)>> cases[] = {
+      {"pause",
+       [](ReplicaTable &table) {
+         table.statements().notePause(Other, {Begin, Begin, seconds(1)});
+       }},
+      {"leaving",
+       [](ReplicaTable &table) {
+         ReplicaRecord leaving = record(Other);
+         leaving.IsLeaving = true;
+         table.note(leaving, Begin);
+       }},
+      {"removed", [](ReplicaTable &table) { table.remove(Other); }},
+      {"evacuated",
+       [](ReplicaTable &table) { table.beginEvacuation(ZoneId("z")); }}};
+  for (const auto &[name, change] : cases) {
+    ReplicaTable table;
+    ReplicaRecord other = record(Other);
+    other.InZone = ZoneId("z");
+    table.note(other, Begin);
+    BOOST_TEST(getsCalls(table, Begin));
+    table.noteSent(Other, {}, Begin);
+    BOOST_TEST(table.maySend(Other, Begin));
+    change(table);
+    BOOST_TEST(!table.maySend(Other, Begin + milliseconds(1)), name);
+  }
+}
+
+// The registration lapses while the store is away, or the store shows the
+// upstream as ready. Neither says anything of the pause.
+BOOST_AUTO_TEST_CASE(views_of_the_store_do_not_end_a_pause) {
+  ReplicaTable table = tableWithPause();
+  table.note(record(Resting), Begin + milliseconds(100));
+  BOOST_TEST(!getsCalls(table, Begin + milliseconds(200)));
+  table.remove(Resting);
+  table.forgetOldStatements(Begin + milliseconds(300));
+  table.note(record(Resting), Begin + seconds(1));
+  BOOST_TEST(!getsCalls(table, Begin + seconds(2)));
+}
+
+BOOST_AUTO_TEST_CASE(a_new_process_of_the_upstream_is_not_paused) {
+  ReplicaTable table = tableWithPause();
+  const Instant restarted = Begin + seconds(1);
+  table.note(record(Resting, 2), restarted);
+  BOOST_TEST(getsCalls(table, restarted));
+  // The response of the earlier process arrives late.
+  BOOST_TEST(!table.statements().notePause(
+      Resting, {Begin, restarted + milliseconds(50), seconds(3)}));
+  BOOST_TEST(getsCalls(table, restarted + milliseconds(100)));
+  BOOST_TEST(table.statements().notePause(
+      Resting, {restarted + milliseconds(50), restarted + milliseconds(60),
+                seconds(3)}));
+  BOOST_TEST(!getsCalls(table, restarted + milliseconds(100)));
+}
+
+// Callers that are told too short a time return in vain.
+BOOST_AUTO_TEST_CASE(the_wait_for_paused_upstreams_is_the_shortest_pause) {
+  ReplicaRequest request;
+  request.ForService = Service;
+  request.Tried = {Resting};
+  ReplicaTable table = tableWithPause();
+  const Instant now = Begin + seconds(1);
+  auto why = table.unavailability(request, now);
+  BOOST_TEST((why.Cause == UnavailabilityCause::Paused));
+  BOOST_TEST((why.Wait == seconds(2)));
+  table.note(record(Other), now);
+  table.statements().notePause(Other, {now, now, milliseconds(700)});
+  why = table.unavailability(request, now);
+  BOOST_TEST((why.Cause == UnavailabilityCause::Paused));
+  BOOST_TEST((why.Wait == milliseconds(700)));
+  // The other one is available, and was tried by this call only.
+  why = table.unavailability(request, now + seconds(1));
+  BOOST_TEST((why.Cause == UnavailabilityCause::NoUpstream));
+  BOOST_TEST((why.Wait == Duration::zero()));
+  request.ForService = ServiceId("another");
+  BOOST_TEST((table.unavailability(request, now).Cause ==
+              UnavailabilityCause::NoUpstream));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
