LibHttp, sorrelbayd: Withdraw calls whose upstream became unavailable before they are sent

A call waits up to 500 ms for its connection; if its upstream asks for a pause, leaves, is removed, or its zone is evacuated meanwhile, the call was sent all the same. Class: a decision that is not checked again when it is carried out. Ruled out: cancelling such calls when the statement arrives, as that needs a list of calls by upstream; the check at the moment of writing covers each reason. Change: OnSending may withdraw the call: nothing is written, the connection is closed, and the call is placed again, without counting as a send, a failed connect or evidence against the upstream. Log line `call withdrawn before it was sent`. Conclusion: what is known when a call is written decides.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -215,8 +215,9 @@
 void ClientConnection::send() {
   if (IsClosed)
     return fail(HttpFailure::NotSent);
-  if (Hooks.OnSending)
-    Hooks.OnSending();
+  const bool isWithdrawn = Hooks.OnSending && !Hooks.OnSending();
+  if (isWithdrawn)
+    return fail(HttpFailure::Withdrawn);
   if (!IsActive)
     return;
   IsWriting = true;
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -33,6 +33,8 @@
   Broken,
   /// The response was cut off after its header.
   Truncated,
+  /// OnSending withdrew the call. No byte of it left this host.
+  Withdrawn,
 };
 
 /// Callbacks for the progress of one call. All run on the event loop's thread
@@ -46,8 +48,10 @@
   std::function<void(std::string_view)> OnBody;
   std::function<void()> OnEnd;
   std::function<void(HttpFailure)> OnFailure;
-  /// Called just before the request is written to the connection.
-  std::function<void()> OnSending;
+  /// Called just before the request is written to the connection. If it returns
+  /// false, nothing is written, the connection is closed, and the call fails
+  /// with Withdrawn.
+  std::function<bool()> OnSending;
 };
 
 /// A handle to a call in flight. Destroying it does not cancel the call.
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -348,11 +348,7 @@
       self->noteStatements(replyInfo, false);
     return isForThisCall;
   };
-  hooks.OnSending = [self] {
-    self->CurrentSend.WasSending = true;
-    self->CurrentSend.SentAt = bootNow();
-    self->RetryState->recordSend();
-  };
+  hooks.OnSending = [self] { return self->onSending(); };
   hooks.OnHead = [self](const HttpReplyHead &head) { self->onHead(head); };
   hooks.OnBody = [self](std::string_view bytes) { self->onBody(bytes); };
   hooks.OnEnd = [self] { self->onEnd(); };
@@ -360,6 +356,30 @@
   return hooks;
 }
 
+/// Whether the call may still be sent to the upstream that was chosen for it,
+/// now that there is a connection.
+bool GatewayCall::onSending() {
+  const Instant now = bootNow();
+  if (!State.Replicas.maySend(CurrentSend.Replica, now))
+    return false;
+  CurrentSend.WasSending = true;
+  CurrentSend.SentAt = now;
+  RetryState->recordSend();
+  return true;
+}
+
+/// The upstream left or asked for a pause after it was chosen.
+void GatewayCall::onWithdrawn() {
+  endSend(SendResult::Inconclusive);
+  const Instant now = bootNow();
+  if (State.StatementLogBudget.take(now))
+    LogLine(Severity::Info, "call withdrawn before it was sent")
+        .field("id", Call.Id)
+        .field("upstream", CurrentSend.Replica.text())
+        .field("ms", toMilliseconds(now - CurrentSend.At));
+  trySend();
+}
+
 void GatewayCall::onHead(const HttpReplyHead &head) {
   CurrentSend.Head = head;
   const UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
@@ -583,6 +603,8 @@
 void GatewayCall::onFailure(HttpFailure why) {
   if (IsDone)
     return;
+  if (why == HttpFailure::Withdrawn)
+    return onWithdrawn();
   if (why == HttpFailure::NotSent && !CurrentSend.WasSending) {
     endSend(SendResult::Broken);
     if (++FailedConnects <= MaxFailedConnects)
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -50,6 +50,8 @@
   bool chargeUnits();
   bool admit();
   void trySend();
+  bool onSending();
+  void onWithdrawn();
   bool takeRetryFromBudget();
   HttpCallHooks upstreamHooks();
   void onHead(const HttpReplyHead &head);
--- a/Tests/LibHttp/TestAsyncHttp.cpp
+++ b/Tests/LibHttp/TestAsyncHttp.cpp
@@ -52,6 +52,34 @@
 
 BOOST_AUTO_TEST_SUITE(async_http)
 
+// The server has asked for a pause while the connection was being opened, or
+// before the next call on it. A call that is sent all the same reaches it.
+BOOST_AUTO_TEST_CASE(a_call_that_is_withdrawn_is_not_sent) {
+  for (const bool isReused : {false, true}) {
+    Pair pair;
+    int handled = 0;
+    pair.Handle = [&](const std::shared_ptr<HttpExchange> &it) {
+      ++handled;
+      it->respond(200, {}, "");
+    };
+    if (isReused) {
+      pair.Client.send(pair.Server.address(), {}, pair.hooks());
+      pair.runUntil([&] { return pair.HasEnded; });
+      BOOST_TEST(pair.Client.hasIdle(pair.Server.address()));
+    }
+    const int before = handled;
+    HttpCallHooks hooks = pair.hooks();
+    hooks.OnSending = [] { return false; };
+    pair.Client.send(pair.Server.address(), {}, hooks);
+    pair.runUntil([&] { return pair.Failure.has_value(); });
+    BOOST_TEST((*pair.Failure == HttpFailure::Withdrawn));
+    pair.HasEnded = false;
+    pair.Client.send(pair.Server.address(), {}, pair.hooks());
+    pair.runUntil([&] { return pair.HasEnded; });
+    BOOST_TEST(handled == before + 1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_is_answered_whole_and_its_connection_kept) {
   Pair pair;
   pair.Handle = [](const std::shared_ptr<HttpExchange> &it) {
