LibServing: Keep what a restarted upstream stated before its registration became known

An upstream restarts under its id and asks for a pause; the host learns of the new process later, from a late view of the store, and took the pause for one of the earlier process. Ruled out: taking the time at which the registration arrives as the process's start (as before); ordering by the revision of the store, which says nothing of responses. Change: the start that the upstream registers is converted to the host's boot clock by the fleet's time. Statements in responses to calls sent up to half a second before it (the difference that clocks may have) were made by the earlier process and are dropped, later ones stay. Without pauses, and without the check before sending, the model is red. Conclusion: a process is bound by what it stated itself, and a new one owes nothing. A host whose clock is wrong by seconds while it knows no peers may attribute a statement wrongly.

--- a/Libraries/LibServing/FleetClock.h
+++ b/Libraries/LibServing/FleetClock.h
@@ -22,8 +22,12 @@
   void forgetPeer(const SourceId &peer);
   /// The median over this host and its peers.
   Instant at(Instant boot) const;
+  /// The time on this host's boot clock at which `at` returns `wall`.
+  Instant bootTimeOf(Instant wall) const { return wall - offset(); }
 
 private:
+  Duration offset() const;
+
   Duration OwnOffset;
   std::map<SourceId, Duration> PeerOffsets;
 };
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -24,11 +24,12 @@
 ReplicaTable::ReplicaTable(ReplicaTableSettings settings)
     : Settings(settings) {}
 
-void ReplicaTable::note(const ReplicaRecord &record, Instant now) {
+void ReplicaTable::note(const ReplicaRecord &record, Instant now,
+                        std::optional<Instant> startedAt) {
   const Instant coldUntil = record.ColdDuration > Duration::zero()
                                 ? now + record.ColdDuration + ColdMargin
                                 : Instant{};
-  Statements.noteProcess(record.Id, record.StartedMs, now);
+  Statements.noteProcess(record.Id, record.StartedMs, startedAt, now);
   const auto found = Entries.find(record.Id);
   if (found != Entries.end()) {
     const bool isNewIncarnation =
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -173,8 +173,10 @@
     RegionOf = std::move(regions);
   }
 
-  /// Adds an upstream, or updates its registration.
-  void note(const ReplicaRecord &record, Instant now);
+  /// Adds an upstream, or updates its registration. `startedAt` is the time on
+  /// this host's boot clock at which its process started; empty if not known.
+  void note(const ReplicaRecord &record, Instant now,
+            std::optional<Instant> startedAt = {});
   /// Removes an upstream whose registration was deleted: it gets no new calls.
   void remove(const UpstreamId &id);
   /// Records that everything that the store held at the time `begun` has been
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -13,12 +13,16 @@
 /// A longer pause is cut to this length, so that a wrong value does not keep an
 /// upstream without calls for good.
 static constexpr Duration LongestPause = hours(1);
+/// The clock of an upstream may differ by this much from that of a host.
+static constexpr Duration MaxClockDifference = milliseconds(500);
 /// The statements of an upstream that is not registered are kept for this long.
 static constexpr Duration Retention = seconds(60);
 
 /// A new process of the upstream is not bound by what the one before stated.
 void UpstreamStatements::noteProcess(const UpstreamId &id,
-                                     std::int64_t startedMs, Instant now) {
+                                     std::int64_t startedMs,
+                                     std::optional<Instant> startedAt,
+                                     Instant now) {
   if (startedMs == 0)
     return;
   const auto [process, isNew] = Processes.try_emplace(id);
@@ -26,8 +30,19 @@
   process->second.StartedMs = startedMs;
   if (!hasRestarted)
     return;
-  process->second.Since = now;
-  ByUpstream.erase(id);
+  const Instant since =
+      startedAt ? std::min(*startedAt - MaxClockDifference, now) : now;
+  process->second.Since = since;
+  const auto known = ByUpstream.find(id);
+  if (known == ByUpstream.end())
+    return;
+  Statements &it = known->second;
+  if (it.RateLimit.Statement.At <= since)
+    it.RateLimit = {};
+  it.Pauses.erase(
+      std::remove_if(it.Pauses.begin(), it.Pauses.end(),
+                     [&](const Pause &pause) { return pause.SentAt <= since; }),
+      it.Pauses.end());
 }
 
 Instant UpstreamStatements::processSince(const UpstreamId &id) const {
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -29,9 +29,12 @@
 class UpstreamStatements {
 public:
   /// Records which process of the upstream is registered. Statements that an
-  /// earlier process made are dropped. `startedMs` is
-  /// ReplicaRecord::StartedMs; 0 says nothing.
-  void noteProcess(const UpstreamId &id, std::int64_t startedMs, Instant now);
+  /// earlier process made are dropped; those that this one made before its
+  /// registration became known stay. `startedMs` is ReplicaRecord::StartedMs; 0
+  /// says nothing. `startedAt` is the same time on this host's boot clock, as
+  /// far as clocks agree; empty if it is not known.
+  void noteProcess(const UpstreamId &id, std::int64_t startedMs,
+                   std::optional<Instant> startedAt, Instant now);
 
   /// Records what a response to this host stated about the rate of calls that
   /// the upstream accepts. Returns whether the known limit has changed.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -275,7 +275,11 @@
           .field("zone", record.InZone.text())
           .field("cold_ms", toMilliseconds(record.ColdDuration))
           .field("revision", static_cast<std::int64_t>(object.Revision));
-    State.Replicas.note(record, bootNow());
+    std::optional<Instant> startedAt;
+    if (record.StartedMs != 0)
+      startedAt =
+          State.Time.bootTimeOf(fromEpochMilliseconds(record.StartedMs));
+    State.Replicas.note(record, bootNow(), startedAt);
   } catch (const Error &error) {
     LogLine(Severity::Warning, "upstream entry refused")
         .field("object", object.Name)
--- a/Tests/LibServing/TestUpstreamStatements.cpp
+++ b/Tests/LibServing/TestUpstreamStatements.cpp
@@ -1,6 +1,6 @@
-#include "LibServing/ReplicaTable.h"
+#include "../LibDecision/SoakSeeds.h"
+#include "StatementSimulation.h"
 #include <boost/test/unit_test.hpp>
-#include <functional>
 
 using namespace sorrelbay;
 
@@ -163,6 +163,19 @@
   BOOST_TEST(!getsCalls(table, restarted + milliseconds(100)));
 }
 
+// The upstream restarts while the store is away, and asks for a pause before
+// its new registration becomes known. The registration must not end the pause.
+BOOST_AUTO_TEST_CASE(a_pause_of_a_process_that_is_registered_later_stays) {
+  ReplicaTable table = tableWithPause();
+  const Instant known = Begin + seconds(1);
+  table.note(record(Resting, 2), known, Begin - milliseconds(800));
+  BOOST_TEST(!getsCalls(table, known));
+  BOOST_TEST(getsCalls(table, Begin + seconds(3)));
+  ReplicaTable another = tableWithPause();
+  another.note(record(Resting, 2), known, Begin + milliseconds(800));
+  BOOST_TEST(getsCalls(another, known));
+}
+
 // Callers that are told too short a time return in vain.
 BOOST_AUTO_TEST_CASE(the_wait_for_paused_upstreams_is_the_shortest_pause) {
   ReplicaRequest request;
@@ -187,4 +200,44 @@
               UnavailabilityCause::NoUpstream));
 }
 
+// Upstreams that are full ask for pauses, longer and shorter ones at the same
+// time, while hosts and upstreams restart and freeze and views of the store are
+// late. Hosts went on sending.
+BOOST_AUTO_TEST_CASE(randomised_hosts_keep_to_the_pauses_of_upstreams) {
+  for (const int hosts : {1, 6, 24}) {
+    const std::uint64_t seeds = soakSeeds(hosts > 20 ? 2 : 6);
+    int pauses = 0;
+    int faults = 0;
+    int withdrawn = 0;
+    for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+      StatementSimulation simulation({seed, hosts});
+      const std::string violation = simulation.simulate(60);
+      BOOST_TEST(violation == "",
+                 hosts << " hosts, seed " << seed << ": " << violation);
+      pauses += simulation.pauses();
+      faults += simulation.faults();
+      withdrawn += simulation.withdrawn();
+    }
+    BOOST_TEST(pauses > 0);
+    BOOST_TEST(withdrawn > 0);
+    BOOST_TEST_MESSAGE(hosts << " hosts: " << seeds << " seeds, " << faults
+                             << " faults, " << pauses << " pauses, "
+                             << withdrawn << " calls withdrawn");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(omitted_mechanisms_of_statements_are_detected) {
+  const std::pair<StatementOmission, const char *> omissions[] = {
+      {StatementOmission::Pauses, "BUDGET"},
+      {StatementOmission::CheckBeforeSending, "SENT"}};
+  for (const auto &[omission, rule] : omissions) {
+    bool isDetected = false;
+    for (std::uint64_t seed = 1; seed <= 20 && !isDetected; ++seed) {
+      StatementSimulation simulation({seed, 6, true, omission});
+      isDetected = simulation.simulate(60).find(rule) == 0;
+    }
+    BOOST_TEST(isDetected, "omission " << static_cast<int>(omission));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
