LibServing, sorrelbayd: Send nothing to an upstream that stated its leaving

Where its registration is late, lapses or never says so, callers were sent to a process about to end. Ruled out: ending the statement by a view of the store that shows the upstream as ready, or by a response without it: views may be older than the response, and some upstreams never register their leaving. Passing it to peers: the rule binds the host that got the response, and others learn of it from theirs. Change: UpstreamStatements keeps the statement for the process that made it; the upstream counts as leaving everywhere (placement, fallbacks, calls about to be sent, replicas that are ready). Another value than 1, a response of another instance, and responses to calls sent before the present process started are ignored, logged and counted. Statements of unregistered upstreams are kept for 10 minutes instead of 1.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -73,16 +73,17 @@
 
 std::vector<ReplicaRecord> ReplicaTable::records() const {
   std::vector<ReplicaRecord> out;
-  for (const auto &[id, entry] : Entries)
+  for (const auto &[id, entry] : Entries) {
     out.push_back(entry.Record);
+    out.back().IsLeaving = isLeaving(entry);
+  }
   return out;
 }
 
 int ReplicaTable::ready(const ServiceId &service) const {
   return static_cast<int>(
       std::count_if(Entries.begin(), Entries.end(), [&](const auto &it) {
-        const ReplicaRecord &record = it.second.Record;
-        return record.OfService == service && !record.IsLeaving;
+        return it.second.Record.OfService == service && !isLeaving(it.second);
       }));
 }
 
@@ -115,6 +116,11 @@
       entry.AssumedColdAt = now;
 }
 
+/// Whether the upstream is leaving by its registration or by its responses.
+bool ReplicaTable::isLeaving(const Entry &entry) const {
+  return entry.Record.IsLeaving || Statements.isLeaving(entry.Record.Id);
+}
+
 bool ReplicaTable::isCold(const Entry &entry, Instant now) const {
   return now < entry.ColdUntil || (entry.AssumedColdAt != Instant{} &&
                                    ConfirmedAt <= entry.AssumedColdAt);
@@ -124,7 +130,7 @@
   return static_cast<int>(
       std::count_if(Entries.begin(), Entries.end(), [&](const auto &it) {
         const Entry &entry = it.second;
-        return entry.Record.OfService == service && !entry.Record.IsLeaving &&
+        return entry.Record.OfService == service && !isLeaving(entry) &&
                isCold(entry, now);
       }));
 }
@@ -178,7 +184,7 @@
 
 bool ReplicaTable::maySend(const UpstreamId &id, Instant now) const {
   const auto it = Entries.find(id);
-  return it != Entries.end() && !it->second.Record.IsLeaving &&
+  return it != Entries.end() && !isLeaving(it->second) &&
          !isEvacuated(it->second.Record.InZone) &&
          !Statements.isPaused(id, now);
 }
@@ -197,9 +203,8 @@
                         const ReplicaRequest &request) const {
   const bool wasTried = std::find(request.Tried.begin(), request.Tried.end(),
                                   entry.Record.Id) != request.Tried.end();
-  return entry.Record.OfService == request.ForService &&
-         !entry.Record.IsLeaving && !wasTried &&
-         !isEvacuated(entry.Record.InZone) &&
+  return entry.Record.OfService == request.ForService && !isLeaving(entry) &&
+         !wasTried && !isEvacuated(entry.Record.InZone) &&
          isInAllowedRegion(entry.Record.InZone, request.RouteRegions) &&
          isInAllowedRegion(entry.Record.InZone, request.TeamRegions) &&
          allowsVersion(entry.Record.OfVersion, request.Version);
@@ -532,7 +537,7 @@
                                                     Instant now) const {
   ServiceWork out;
   for (const auto &[id, entry] : Entries) {
-    if (entry.Record.OfService != service || entry.Record.IsLeaving ||
+    if (entry.Record.OfService != service || isLeaving(entry) ||
         now < entry.EjectedUntil || isEvacuated(entry.Record.InZone))
       continue;
     out.Calls += entry.Own.Calls + entry.Peers.Calls;
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -183,6 +183,8 @@
   /// added.
   void noteConfirmed(Instant begun) { ConfirmedAt = begun; }
   const ReplicaRecord *find(const UpstreamId &id) const;
+  /// All registrations. Those of upstreams that have stated that they are
+  /// leaving say so.
   std::vector<ReplicaRecord> records() const;
   /// The number of the service's upstreams that are not leaving.
   int ready(const ServiceId &service) const;
@@ -316,6 +318,7 @@
   bool isInAllowedRegion(const ZoneId &zone,
                          const std::vector<std::string> &allowedRegions) const;
   bool fits(const Entry &entry, const ReplicaRequest &request) const;
+  bool isLeaving(const Entry &entry) const;
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdCapacity(Entry &entry, Instant now);
   void updateHealth(Entry &entry, SendResult result, Instant now);
--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -69,6 +69,8 @@
   /// The time for which the upstream wants no calls from this host, from the
   /// response on; empty if it states none.
   std::optional<Duration> Pause;
+  /// The upstream stated that it is leaving.
+  bool IsLeaving = false;
   /// Statements of the response that can't be used.
   std::vector<IgnoredStatement> Ignored;
 };
--- a/Libraries/LibServing/UpstreamStatement.cpp
+++ b/Libraries/LibServing/UpstreamStatement.cpp
@@ -8,6 +8,8 @@
     return "rate_limit";
   case StatementKind::Pause:
     return "pause";
+  case StatementKind::Leaving:
+    return "leaving";
   }
   return "";
 }
--- a/Libraries/LibServing/UpstreamStatement.h
+++ b/Libraries/LibServing/UpstreamStatement.h
@@ -11,6 +11,8 @@
   RateLimit,
   /// The time for which it wants no calls from this host.
   Pause,
+  /// It is leaving and wants no new calls.
+  Leaving,
 };
 
 /// Why a statement of an upstream had no effect.
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -16,7 +16,7 @@
 /// The clock of an upstream may differ by this much from that of a host.
 static constexpr Duration MaxClockDifference = milliseconds(500);
 /// The statements of an upstream that is not registered are kept for this long.
-static constexpr Duration Retention = seconds(60);
+static constexpr Duration Retention = minutes(10);
 
 /// A new process of the upstream is not bound by what the one before stated.
 void UpstreamStatements::noteProcess(const UpstreamId &id,
@@ -43,6 +43,8 @@
       std::remove_if(it.Pauses.begin(), it.Pauses.end(),
                      [&](const Pause &pause) { return pause.SentAt <= since; }),
       it.Pauses.end());
+  if (it.LeavingSentAt <= since)
+    it.LeavingSentAt.reset();
 }
 
 Instant UpstreamStatements::processSince(const UpstreamId &id) const {
@@ -175,11 +177,26 @@
                             Duration::zero());
 }
 
+bool UpstreamStatements::noteLeaving(const UpstreamId &id, Instant sentAt,
+                                     Instant now) {
+  if (sentAt <= processSince(id))
+    return false;
+  Statements &it = ByUpstream[id];
+  it.LeavingSentAt = std::max(it.LeavingSentAt.value_or(sentAt), sentAt);
+  it.LastAt = std::max(it.LastAt, now);
+  return true;
+}
+
+bool UpstreamStatements::isLeaving(const UpstreamId &id) const {
+  const auto it = ByUpstream.find(id);
+  return it != ByUpstream.end() && it->second.LeavingSentAt.has_value();
+}
+
 bool UpstreamStatements::allowCall(const UpstreamId &id, Instant now) {
   const auto it = ByUpstream.find(id);
   if (it == ByUpstream.end())
     return true;
-  if (isPaused(id, now))
+  if (it->second.LeavingSentAt || isPaused(id, now))
     return false;
   UpstreamRateLimit &limit = it->second.RateLimit;
   return !limit.Statement.PerSecond ||
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -67,6 +67,13 @@
     return pauseLeft(id, now) > Duration::zero();
   }
 
+  /// Records that the upstream stated that it is leaving, in the response to a
+  /// call sent at `sentAt`. Its process takes no more calls, whatever it states
+  /// afterwards. Returns false if an earlier process made the statement, so
+  /// that it has no effect.
+  bool noteLeaving(const UpstreamId &id, Instant sentAt, Instant now);
+  bool isLeaving(const UpstreamId &id) const;
+
   /// Whether the statements allow this host another call to the upstream.
   bool allowCall(const UpstreamId &id, Instant now);
   /// Records that a call is sent to the upstream.
@@ -95,6 +102,9 @@
     /// Pauses of which each ends earlier than the one before and was requested
     /// in the response to a later call.
     std::vector<Pause> Pauses;
+    /// When the last call was sent in whose response the upstream stated that
+    /// it is leaving; empty if it did not.
+    std::optional<Instant> LeavingSentAt;
     /// When the last statement was made.
     Instant LastAt{};
   };
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -398,7 +398,8 @@
 
 /// Records what the upstream states about itself in the response. A response to
 /// an earlier call on the connection may be too old to tell the present rate
-/// limit; a pause that it asks for can only be counted as too long.
+/// limit; a pause that it asks for can only be counted as too long, and an
+/// upstream that was leaving then still is.
 void GatewayCall::noteStatements(const UpstreamReplyInfo &replyInfo,
                                  bool isForThisCall) {
   if (isForThisCall)
@@ -408,6 +409,8 @@
                      std::to_string(*replyInfo.RateLimit)});
   if (replyInfo.Pause)
     notePause(*replyInfo.Pause);
+  if (replyInfo.IsLeaving)
+    noteLeaving();
   for (const IgnoredStatement &it : replyInfo.Ignored)
     ignoreStatement(it);
 }
@@ -426,6 +429,21 @@
         .field("pause_ms", toMilliseconds(pause));
 }
 
+void GatewayCall::noteLeaving() {
+  const Instant now = bootNow();
+  UpstreamStatements &statements = State.Replicas.statements();
+  const bool isKnown = statements.isLeaving(CurrentSend.Replica);
+  if (!statements.noteLeaving(CurrentSend.Replica, CurrentSend.SentAt, now))
+    return ignoreStatement(
+        {StatementKind::Leaving, IgnoredReason::EarlierProcess, ""});
+  State.Counts.countUpstreamStatement(toText(StatementKind::Leaving),
+                                      "applied");
+  if (!isKnown)
+    LogLine(Severity::Info, "upstream states that it leaves")
+        .field("upstream", CurrentSend.Replica.text())
+        .field("id", Call.Id);
+}
+
 void GatewayCall::ignoreStatement(const IgnoredStatement &statement) {
   State.Counts.countUpstreamStatement(toText(statement.Kind),
                                       toText(statement.Reason));
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -70,6 +70,7 @@
   void noteStatements(const UpstreamReplyInfo &replyInfo, bool isForThisCall);
   void noteRateLimit(const UpstreamReplyInfo &replyInfo);
   void notePause(Duration pause);
+  void noteLeaving();
   void ignoreStatement(const IgnoredStatement &statement);
   bool hasConnectionCapacity(const std::string &address) const;
   bool resume();
--- a/Tests/LibServing/StatementSimulation.cpp
+++ b/Tests/LibServing/StatementSimulation.cpp
@@ -14,6 +14,7 @@
 /// The rule.
 constexpr Duration Reaction = milliseconds(500);
 constexpr int AllowedArrivals = 2;
+constexpr Duration DrainTime = seconds(2);
 /// An upstream that serves and gets no call for this long is unused. Ejections
 /// last up to 12 s.
 constexpr Duration UnusedAfter = seconds(15);
@@ -65,10 +66,6 @@
   return !host.IsDown && Now >= host.FrozenUntil;
 }
 
-void StatementSimulation::disturb(Host &host, Duration span) {
-  host.DisturbedAt = std::max(host.DisturbedAt, Now + span);
-}
-
 /// Injects a fault about once in two seconds.
 void StatementSimulation::injectFault() {
   if (!Plan.HasFaults || draw() > toSeconds(Tick) / 2)
@@ -78,9 +75,13 @@
       draw() * static_cast<double>(Hosts.size()))];
   const Duration span = fromSeconds(0.3 + 3 * draw());
   const double kind = draw();
-  if (kind < 0.4)
-    return restartUpstream(Upstreams[static_cast<std::size_t>(
-        draw() * static_cast<double>(Upstreams.size()))]);
+  if (kind < 0.4) {
+    Upstream &upstream = Upstreams[static_cast<std::size_t>(
+        draw() * static_cast<double>(Upstreams.size()))];
+    if (!upstream.IsDown)
+      stop(upstream, Now + fromSeconds(0.2 + 3 * draw()));
+    return;
+  }
   if (kind < 0.6) {
     host.IsDown = true;
     host.RestartAt = Now + span;
@@ -89,17 +90,33 @@
   } else {
     host.CutUntil = Now + span;
   }
-  disturb(host, span);
+  host.DisturbedAt = std::max(host.DisturbedAt, Now + span);
+  if (kind < 0.8)
+    host.SuspendedAt = std::max(host.SuspendedAt, Now + span);
 }
 
-/// The upstream crashes, and starts again under its id.
-void StatementSimulation::restartUpstream(Upstream &upstream) {
-  if (upstream.IsDown)
-    return;
+/// Ends the upstream's process; another one starts under the same id.
+void StatementSimulation::stop(Upstream &upstream, Instant startAt) {
   upstream.IsDown = true;
-  upstream.StartAt = Now + fromSeconds(0.2 + 3 * draw());
+  upstream.StartAt = startAt;
   upstream.RejectsUntil = {};
   upstream.FailsUntil = {};
+  upstream.IsLeaving = false;
+}
+
+/// The upstream states in its responses that it leaves, and later does. Its
+/// registration may never say so.
+void StatementSimulation::beginLeaving(Upstream &upstream) {
+  if (upstream.IsDown || upstream.IsLeaving)
+    return;
+  ++LeavingCount;
+  upstream.IsLeaving = true;
+  upstream.LeavesAt = Now + fromSeconds(2 + 6 * draw());
+  if (draw() < 0.5)
+    return;
+  upstream.Record.IsLeaving = true;
+  publish(upstream);
+  upstream.Record.IsLeaving = false;
 }
 
 /// Upstreams begin to reject calls or to fail them, and start again.
@@ -111,10 +128,14 @@
       it.UsedAt = Now;
       publish(it);
     }
+    if (it.IsLeaving && Now >= it.LeavesAt)
+      stop(it, Now + fromSeconds(1 + 2 * draw()));
     if (Now < it.NextChangeAt)
       continue;
     it.NextChangeAt = Now + fromSeconds(1 + 6 * draw());
-    if (draw() < 0.6)
+    if (draw() < 0.15)
+      beginLeaving(it);
+    else if (draw() < 0.6)
       it.RejectsUntil = Now + fromSeconds(0.2 + 3 * draw());
     else if (draw() < 0.5)
       it.FailsUntil = Now + fromSeconds(1 + 2 * draw());
@@ -185,6 +206,7 @@
   const auto n = static_cast<int>(wanted + draw());
   for (int i = 0; i < n; ++i) {
     Call call;
+    call.BegunAt = Now;
     call.From =
         static_cast<std::size_t>(draw() * static_cast<double>(Hosts.size()));
     call.Incarnation = Hosts[call.From].Incarnation;
@@ -240,30 +262,45 @@
   }
 }
 
+void StatementSimulation::checkLeaving(const Call &call) {
+  const auto passedOn =
+      PassedOn.find({call.From, call.Incarnation, call.At, call.StartedMs});
+  if (passedOn != PassedOn.end() &&
+      call.BegunAt > passedOn->second + DrainTime &&
+      Hosts[call.From].SuspendedAt < passedOn->second)
+    Violation = "DRAIN: a call of " + Hosts[call.From].Id.text() + " reached " +
+                Upstreams[call.At].Record.Id.text() + " at " + time() +
+                ", which stated its leaving at " +
+                std::to_string(toMilliseconds(passedOn->second - Start)) +
+                " ms";
+}
+
 /// The call reaches its upstream, which responds after some time.
 void StatementSimulation::arrive(Call &call) {
   Upstream &upstream = Upstreams[call.At];
   const Host &host = Hosts[call.From];
   call.State = CallState::Answering;
   if (upstream.IsDown || Now < host.CutUntil) {
-    call.Reply = {SendResult::Broken, {}};
+    call.Reply = {SendResult::Broken, {}, false};
     call.NextAt = Now + fromSeconds(draw());
     return;
   }
   call.StartedMs = upstream.Record.StartedMs;
   upstream.UsedAt = Now;
   countArrival(call);
+  checkLeaving(call);
+  call.Reply = {};
+  call.Reply.IsLeaving = upstream.IsLeaving;
   if (Now < upstream.FailsUntil) {
-    call.Reply = {SendResult::Failed, {}};
+    call.Reply.Result = SendResult::Failed;
     call.NextAt = Now + fromSeconds(0.02 * draw());
     return;
   }
   if (Now >= upstream.RejectsUntil) {
-    call.Reply = {SendResult::Answered, {}};
     call.NextAt = Now + fromSeconds(0.02 + draw());
     return;
   }
-  call.Reply = {SendResult::Rejected, {}};
+  call.Reply.Result = SendResult::Rejected;
   call.NextAt = Now + fromSeconds(0.001 + 0.004 * draw());
   // Some rejections come without a time, or with one that can't be read.
   if (draw() < 0.2)
@@ -285,6 +322,16 @@
                                         {call.SentAt, Now, *call.Reply.Pause});
 }
 
+void StatementSimulation::noteLeaving(const Call &call, Host &host) {
+  if (!call.Reply.IsLeaving)
+    return;
+  PassedOn.try_emplace({call.From, call.Incarnation, call.At, call.StartedMs},
+                       Now);
+  if (Plan.Without != StatementOmission::Leaving)
+    host.Replicas->statements().noteLeaving(Upstreams[call.At].Record.Id,
+                                            call.SentAt, Now);
+}
+
 /// The response reaches the host. A rejected or failed call is repeated.
 void StatementSimulation::receive(Call &call) {
   Host &host = Hosts[call.From];
@@ -293,8 +340,9 @@
       upstream.IsDown || upstream.Record.StartedMs != call.StartedMs;
   // Few responses of a process that has ended still arrive.
   if (hasEnded && draw() < 0.8)
-    call.Reply = {SendResult::Broken, {}};
+    call.Reply = {SendResult::Broken, {}, false};
   notePause(call, host);
+  noteLeaving(call, host);
   host.Replicas->noteEnded(Upstreams[call.At].Record.Id, {}, false,
                            call.Reply.Result, Now);
   --call.AttemptsLeft;
@@ -323,8 +371,8 @@
 
 void StatementSimulation::checkUse() {
   for (Upstream &it : Upstreams) {
-    const bool isServing =
-        !it.IsDown && Now >= it.RejectsUntil && Now >= it.FailsUntil;
+    const bool isServing = !it.IsDown && !it.IsLeaving &&
+                           Now >= it.RejectsUntil && Now >= it.FailsUntil;
     const bool isPaused =
         std::any_of(Windows.begin(), Windows.end(), [&](const auto &window) {
           return &it == &Upstreams[window.At] && Now < window.Until;
--- a/Tests/LibServing/StatementSimulation.h
+++ b/Tests/LibServing/StatementSimulation.h
@@ -5,8 +5,8 @@
 #include <memory>
 #include <optional>
 #include <random>
-#include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace sorrelbay {
@@ -20,6 +20,8 @@
   /// A call is sent to the upstream that was chosen for it, whatever has become
   /// known since.
   CheckBeforeSending,
+  /// Hosts don't learn that upstreams leave.
+  Leaving,
 };
 
 /// The parameters of one random run. Values are drawn from the seed.
@@ -33,15 +35,17 @@
 };
 
 /// Several hosts that send calls to upstreams, which for a while reject calls
-/// and ask for pauses. Statements overlap, some can't be read, and the store's
-/// view of the upstreams is late and sometimes old. Calls wait up to half a
-/// second for a connection, and are repeated after rejections and failures.
-/// Simulated time; the hosts' decisions are the daemon's code. The check is the
-/// platform's rule: at most two calls of a host reach an upstream between half
-/// a second after it asked that host for a pause and the end of the pause. A
-/// restart, freeze or cut of the host excuses it. Besides, no call is sent to
-/// an upstream during a pause that the host has read of, and an upstream that
-/// serves must get calls.
+/// and ask for pauses, or state in their responses that they leave. Statements
+/// overlap, some can't be read, and the store's view of the upstreams is late
+/// and sometimes old. Calls wait up to half a second for a connection, and are
+/// repeated after rejections and failures. Simulated time; the hosts' decisions
+/// are the daemon's code. The check is the platform's rule: at most two calls
+/// of a host reach an upstream between half a second after it asked that host
+/// for a pause and the end of the pause. A restart, freeze or cut of the host
+/// excuses it. No call that began more than two seconds after its host passed
+/// on a response of a leaving upstream reaches it; a restart or freeze of the
+/// host excuses it. Besides, no call is sent to an upstream during a pause that
+/// the host has read of, and an upstream that serves must get calls.
 class StatementSimulation {
 public:
   explicit StatementSimulation(const StatementPlan &plan);
@@ -52,6 +56,7 @@
 
   int pauses() const { return PauseCount; }
   int faults() const { return FaultCount; }
+  int leavings() const { return LeavingCount; }
   int withdrawn() const { return WithdrawnCount; }
 
 private:
@@ -64,6 +69,8 @@
     Instant CutUntil{};
     /// When the host was last restarted, frozen or cut, or that ended.
     Instant DisturbedAt{};
+    /// When the host was last restarted or frozen, or that ended.
+    Instant SuspendedAt{};
     /// The difference between the host's clock and those of upstreams.
     Duration ClockError{};
     std::unique_ptr<ReplicaTable> Replicas;
@@ -74,6 +81,8 @@
     Instant StartAt{};
     /// The upstream rejects calls until then.
     Instant RejectsUntil{};
+    bool IsLeaving = false;
+    Instant LeavesAt{};
     Instant FailsUntil{};
     Instant NextChangeAt{};
     /// When a call last arrived, or the upstream began to serve again.
@@ -96,11 +105,13 @@
   struct Response {
     SendResult Result = SendResult::Answered;
     std::optional<Duration> Pause;
+    bool IsLeaving = false;
     /// The number of the pause's window.
     int Window = 0;
   };
   struct Call {
     CallState State = CallState::Connecting;
+    Instant BegunAt{};
     std::size_t From = 0;
     int Incarnation = 0;
     std::size_t At = 0;
@@ -123,7 +134,8 @@
   bool isResponsive(const Host &host) const;
   void injectFault();
   void disturb(Host &host, Duration span);
-  void restartUpstream(Upstream &upstream);
+  static void stop(Upstream &upstream, Instant startAt);
+  void beginLeaving(Upstream &upstream);
   void changeUpstreams();
   void publish(const Upstream &upstream);
   void applyViews();
@@ -136,6 +148,8 @@
   void receive(Call &call);
   void checkSend(const Call &call);
   void countArrival(const Call &call);
+  void checkLeaving(const Call &call);
+  void noteLeaving(const Call &call, Host &host);
   void notePause(const Call &call, Host &host);
   void checkUse();
   double draw();
@@ -148,10 +162,15 @@
   std::vector<Call> Calls;
   std::vector<ViewChange> Views;
   std::vector<PauseWindow> Windows;
+  /// When a host first passed on a response of a leaving upstream, by host, its
+  /// incarnation, and the upstream and the start of its process.
+  using PassedOnKey = std::tuple<std::size_t, int, std::size_t, std::int64_t>;
+  std::map<PassedOnKey, Instant> PassedOn;
   Instant Start{seconds(5000)};
   Instant Now;
   int PauseCount = 0;
   int FaultCount = 0;
+  int LeavingCount = 0;
   int WithdrawnCount = 0;
   std::string Violation;
 };
--- a/Tests/LibServing/TestUpstreamStatements.cpp
+++ b/Tests/LibServing/TestUpstreamStatements.cpp
@@ -32,6 +32,17 @@
   return table;
 }
 
+/// Lets calls to the upstream fail until it is ejected; returns the time.
+Instant eject(ReplicaTable &table, const UpstreamId &id, Instant now) {
+  for (int n = 0; n < 100 && !table.isEjected(id, now); ++n) {
+    now += milliseconds(1);
+    table.noteSent(id, {}, now);
+    table.noteEnded(id, {}, false, SendResult::Broken, now);
+  }
+  BOOST_REQUIRE(table.isEjected(id, now));
+  return now;
+}
+
 bool getsCalls(ReplicaTable &table, Instant now) {
   ReplicaRequest request;
   request.ForService = Service;
@@ -85,12 +96,7 @@
 BOOST_AUTO_TEST_CASE(no_fallback_reaches_an_upstream_that_asked_for_a_pause) {
   ReplicaTable table = tableWithPause();
   table.note(record(Other), Begin);
-  Instant now = Begin;
-  while (!table.isEjected(Other, now)) {
-    table.noteSent(Other, {}, now);
-    table.noteEnded(Other, {}, false, SendResult::Broken, now);
-    now += milliseconds(1);
-  }
+  const Instant now = eject(table, Other, Begin);
   ReplicaRequest request;
   request.ForService = Service;
   request.Version.Preferred = VersionId("v2");
@@ -176,6 +182,47 @@
   BOOST_TEST(getsCalls(another, known));
 }
 
+// The store still shows the upstream as ready, or its registration lapses.
+BOOST_AUTO_TEST_CASE(a_stated_leaving_holds_for_the_process) {
+  ReplicaTable table;
+  table.note(record(Resting), Begin - seconds(10));
+  BOOST_TEST(table.ready(Service) == 1);
+  BOOST_TEST(
+      table.statements().noteLeaving(Resting, Begin - seconds(1), Begin));
+  BOOST_TEST(!getsCalls(table, Begin));
+  BOOST_TEST(!table.maySend(Resting, Begin));
+  BOOST_TEST(table.ready(Service) == 0);
+  BOOST_TEST(table.records().front().IsLeaving);
+  table.note(record(Resting), Begin + seconds(1));
+  table.remove(Resting);
+  table.forgetOldStatements(Begin + minutes(1));
+  table.note(record(Resting), Begin + minutes(2));
+  BOOST_TEST(!getsCalls(table, Begin + minutes(2)));
+  const Instant restarted = Begin + minutes(3);
+  table.note(record(Resting, 2), restarted);
+  BOOST_TEST(getsCalls(table, restarted));
+  BOOST_TEST(!table.statements().noteLeaving(Resting, Begin, restarted));
+  BOOST_TEST(getsCalls(table, restarted));
+}
+
+// The only upstream left is ejected and leaving by its own statement. The
+// fallback to ejected ones must not reach it.
+BOOST_AUTO_TEST_CASE(no_fallback_reaches_an_upstream_that_stated_its_leaving) {
+  ReplicaTable table;
+  table.note(record(Resting), Begin);
+  ReplicaRecord other = record(Other);
+  other.IsLeaving = true;
+  table.note(other, Begin);
+  const Instant now = eject(table, Resting, Begin);
+  BOOST_TEST(getsCalls(table, now));
+  table.statements().noteLeaving(Resting, now, now);
+  BOOST_TEST(!getsCalls(table, now));
+  ReplicaRequest request;
+  request.ForService = Service;
+  BOOST_TEST((table.unavailability(request, now).Cause ==
+              UnavailabilityCause::NoUpstream));
+}
+
 // Callers that are told too short a time return in vain.
 BOOST_AUTO_TEST_CASE(the_wait_for_paused_upstreams_is_the_shortest_pause) {
   ReplicaRequest request;
@@ -201,12 +248,13 @@
 }
 
 // Upstreams that are full ask for pauses, longer and shorter ones at the same
-// time, while hosts and upstreams restart and freeze and views of the store are
-// late. Hosts went on sending.
-BOOST_AUTO_TEST_CASE(randomised_hosts_keep_to_the_pauses_of_upstreams) {
+// time, and others state that they leave, while hosts and upstreams restart and
+// freeze and views of the store are late. Hosts went on sending.
+BOOST_AUTO_TEST_CASE(randomised_hosts_keep_to_the_statements_of_upstreams) {
   for (const int hosts : {1, 6, 24}) {
     const std::uint64_t seeds = soakSeeds(hosts > 20 ? 2 : 6);
     int pauses = 0;
+    int leavings = 0;
     int faults = 0;
     int withdrawn = 0;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -215,21 +263,25 @@
       BOOST_TEST(violation == "",
                  hosts << " hosts, seed " << seed << ": " << violation);
       pauses += simulation.pauses();
+      leavings += simulation.leavings();
       faults += simulation.faults();
       withdrawn += simulation.withdrawn();
     }
     BOOST_TEST(pauses > 0);
+    BOOST_TEST(leavings > 0);
     BOOST_TEST(withdrawn > 0);
     BOOST_TEST_MESSAGE(hosts << " hosts: " << seeds << " seeds, " << faults
-                             << " faults, " << pauses << " pauses, "
-                             << withdrawn << " calls withdrawn");
+                             << " faults, " << pauses << " pauses, " << leavings
+                             << " leavings, " << withdrawn
+                             << " calls withdrawn");
   }
 }
 
 BOOST_AUTO_TEST_CASE(omitted_mechanisms_of_statements_are_detected) {
   const std::pair<StatementOmission, const char *> omissions[] = {
       {StatementOmission::Pauses, "BUDGET"},
-      {StatementOmission::CheckBeforeSending, "SENT"}};
+      {StatementOmission::CheckBeforeSending, "SENT"},
+      {StatementOmission::Leaving, "DRAIN"}};
   for (const auto &[omission, rule] : omissions) {
     bool isDetected = false;
     for (std::uint64_t seed = 1; seed <= 20 && !isDetected; ++seed) {
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -196,4 +196,30 @@
   BOOST_TEST(!parseUpstreamReplyInfo({503, {}, {}}).Pause.has_value());
 }
 
+// Another value than the agreed one must not take an upstream out of service.
+BOOST_AUTO_TEST_CASE(an_upstream_that_leaves_states_it_by_one_value) {
+  struct Case {
+    int Status;
+    const char *Value;
+    bool IsLeaving;
+    std::optional<IgnoredReason> Ignored;
+  };
+  const Case cases[] = {{200, "1", true, {}},
+                        {500, "1", true, {}},
+                        {503, "1", true, {}},
+                        {200, "0", false, IgnoredReason::Malformed},
+                        {200, "", false, IgnoredReason::Malformed},
+                        {200, "11", false, IgnoredReason::Malformed},
+                        {200, "true", false, IgnoredReason::Malformed},
+                        {421, "1", false, IgnoredReason::OtherUpstream}};
+  for (const Case &it : cases) {
+    const auto info =
+        parseUpstreamReplyInfo({it.Status, {{"server-leaving", it.Value}}, {}});
+    BOOST_TEST(info.IsLeaving == it.IsLeaving, it.Status << " " << it.Value);
+    BOOST_TEST(info.Ignored.empty() != it.Ignored.has_value());
+    if (it.Ignored)
+      BOOST_TEST((info.Ignored.front().Reason == *it.Ignored));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -265,6 +265,7 @@
     verdict.DidNotRun = hasHeader(head.Headers, "X-Not-Run");
     if (hasHeader(head.Headers, "X-Limit"))
       verdict.RateLimit = std::stod(headerValue(head.Headers, "X-Limit"));
+    verdict.IsLeaving = hasHeader(head.Headers, "X-Leaving");
     if (hasHeader(head.Headers, "X-Pause"))
       verdict.Pause =
           fromSeconds(std::stod(headerValue(head.Headers, "X-Pause")));
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -174,6 +174,31 @@
   }
 }
 
+// An upstream states in its responses that it leaves, and the store still shows
+// it as ready. Calls that went on reaching it would end with it.
+BOOST_AUTO_TEST_CASE(an_upstream_that_stated_its_leaving_gets_no_calls) {
+  for (const char *path : {"/a/1", "/s/1"}) {
+    GatewayFixture fixture;
+    fixture.callUntil(200, "key");
+    fixture.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+      it->respond(200,
+                  {{"X-Call", headerValue(it->request().Headers, "X-Call")},
+                   {"X-Leaving", "1"}},
+                  headerValue(it->request().Headers, "X-Replica"));
+    };
+    BOOST_TEST(fixture.call("key", path).Status == 200);
+    const int before = fixture.UpstreamCalls;
+    fixture.addReplica("r1");
+    fixture.Store.discardHistory();
+    fixture.waitUntilSeen(ResourceKind::Replicas);
+    for (int n = 0; n < 5; ++n)
+      BOOST_TEST(fixture.call("key", path).Status == 503);
+    BOOST_TEST(fixture.UpstreamCalls == before, path);
+    fixture.addReplica("r2");
+    BOOST_TEST(fixture.callUntil(200, "key", path).Body == "r2");
+  }
+}
+
 // A replica is reclaimed in the middle of an event of a stream. The caller must
 // get neither a part of the response nor the same tokens twice.
 BOOST_AUTO_TEST_CASE(a_resumable_stream_goes_on_at_another_upstream) {
