LibServing, sorrelbayd: Count calls refused for pauses and limits as demand

Cause: the autoscaler orders replicas by the engine time that arriving calls need. Ruled out: counting the whole prompt, as half of a long prompt is cached as a rule; expectedPrefill gives what the best upstream would have to prefill if all took calls. Change: a call refused with `upstreams_paused` or `upstreams_limited` counts once. Metric sorrelbay_engine_demand_seconds. Before and after: gateway/calls_refused_during_a_pause_count_as_demand red without the count (demand does not grow over 20 refused calls), green with it.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -151,11 +151,32 @@
       [this](const UpstreamId &id) { return Entries.count(id) != 0; }, now);
 }
 
+/// The request without the upstreams that it was sent to and the version that
+/// it prefers.
+ReplicaRequest ReplicaTable::withAnyUpstream(ReplicaRequest request) {
+  request.Tried.clear();
+  request.Version.Preferred = VersionId();
+  return request;
+}
+
+std::int64_t ReplicaTable::expectedPrefill(const ReplicaRequest &request,
+                                           Instant now) {
+  const ReplicaRequest anyUpstream = withAnyUpstream(request);
+  std::vector<Entry *> fitting;
+  for (auto &[id, entry] : Entries)
+    if (fits(entry, anyUpstream))
+      fitting.push_back(&entry);
+  if (request.Prompt.empty())
+    return 0;
+  if (fitting.empty())
+    return request.PromptTokens;
+  const std::vector<Candidate> all = candidates(fitting, anyUpstream, now);
+  return static_cast<std::int64_t>(bestOf(all).TokensToPrefill);
+}
+
 Unavailability ReplicaTable::unavailability(const ReplicaRequest &request,
                                             Instant now) {
-  ReplicaRequest anyUpstream = request;
-  anyUpstream.Tried.clear();
-  anyUpstream.Version.Preferred = VersionId();
+  const ReplicaRequest anyUpstream = withAnyUpstream(request);
   std::optional<Duration> shortest;
   bool areAllPaused = true;
   bool hasLimited = false;
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -215,6 +215,9 @@
   /// Why `choose` finds no upstream for the request. Upstreams that the call
   /// has already been sent to count as well.
   Unavailability unavailability(const ReplicaRequest &request, Instant now);
+  /// Prompt tokens of the call that the upstream chosen for it would have to
+  /// prefill if all took calls.
+  std::int64_t expectedPrefill(const ReplicaRequest &request, Instant now);
 
   /// The upstream for a call; empty if none may take it.
   std::optional<ReplicaChoice> choose(const ReplicaRequest &request,
@@ -298,6 +301,7 @@
     double Cost = 0;
   };
 
+  static ReplicaRequest withAnyUpstream(ReplicaRequest request);
   std::optional<ReplicaChoice> chooseOfVersion(const ReplicaRequest &request,
                                                Instant now);
   std::vector<Entry *> eligibleUpstreams(const ReplicaRequest &request,
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -122,6 +122,10 @@
     State.Counts.setUpstreamConnectionCounts(State.Client.counts());
     State.Counts.setBundleGeneration(State.Plan ? State.Plan->plan().Version
                                                 : 0);
+    if (State.Plan)
+      for (const ServingService &it : State.Plan->plan().Services)
+        State.Counts.setEngineDemand(it.Name.text(),
+                                     State.Demand.total(it.Name, bootNow()));
     exchange->respond(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                       State.Counts.render());
   };
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -40,6 +40,8 @@
   void stop();
   /// The address callers connect to, with the port that was assigned.
   std::string callerAddress() const { return Callers->address(); }
+  /// The address that serves metrics. There must be one in the settings.
+  std::string metricsAddress() const { return MetricsServer->address(); }
 
 private:
   void listen();
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -301,12 +301,7 @@
   const auto chosen = chooseUpstream(now);
   if (!chosen)
     return finishWithoutUpstream(now);
-  const EngineModel &model = State.Replicas.modelOf(Service);
-  const double prefillMs =
-      model.prefillTime(static_cast<double>(chosen->TokensToPrefill));
-  if (!IsDemandCounted)
-    State.Demand.note(Service, prefillMs, now);
-  IsDemandCounted = true;
+  noteDemand(chosen->TokensToPrefill, now);
   CurrentSend = {};
   CurrentSend.Expected = *chosen;
   if (RetryState->sends() == 0 && exceedsFirstTokenLimit(*chosen))
@@ -328,7 +323,7 @@
   ExpectedCost.PromptTokens = chosen->TokensToPrefill;
   State.Replicas.noteSent(chosen->Id, ExpectedCost, now);
   State.Replicas.notePrompt(chosen->Id, Call.Prompt, now);
-  if (fromSeconds(prefillMs / 1000) >= LargePrompt)
+  if (prefillTime(chosen->TokensToPrefill) >= LargePrompt)
     State.NotifyPeers();
   const bool mayRunOnlyOnce = Route->Kind == Repeatability::NonIdempotent;
   Handle = State.Client.send(
@@ -694,9 +689,28 @@
 void GatewayCall::finishWithoutUpstream(Instant now) {
   const Unavailability why =
       State.Replicas.unavailability(replicaRequest(), now);
+  // Upstreams that take fewer calls must not make the service look less busy.
+  if (why.Cause == UnavailabilityCause::Paused ||
+      why.Cause == UnavailabilityCause::Limited)
+    noteDemand(State.Replicas.expectedPrefill(replicaRequest(), now), now);
   finishLocally(causeOf(why.Cause), why.Wait);
 }
 
+/// The engine time that the service's upstreams need to prefill the tokens.
+Duration GatewayCall::prefillTime(std::int64_t tokens) const {
+  const double milliseconds =
+      State.Replicas.modelOf(Service).prefillTime(static_cast<double>(tokens));
+  return fromSeconds(milliseconds / 1000);
+}
+
+/// Counts the call once in what callers ask of the service's engines.
+void GatewayCall::noteDemand(std::int64_t tokensToPrefill, Instant now) {
+  if (!IsDemandCounted)
+    State.Demand.note(Service, toSeconds(prefillTime(tokensToPrefill)) * 1000,
+                      now);
+  IsDemandCounted = true;
+}
+
 void GatewayCall::finishLocally(const char *cause, Duration retryDelay) {
   if (HasBegun)
     return abortResponse(cause);
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -72,6 +72,8 @@
   void notePause(Duration pause);
   void noteLeaving();
   void ignoreStatement(const IgnoredStatement &statement);
+  Duration prefillTime(std::int64_t tokens) const;
+  void noteDemand(std::int64_t tokensToPrefill, Instant now);
   bool hasConnectionCapacity(const std::string &address) const;
   bool resume();
   void abortResponse(const char *cause);
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -24,6 +24,7 @@
   Family<Histogram> &FirstToken;
   Family<Histogram> &ExpectedFirstToken;
   Family<Gauge> &Replicas;
+  Family<Gauge> &EngineDemand;
   Family<Counter> &Dropped;
   Family<Counter> &Statements;
   Family<Counter> &IgnoredInput;
@@ -72,6 +73,11 @@
                    .Help("Replicas by service and state, at the holder of the "
                          "duties.")
                    .Register(Registry)),
+      EngineDemand(
+          prometheus::BuildGauge()
+              .Name("sorrelbay_engine_demand_seconds")
+              .Help("Engine time that callers request a second, by service.")
+              .Register(Registry)),
       Dropped(counterFamily(Registry, "sorrelbay_dropped_arrivals_total",
                             "Arrivals from engines not taken, by cause.")),
       Statements(counterFamily(
@@ -130,6 +136,11 @@
   All->Replicas.Add({{"service", service}, {"state", state}}).Set(count);
 }
 
+void Metrics::setEngineDemand(const std::string &service,
+                              double secondsPerSecond) {
+  All->EngineDemand.Add({{"service", service}}).Set(secondsPerSecond);
+}
+
 void Metrics::countTokens(std::uint64_t tokens) {
   All->Tokens.Increment(static_cast<double>(tokens));
 }
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -28,6 +28,9 @@
   /// "cold"), as known to the lease holder.
   void setReplicas(const std::string &service, const std::string &state,
                    int count);
+  /// Sets the engine time that callers of a service request a second, as known
+  /// to this host.
+  void setEngineDemand(const std::string &service, double secondsPerSecond);
   void countTokens(std::uint64_t tokens);
   /// Counts an attempt at an upstream that has ended as "ok", "refused",
   /// "failed" or "resumed".
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -46,7 +46,8 @@
   team.Name = TeamId("team");
   team.Keys = {object.Body.substr(at + 1)};
   plan.Teams = {team};
-  plan.Services.push_back({ServiceId("desk"), MaxConnections, {}, {}, 0});
+  plan.Services.push_back(
+      {ServiceId("desk"), MaxConnections, EngineShape{}, {}, 0});
   return plan;
 }
 
@@ -72,6 +73,11 @@
   call.Path = request.Path;
   call.Method = request.Method;
   call.Key = headerValue(request.Headers, "X-Key");
+  const std::string tokens = headerValue(request.Headers, "X-Tokens");
+  if (!tokens.empty()) {
+    call.PromptTokens = std::stoll(tokens);
+    call.Prompt = {{"own", *call.PromptTokens}};
+  }
   return call;
 }
 
@@ -83,6 +89,7 @@
   settings.ReadinessListen = "127.0.0.1:0";
   settings.AddressListen = "127.0.0.1:0";
   settings.PeerListen = "127.0.0.1:0";
+  settings.MetricsListen = "127.0.0.1:0";
   settings.Heartbeat = seconds(1);
   GatewayBounds &bounds = settings.Bounds;
   bounds.Drain = seconds(2);
@@ -373,9 +380,20 @@
   call.Headers = {{"Host", "test.example"},
                   {"X-Call", "id" + std::to_string(++lastId)},
                   {"X-Key", key}};
+  if (PromptTokens != 0)
+    call.Headers.push_back({"X-Tokens", std::to_string(PromptTokens)});
   return sendOnce(CallerAddress, call);
 }
 
+double GatewayFixture::metric(const std::string &name) {
+  HttpCall call;
+  call.Path = "/metrics";
+  const std::string text = sendOnce(Served->metricsAddress(), call).Body;
+  const std::size_t at = text.find("\n" + name + " ");
+  return at == std::string::npos ? 0
+                                 : std::stod(text.substr(at + name.size() + 2));
+}
+
 void GatewayFixture::waitUntilSeen(ResourceKind kind) {
   // The watch that is open or begins next returns the objects; the one after it
   // begins once they have been processed.
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -74,6 +74,8 @@
   /// Runs the work on the upstream's event loop, where its exchanges must be
   /// used, and waits until it is done.
   void onUpstream(const std::function<void()> &work);
+  /// The value of a metric, whose name includes its labels; 0 if there is none.
+  double metric(const std::string &name);
   void addReplica(const std::string &id, bool isLeaving = false);
 
   FakeStore Store;
@@ -81,6 +83,8 @@
   /// and the team.
   UpstreamHandler Upstream;
   std::atomic<int> UpstreamCalls{0};
+  /// The length of the prompts of calls; 0 for calls without one.
+  int PromptTokens = 0;
   std::unique_ptr<Gateway> Served;
   std::string CallerAddress;
 
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -174,6 +174,25 @@
   }
 }
 
+// While all upstreams ask for a pause, calls are refused here. A service that
+// looked less busy for it would get fewer replicas when it needs more.
+BOOST_AUTO_TEST_CASE(calls_refused_during_a_pause_count_as_demand) {
+  GatewayFixture fixture;
+  fixture.PromptTokens = 1000;
+  fixture.callUntil(200, "key");
+  fixture.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+    rejectAndAskForPause(it, "60");
+  };
+  fixture.call("key");
+  const std::string demand =
+      "sorrelbay_engine_demand_seconds{service=\"desk\"}";
+  const double before = fixture.metric(demand);
+  BOOST_TEST(before > 0);
+  for (int n = 0; n < 20; ++n)
+    BOOST_TEST(fixture.call("key").Status == 503);
+  BOOST_TEST(fixture.metric(demand) > 2 * before);
+}
+
 // An upstream states in its responses that it leaves, and the store still shows
 // it as ready. Calls that went on reaching it would end with it.
 BOOST_AUTO_TEST_CASE(an_upstream_that_stated_its_leaving_gets_no_calls) {
