LibHttp: Ignore keep-alive timeouts that can't be read

The timeout of Keep-Alive went through atoi: "soon" or "-1" counted as none at all, so that each call opened a connection, and a number beyond an int is undefined behaviour. Change: only a whole number counts; others leave the timeout as it is and are counted (`malformed_keep_alive`). Before and after: async_http/a_malformed_keep_alive_timeout_is_ignored, eight values, is new and green; the code before was not run with it.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -2,6 +2,7 @@
 #include "LibHttp/BeastCommon.h"
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <limits>
 #include <map>
 #include <set>
@@ -16,6 +17,7 @@
 using SteadyInstant = std::chrono::steady_clock::time_point;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
 constexpr int FirstFinalStatus = 200;
+const std::string KeepAliveTimeoutName = "timeout=";
 } // namespace
 
 struct AsyncHttpClient::SharedState {
@@ -139,6 +141,23 @@
   return out;
 }
 
+/// The timeout in a Keep-Alive header field; empty if it has none or it is
+/// malformed.
+std::optional<Duration> keepAliveTimeout(const std::string &field) {
+  const std::size_t at = field.find(KeepAliveTimeoutName);
+  if (at == std::string::npos)
+    return std::nullopt;
+  const std::size_t begin = at + KeepAliveTimeoutName.size();
+  const std::size_t end =
+      std::min(field.find_first_of(", ", begin), field.size());
+  std::uint32_t number = 0;
+  const auto [parsed, ec] =
+      std::from_chars(field.data() + begin, field.data() + end, number);
+  if (ec != std::errc() || parsed != field.data() + end)
+    return std::nullopt;
+  return seconds(number);
+}
+
 void ClientConnection::close() {
   if (IsClosed)
     return;
@@ -261,10 +280,10 @@
   if (const auto length = Parser->content_length())
     head.Length = *length;
   const std::string keepAliveHeader = headerValue(head.Headers, "Keep-Alive");
-  const std::size_t timeoutAt = keepAliveHeader.find("timeout=");
-  if (timeoutAt != std::string::npos)
-    PeerKeepAliveTimeout =
-        seconds(std::atoi(keepAliveHeader.c_str() + timeoutAt + 8));
+  if (const auto timeout = keepAliveTimeout(keepAliveHeader))
+    PeerKeepAliveTimeout = *timeout;
+  else if (keepAliveHeader.find(KeepAliveTimeoutName) != std::string::npos)
+    ++ClientState->Counts.MalformedKeepAlives;
   IsForThisCall = IsActive && Hooks.IsForThisCall(head);
   if (IsForThisCall)
     Hooks.OnHead(head);
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -74,6 +74,8 @@
   std::uint64_t LateResponses = 0;
   /// Connections closed because they had input that belongs to no call.
   std::uint64_t UnexpectedInput = 0;
+  /// Keep-alive timeouts of servers that could not be read.
+  std::uint64_t MalformedKeepAlives = 0;
 };
 
 struct AsyncHttpClientSettings {
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -189,6 +189,8 @@
           counts.LateResponses);
   raiseTo(All->IgnoredInput.Add({{"kind", "unexpected_input"}}),
           counts.UnexpectedInput);
+  raiseTo(All->IgnoredInput.Add({{"kind", "malformed_keep_alive"}}),
+          counts.MalformedKeepAlives);
 }
 
 void Metrics::setPeerCounts(const MeshCounts &counts) {
--- a/Tests/LibHttp/TestAsyncHttp.cpp
+++ b/Tests/LibHttp/TestAsyncHttp.cpp
@@ -80,6 +80,33 @@
   }
 }
 
+// A server's keep-alive timeout can't be read. Taken for no time at all, it
+// makes each call open a connection.
+BOOST_AUTO_TEST_CASE(a_malformed_keep_alive_timeout_is_ignored) {
+  struct Case {
+    const char *Field;
+    bool IsKept;
+    bool IsMalformed;
+  };
+  const Case cases[] = {
+      {"timeout=5", true, false}, {"timeout=5, max=100", true, false},
+      {"max=100", true, false},   {"timeout=0", false, false},
+      {"timeout=", true, true},   {"timeout=soon", true, true},
+      {"timeout=-1", true, true}, {"timeout=99999999999999999999", true, true}};
+  for (const Case &it : cases) {
+    Pair pair;
+    pair.Handle = [&](const std::shared_ptr<HttpExchange> &exchange) {
+      exchange->respond(200, {{"Keep-Alive", it.Field}}, "");
+    };
+    pair.Client.send(pair.Server.address(), {}, pair.hooks());
+    pair.runUntil([&] { return pair.HasEnded; });
+    BOOST_TEST(pair.Client.hasIdle(pair.Server.address()) == it.IsKept,
+               it.Field);
+    BOOST_TEST(pair.Client.counts().MalformedKeepAlives ==
+               (it.IsMalformed ? 1U : 0U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_call_is_answered_whole_and_its_connection_kept) {
   Pair pair;
   pair.Handle = [](const std::shared_ptr<HttpExchange> &it) {
