platform, sorrelbayd: Notice statements of upstreams of an unknown kind

What the daemon drops should show. Ruled out: a metric by header name, as a faulty upstream could make any number of them; logging each, as such a header comes with every response. Change: a header of a response that begins as the platform's statements do and is not known is an ignored statement of the kind `unknown`: counted always, logged once for each of at most 32 names. Named rate limits are counted as applied.

--- a/Libraries/LibServing/UpstreamStatement.cpp
+++ b/Libraries/LibServing/UpstreamStatement.cpp
@@ -10,6 +10,8 @@
     return "pause";
   case StatementKind::Leaving:
     return "leaving";
+  case StatementKind::Unknown:
+    return "unknown";
   }
   return "";
 }
@@ -26,6 +28,8 @@
     return "other_call";
   case IgnoredReason::EarlierProcess:
     return "earlier_process";
+  case IgnoredReason::UnknownKind:
+    return "unknown_kind";
   }
   return "";
 }
--- a/Libraries/LibServing/UpstreamStatement.h
+++ b/Libraries/LibServing/UpstreamStatement.h
@@ -13,6 +13,8 @@
   Pause,
   /// It is leaving and wants no new calls.
   Leaving,
+  /// A statement of a kind that this version does not know.
+  Unknown,
 };
 
 /// Why a statement of an upstream had no effect.
@@ -28,13 +30,15 @@
   OtherCall,
   /// An earlier process of the upstream made it.
   EarlierProcess,
+  /// This version does not know what it means.
+  UnknownKind,
 };
 
 /// A statement that had no effect.
 struct IgnoredStatement {
   StatementKind Kind = StatementKind::RateLimit;
   IgnoredReason Reason = IgnoredReason::Malformed;
-  /// The value as it was received.
+  /// The value as it was received; the name of an unknown statement.
   std::string Value;
 
   friend bool operator==(const IgnoredStatement &a, const IgnoredStatement &b) {
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -47,6 +47,8 @@
 /// Prompts whose prefill takes at least this long are reported to peers at
 /// once, so that they do not send other calls to the same engine.
 constexpr Duration LargePrompt = milliseconds(100);
+/// Names of unknown statements that are logged.
+constexpr std::size_t MaxUnknownStatements = 32;
 /// Characters of a header field's value that are logged.
 constexpr std::size_t MaxLoggedValue = 64;
 /// Margin before the end of the key removal bound.
@@ -439,9 +441,19 @@
         .field("id", Call.Id);
 }
 
+/// Whether no unknown statement of that name has been logged. Further names
+/// than MaxUnknownStatements are not.
+bool GatewayCall::isFirstOfItsName(const std::string &name) const {
+  return State.LoggedUnknownStatements.size() < MaxUnknownStatements &&
+         State.LoggedUnknownStatements.insert(name).second;
+}
+
 void GatewayCall::ignoreStatement(const IgnoredStatement &statement) {
   State.Counts.countUpstreamStatement(toText(statement.Kind),
                                       toText(statement.Reason));
+  if (statement.Kind == StatementKind::Unknown &&
+      !isFirstOfItsName(statement.Value))
+    return;
   if (State.StatementLogBudget.take(bootNow()))
     LogLine(Severity::Warning, "upstream statement ignored")
         .field("upstream", CurrentSend.Replica.text())
@@ -457,6 +469,9 @@
 void GatewayCall::noteRateLimit(const UpstreamReplyInfo &replyInfo) {
   if (!replyInfo.RateLimit && !isSuccess())
     return;
+  if (replyInfo.RateLimit)
+    State.Counts.countUpstreamStatement(toText(StatementKind::RateLimit),
+                                        "applied");
   const Instant now = bootNow();
   const RateLimitStatement statement{
       replyInfo.RateLimit, replyInfo.RateLimit ? now : CurrentSend.At};
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -71,6 +71,7 @@
   void noteRateLimit(const UpstreamReplyInfo &replyInfo);
   void notePause(Duration pause);
   void noteLeaving();
+  bool isFirstOfItsName(const std::string &name) const;
   void ignoreStatement(const IgnoredStatement &statement);
   Duration prefillTime(std::int64_t tokens) const;
   void noteDemand(std::int64_t tokensToPrefill, Instant now);
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -23,6 +23,8 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
+#include <string>
 
 namespace sorrelbay {
 
@@ -66,6 +68,9 @@
   LogRateLimiter FailureLogBudget{200};
   /// Log lines a second for statements of upstreams.
   LogRateLimiter StatementLogBudget{50};
+  /// Unknown statements of upstreams that have been logged. They may come with
+  /// each response.
+  std::set<std::string> LoggedUnknownStatements;
   /// When the stop was requested; empty while the host serves.
   std::optional<Instant> StoppingSince;
   Metrics Counts;
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -222,4 +222,22 @@
   }
 }
 
+// Upstreams begin to state something that this version does not know. Dropped
+// without a trace, it shows only when upstreams break down.
+BOOST_AUTO_TEST_CASE(unknown_statements_of_upstreams_are_noticed) {
+  const auto info = parseUpstreamReplyInfo({200,
+                                            {{"Server-Signature", "a"},
+                                             {"server-load", "1,2,3"},
+                                             {"Server-Limit", "2"},
+                                             {"Server-Leaving", "1"},
+                                             {"Server", "b"},
+                                             {"X-Server-Mood", "c"},
+                                             {"server-mood", "low"}},
+                                            {}});
+  BOOST_REQUIRE(info.Ignored.size() == 1U);
+  BOOST_TEST((info.Ignored.front() ==
+              IgnoredStatement{StatementKind::Unknown,
+                               IgnoredReason::UnknownKind, "server-mood"}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
