LibServing: Look at an upstream's process only when it changes

Ruled out: nothing was measured; the loops are gone, not shortened. Change: a process is noted when it is new or has changed, and dropped with its registration unless it has made statements; the periodic work goes through upstreams with statements only. Conclusion: no behaviour changes.

--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -29,14 +29,16 @@
   const Instant coldUntil = record.ColdDuration > Duration::zero()
                                 ? now + record.ColdDuration + ColdMargin
                                 : Instant{};
-  Statements.noteProcess(record.Id, record.StartedMs, startedAt, now);
   const auto found = Entries.find(record.Id);
+  const bool isKnownProcess =
+      found != Entries.end() &&
+      found->second.Record.StartedMs == record.StartedMs;
+  if (!isKnownProcess)
+    Statements.noteProcess(record.Id, record.StartedMs, startedAt, now);
   if (found != Entries.end()) {
-    const bool isNewIncarnation =
-        found->second.Record.StartedMs != record.StartedMs;
     found->second.Record = record;
     found->second.ColdUntil = coldUntil;
-    if (isNewIncarnation) {
+    if (!isKnownProcess) {
       // A new incarnation does not inherit the failures of the one before.
       found->second.FailureShare = 0;
       found->second.SendsSeen = 0;
@@ -63,6 +65,7 @@
   if (it == Entries.end())
     return;
   Models[it->second.Record.OfService].forget(id);
+  Statements.noteUnregistered(id);
   Entries.erase(it);
 }
 
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -211,17 +211,20 @@
   limit.Limiter.note(rateShare(id, limit, now), now);
 }
 
+void UpstreamStatements::noteUnregistered(const UpstreamId &id) {
+  if (ByUpstream.count(id) == 0)
+    Processes.erase(id);
+}
+
 void UpstreamStatements::forgetUnregistered(
     const std::function<bool(const UpstreamId &)> &isRegistered, Instant now) {
   for (auto it = ByUpstream.begin(); it != ByUpstream.end();) {
-    const bool isUsed =
-        isRegistered(it->first) || now - it->second.LastAt < Retention;
-    it = isUsed ? std::next(it) : ByUpstream.erase(it);
-  }
-  for (auto it = Processes.begin(); it != Processes.end();) {
-    const bool isUsed =
-        isRegistered(it->first) || ByUpstream.count(it->first) != 0;
-    it = isUsed ? std::next(it) : Processes.erase(it);
+    if (isRegistered(it->first) || now - it->second.LastAt < Retention) {
+      ++it;
+      continue;
+    }
+    Processes.erase(it->first);
+    it = ByUpstream.erase(it);
   }
 }
 
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -79,6 +79,9 @@
   /// Records that a call is sent to the upstream.
   void noteSent(const UpstreamId &id, Instant now);
 
+  /// The upstream is not registered any more. What it stated is kept for a
+  /// while.
+  void noteUnregistered(const UpstreamId &id);
   /// Drops what is known of upstreams that are not registered and have made no
   /// statement for a while.
   void forgetUnregistered(
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -280,7 +280,8 @@
           .field("cold_ms", toMilliseconds(record.ColdDuration))
           .field("revision", static_cast<std::int64_t>(object.Revision));
     std::optional<Instant> startedAt;
-    if (record.StartedMs != 0)
+    if (record.StartedMs != 0 &&
+        (!known || known->StartedMs != record.StartedMs))
       startedAt =
           State.Time.bootTimeOf(fromEpochMilliseconds(record.StartedMs));
     State.Replicas.note(record, bootNow(), startedAt);
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -702,12 +702,12 @@
 
 /// Ends the call because no upstream may take it.
 void GatewayCall::finishWithoutUpstream(Instant now) {
-  const Unavailability why =
-      State.Replicas.unavailability(replicaRequest(), now);
+  const ReplicaRequest request = replicaRequest();
+  const Unavailability why = State.Replicas.unavailability(request, now);
   // Upstreams that take fewer calls must not make the service look less busy.
   if (why.Cause == UnavailabilityCause::Paused ||
       why.Cause == UnavailabilityCause::Limited)
-    noteDemand(State.Replicas.expectedPrefill(replicaRequest(), now), now);
+    noteDemand(State.Replicas.expectedPrefill(request, now), now);
   finishLocally(causeOf(why.Cause), why.Wait);
 }
 
