Tests/LibServing: Share the hosts of simulated fleets

Ruled out: a base class for the simulations themselves, as their faults and checks differ. Change: SimulatedHost has the daemon's tables, the start of a process and the next report; the reports under way are taken out by one function. Checks, bounds, seeds and the order of draws stay.

--- a/Tests/LibServing/FleetSimulation.cpp
+++ b/Tests/LibServing/FleetSimulation.cpp
@@ -36,11 +36,7 @@
     : Plan(plan), Random(plan.Seed), Now(Start) {
   for (int n = 0; n < Plan.Hosts; ++n) {
     Host host;
-    host.Member.Host = HostId("h" + std::to_string(100 + n));
-    host.Member.Zone = ZoneId("z" + std::to_string(n % Plan.Zones));
-    host.Member.PeerAddress = host.Member.Host.text();
-    host.Member.IsReady = true;
-    host.Member.Capacity = n % 5 == 0 ? 2 : 1;
+    host.Member = simulatedMember(n, Plan.Zones);
     Registered.push_back(host.Member);
     Hosts.push_back(std::move(host));
   }
@@ -64,25 +60,7 @@
 
 /// Starts a new process without any state of the previous one.
 void FleetSimulation::startProcess(Host &host) {
-  host.IsDown = false;
-  host.ProcessStartedAt = Now;
-  host.Sequence = 0;
-  host.Incarnation =
-      IncarnationId(host.Member.Host.text() + "/" + std::to_string(Random()));
-  host.View = std::make_unique<FleetView>(
-      FleetViewSettings{host.Member.Host, host.Member.Zone, Now});
-  host.View->noteRegistered(Registered);
-  host.Replicas = std::make_unique<ReplicaTable>();
-  host.Demand = std::make_unique<EngineDemand>();
-  host.RateLimiters.clear();
-  host.Usage = std::make_unique<UsageCounts>(host.Incarnation, host.Member.Zone,
-                                             UsageWindow);
-  host.Time = std::make_unique<FleetClock>(Now, Now);
-  host.ReportMerger = std::make_unique<FleetReportMerger>(
-      *host.View,
-      FleetTables{*host.Replicas, *host.Demand, host.RateLimiters, *host.Usage,
-                  *host.Time},
-      Now);
+  host.startProcess(Registered, Random(), Now);
   host.Retries.reset();
   LeaderLeaseSettings lease;
   lease.Term = LeaseBound + seconds(1);
@@ -94,10 +72,6 @@
   host.Reach = StoreReachability();
 }
 
-bool FleetSimulation::isResponsive(const Host &host) const {
-  return !host.IsDown && Now >= host.FrozenUntil;
-}
-
 bool FleetSimulation::canReach(const Host &from, const Host &to) const {
   return Now >= from.CutFromPeersUntil && Now >= to.CutFromPeersUntil;
 }
@@ -180,19 +154,9 @@
   host.View->removeSilent(Now);
   host.ReportMerger->recount(host.Member, Now);
   host.ReportMerger->converge(Now);
-  FleetReport own;
-  own.Reporter = host.Member.Host;
-  own.Zone = host.Member.Zone;
-  own.Incarnation = host.Incarnation;
-  own.Sequence = ++host.Sequence;
-  own.Uptime = Now - host.ProcessStartedAt;
-  own.FleetTimeMs = toEpochMilliseconds(Now);
-  own.Members = {host.Member};
-  host.ReportMerger->fillOwnReport(own, Now);
-  host.View->noteOwn(own, Now);
+  const FleetReport own = host.nextReport(Now);
   enqueueMessage(index, host.View->reportPeers(host.Member, Now), own);
-  if (!host.View->isAggregatedByZone() ||
-      !host.View->aggregates(host.Member, Now))
+  if (!host.sendsSums(Now))
     return;
   FleetReport zone = host.View->zoneReport(own, Now);
   FleetReport others = host.View->othersReport(own, Now);
@@ -205,17 +169,8 @@
 }
 
 void FleetSimulation::deliver() {
-  std::vector<Message> due;
-  const auto isDue = [&](const Message &it) {
-    return it.At <= Now && Now >= Hosts[it.To].FrozenUntil;
-  };
-  const auto middle =
-      std::stable_partition(InFlightMessages.begin(), InFlightMessages.end(),
-                            [&](const Message &it) { return !isDue(it); });
-  due.assign(std::make_move_iterator(middle),
-             std::make_move_iterator(InFlightMessages.end()));
-  InFlightMessages.erase(middle, InFlightMessages.end());
-  for (const Message &it : due) {
+  for (const SimulatedMessage &it :
+       takeDueMessages(InFlightMessages, Hosts, Now)) {
     Host &host = Hosts[it.To];
     FleetReport report = it.Report;
     if (Plan.Without == FleetOmission::PeerUsageReports)
@@ -228,7 +183,7 @@
 /// One call: its units, and a retry if the first send fails.
 void FleetSimulation::call() {
   Host &host = Hosts[drawHost()];
-  if (!isResponsive(host))
+  if (!host.isResponsive(Now))
     return;
   const auto units =
       static_cast<std::int64_t>(1 + draw() * static_cast<double>(MaxCallUnits));
@@ -353,7 +308,7 @@
   const auto started = static_cast<double>(startedCalls->second);
   const bool isCalm = LastFaultAt < end - UsageWindow;
   for (const Host &it : Hosts) {
-    if (!isResponsive(it))
+    if (!it.isResponsive(Now))
       continue;
     const auto known = static_cast<double>(it.Usage->sum(window)[Team]);
     if (known > started)
@@ -380,7 +335,7 @@
       call();
     const bool isReport = Now - reportedAt >= ReportEvery;
     for (Host &it : Hosts) {
-      if (!isResponsive(it))
+      if (!it.isResponsive(Now))
         continue;
       exerciseDuty(it);
       if (!isReport)
--- a/Tests/LibServing/FleetSimulation.h
+++ b/Tests/LibServing/FleetSimulation.h
@@ -2,9 +2,9 @@
 
 #include "LibDecision/LeaderLease.h"
 #include "LibDecision/RetryBudget.h"
-#include "LibServing/FleetReportMerger.h"
 #include "LibServing/RetryBudgetShare.h"
 #include "LibServing/StoreReachability.h"
+#include "SimulatedHost.h"
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -66,37 +66,15 @@
   double maxWindowUse() const { return MaxWindowUse; }
 
 private:
-  struct Host {
-    FleetMember Member;
-    IncarnationId Incarnation;
-    Instant ProcessStartedAt{};
-    bool IsDown = false;
-    Instant RestartAt{};
-    /// Until then the host is frozen: it neither runs nor receives reports.
-    Instant FrozenUntil{};
+  struct Host : SimulatedHost {
     Instant CutFromPeersUntil{};
     Instant CutFromStoreUntil{};
-    std::uint64_t Sequence = 0;
-    std::unique_ptr<FleetView> View;
-    std::unique_ptr<ReplicaTable> Replicas;
-    std::unique_ptr<EngineDemand> Demand;
-    std::map<TeamId, TeamRateLimiter> RateLimiters;
-    std::unique_ptr<UsageCounts> Usage;
-    std::unique_ptr<FleetClock> Time;
-    std::unique_ptr<FleetReportMerger> ReportMerger;
     std::unique_ptr<RetryBudget> Retries;
     std::unique_ptr<LeaderLease> Lease;
     bool WasHeld = false;
     StoreReachability Reach;
   };
-  struct Message {
-    Instant At{};
-    std::size_t To = 0;
-    FleetReport Report;
-  };
-
   void startProcess(Host &host);
-  bool isResponsive(const Host &host) const;
   bool canReach(const Host &from, const Host &to) const;
   void injectFault();
   void startStorm();
@@ -121,7 +99,7 @@
   std::mt19937_64 Random;
   std::vector<Host> Hosts;
   std::vector<FleetMember> Registered;
-  std::vector<Message> InFlightMessages;
+  std::vector<SimulatedMessage> InFlightMessages;
   Instant Start{seconds(5000)};
   Instant Now;
   Instant LastFaultAt{};
--- a/Tests/LibServing/RateLimitSimulation.cpp
+++ b/Tests/LibServing/RateLimitSimulation.cpp
@@ -40,11 +40,7 @@
   }
   for (int n = 0; n < Plan.Hosts; ++n) {
     Host host;
-    host.Member.Host = HostId("h" + std::to_string(100 + n));
-    host.Member.Zone = ZoneId("z" + std::to_string(n % Plan.Zones));
-    host.Member.PeerAddress = host.Member.Host.text();
-    host.Member.IsReady = true;
-    host.Member.Capacity = n % 5 == 0 ? 2 : 1;
+    host.Member = simulatedMember(n, Plan.Zones);
     if (Plan.Without != RateLimitOmission::Division)
       Registered.push_back(host.Member);
     Hosts.push_back(std::move(host));
@@ -59,32 +55,10 @@
 
 /// Starts a new process without any state of the previous one.
 void RateLimitSimulation::startProcess(Host &host) {
-  host.IsDown = false;
-  host.ProcessStartedAt = Now;
-  host.Sequence = 0;
+  host.startProcess(Registered, Random(), Now);
   host.PassedOnAt.clear();
-  host.Incarnation =
-      IncarnationId(host.Member.Host.text() + "/" + std::to_string(Random()));
-  host.View = std::make_unique<FleetView>(
-      FleetViewSettings{host.Member.Host, host.Member.Zone, Now});
-  host.View->noteRegistered(Registered);
-  host.Replicas = std::make_unique<ReplicaTable>();
   for (const Upstream &it : Upstreams)
     host.Replicas->note(it.Record, Now);
-  host.Demand = std::make_unique<EngineDemand>();
-  host.RateLimiters.clear();
-  host.Usage = std::make_unique<UsageCounts>(host.Incarnation, host.Member.Zone,
-                                             seconds(5));
-  host.Time = std::make_unique<FleetClock>(Now, Now);
-  host.ReportMerger = std::make_unique<FleetReportMerger>(
-      *host.View,
-      FleetTables{*host.Replicas, *host.Demand, host.RateLimiters, *host.Usage,
-                  *host.Time},
-      Now);
-}
-
-bool RateLimitSimulation::isResponsive(const Host &host) const {
-  return !host.IsDown && Now >= host.FrozenUntil;
 }
 
 /// Injects a fault about once in two seconds.
@@ -151,7 +125,7 @@
     const auto from =
         static_cast<std::size_t>(draw() * static_cast<double>(Hosts.size()));
     Host &host = Hosts[from];
-    if (!isResponsive(host))
+    if (!host.isResponsive(Now))
       continue;
     ReplicaRequest request;
     request.ForService = Service;
@@ -243,20 +217,9 @@
   const auto index = static_cast<std::size_t>(&host - Hosts.data());
   host.View->removeSilent(Now);
   host.ReportMerger->recount(host.Member, Now);
-  FleetReport own;
-  own.Reporter = host.Member.Host;
-  own.Zone = host.Member.Zone;
-  own.Incarnation = host.Incarnation;
-  own.Sequence = ++host.Sequence;
-  own.Uptime = Now - host.ProcessStartedAt;
-  own.SentAt = Now.time_since_epoch().count();
-  own.FleetTimeMs = toEpochMilliseconds(Now);
-  own.Members = {host.Member};
-  host.ReportMerger->fillOwnReport(own, Now);
-  host.View->noteOwn(own, Now);
+  const FleetReport own = host.nextReport(Now);
   enqueueMessage(index, host.View->reportPeers(host.Member, Now), own);
-  if (!host.View->isAggregatedByZone() ||
-      !host.View->aggregates(host.Member, Now))
+  if (!host.sendsSums(Now))
     return;
   const FleetReport zone = host.View->zoneReport(own, Now);
   enqueueMessage(index, host.View->otherAggregators(Now), zone);
@@ -267,17 +230,8 @@
 }
 
 void RateLimitSimulation::deliver() {
-  const auto isDue = [&](const Message &it) {
-    return it.At <= Now && Now >= Hosts[it.To].FrozenUntil;
-  };
-  const auto middle =
-      std::stable_partition(InFlightMessages.begin(), InFlightMessages.end(),
-                            [&](const Message &it) { return !isDue(it); });
-  const std::vector<Message> due(
-      std::make_move_iterator(middle),
-      std::make_move_iterator(InFlightMessages.end()));
-  InFlightMessages.erase(middle, InFlightMessages.end());
-  for (const Message &it : due) {
+  for (const SimulatedMessage &it :
+       takeDueMessages(InFlightMessages, Hosts, Now)) {
     Host &host = Hosts[it.To];
     if (!host.IsDown && host.View->receive(it.Report, Now))
       host.ReportMerger->take(it.Report, host.Member, Now);
@@ -338,7 +292,7 @@
     for (std::size_t n = 0; n < Hosts.size(); ++n) {
       // Hosts report at different times.
       const Duration phase = Tick * ((n * 7) % (ReportEvery / Tick));
-      if (isResponsive(Hosts[n]) &&
+      if (Hosts[n].isResponsive(Now) &&
           (Now - Start + phase) % ReportEvery == Duration::zero())
         sendReports(Hosts[n]);
     }
--- a/Tests/LibServing/RateLimitSimulation.h
+++ b/Tests/LibServing/RateLimitSimulation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibServing/FleetReportMerger.h"
+#include "SimulatedHost.h"
 #include <deque>
 #include <map>
 #include <memory>
@@ -55,24 +55,10 @@
   int statements() const { return Statements; }
 
 private:
-  struct Host {
-    FleetMember Member;
-    IncarnationId Incarnation;
-    Instant ProcessStartedAt{};
-    bool IsDown = false;
-    Instant RestartAt{};
-    Instant FrozenUntil{};
+  struct Host : SimulatedHost {
     Instant CutUntil{};
     /// Until then the rule does not hold for the host.
     Instant ExcusedUntil{};
-    std::uint64_t Sequence = 0;
-    std::unique_ptr<FleetView> View;
-    std::unique_ptr<ReplicaTable> Replicas;
-    std::unique_ptr<EngineDemand> Demand;
-    std::map<TeamId, TeamRateLimiter> RateLimiters;
-    std::unique_ptr<UsageCounts> Usage;
-    std::unique_ptr<FleetClock> Time;
-    std::unique_ptr<FleetReportMerger> ReportMerger;
     /// When the host first passed on a response that named a limit, by
     /// upstream; erased when the limit ends.
     std::map<UpstreamId, Instant> PassedOnAt;
@@ -89,13 +75,7 @@
     /// The limit at each step of the last window.
     std::deque<std::pair<Instant, double>> Limits;
   };
-  /// A report under way to a host, or a call under way to an upstream and its
-  /// response on the way back.
-  struct Message {
-    Instant At{};
-    std::size_t To = 0;
-    FleetReport Report;
-  };
+  /// A call under way to an upstream, or its response on the way back.
   struct Call {
     Instant ArrivesAt{};
     Instant AnsweredAt{};
@@ -108,7 +88,6 @@
   };
 
   void startProcess(Host &host);
-  bool isResponsive(const Host &host) const;
   void injectFault();
   void changeLimits();
   void forgetLimit(Upstream &upstream);
@@ -128,7 +107,7 @@
   std::vector<Host> Hosts;
   std::vector<Upstream> Upstreams;
   std::vector<FleetMember> Registered;
-  std::vector<Message> InFlightMessages;
+  std::vector<SimulatedMessage> InFlightMessages;
   std::vector<Call> Calls;
   Instant Start{seconds(5000)};
   Instant Now;
--- /dev/null
+++ b/Tests/LibServing/SimulatedHost.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "LibServing/FleetReportMerger.h"
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <vector>
+
+namespace sorrelbay {
+
+/// A host of a simulated fleet with the daemon's tables that reports of other
+/// hosts are merged into. Simulations derive their hosts from it.
+struct SimulatedHost {
+  FleetMember Member;
+  IncarnationId Incarnation;
+  Instant ProcessStartedAt{};
+  bool IsDown = false;
+  Instant RestartAt{};
+  /// Until then the host is frozen: it neither runs nor receives reports.
+  Instant FrozenUntil{};
+  std::uint64_t Sequence = 0;
+  std::unique_ptr<FleetView> View;
+  std::unique_ptr<ReplicaTable> Replicas;
+  std::unique_ptr<EngineDemand> Demand;
+  std::map<TeamId, TeamRateLimiter> RateLimiters;
+  std::unique_ptr<UsageCounts> Usage;
+  std::unique_ptr<FleetClock> Time;
+  std::unique_ptr<FleetReportMerger> ReportMerger;
+
+  /// Starts a new process without any state of the previous one. The number
+  /// distinguishes its incarnation from others.
+  void startProcess(const std::vector<FleetMember> &registered,
+                    std::uint64_t number, Instant now);
+  bool isResponsive(Instant now) const { return !IsDown && now >= FrozenUntil; }
+  /// The next report about this host, which its view has noted.
+  FleetReport nextReport(Instant now);
+  /// Whether the host sends the sums over its zone and over the others.
+  bool sendsSums(Instant now) const;
+};
+
+/// The fleet's host of that number. Each fifth one has two cores, the others
+/// have one.
+FleetMember simulatedMember(int number, int zones);
+
+/// A report under way to a host.
+struct SimulatedMessage {
+  Instant At{};
+  std::size_t To = 0;
+  FleetReport Report;
+};
+
+/// Removes the messages that are due and whose receivers are not frozen, and
+/// returns them in the order in which they were sent.
+template <typename Host>
+std::vector<SimulatedMessage>
+takeDueMessages(std::vector<SimulatedMessage> &messages,
+                const std::vector<Host> &hosts, Instant now) {
+  std::vector<SimulatedMessage> due;
+  std::vector<SimulatedMessage> later;
+  for (SimulatedMessage &it : messages) {
+    const bool isDue = it.At <= now && now >= hosts[it.To].FrozenUntil;
+    (isDue ? due : later).push_back(std::move(it));
+  }
+  messages = std::move(later);
+  return due;
+}
+
+} // namespace sorrelbay
