sorrelbayd: Apply the statements of a response in a unit of its own

Cause: GatewayCall.cpp had grown by 90 lines for what a response states about its upstream, which does not belong to a call's life. Ruled out: nothing; a move of code. Change: ResponseStatements applies, counts and logs the statements of one response. Conclusion: no behaviour changes.

--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -5,6 +5,7 @@
 #include "LibHttp/TimerExpiry.h"
 #include "LibServing/Allotment.h"
 #include "LibServing/StopPolicy.h"
+#include "ResponseStatements.h"
 #include <algorithm>
 
 namespace sorrelbay {
@@ -47,10 +48,6 @@
 /// Prompts whose prefill takes at least this long are reported to peers at
 /// once, so that they do not send other calls to the same engine.
 constexpr Duration LargePrompt = milliseconds(100);
-/// Names of unknown statements that are logged.
-constexpr std::size_t MaxUnknownStatements = 32;
-/// Characters of a header field's value that are logged.
-constexpr std::size_t MaxLoggedValue = 64;
 /// Margin before the end of the key removal bound.
 constexpr Duration KeyRemovalMargin = milliseconds(100);
 
@@ -342,7 +339,7 @@
     const bool isForThisCall =
         replyInfo.Id.empty() || replyInfo.Id == self->Call.Id;
     if (!isForThisCall)
-      self->noteStatements(replyInfo, false);
+      self->noteStatements(replyInfo, false, false);
     return isForThisCall;
   };
   hooks.OnSending = [self] { return self->onSending(); };
@@ -382,7 +379,7 @@
   const UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
   CurrentSend.DidNotRun = replyInfo.DidNotRun;
   const bool hasCallId = !replyInfo.Id.empty() || Call.Id.empty();
-  noteStatements(replyInfo, hasCallId);
+  noteStatements(replyInfo, isSuccess(), hasCallId);
   // A successful response without an id may belong to any call.
   if (isSuccess() && !hasCallId) {
     Handle->cancel();
@@ -393,98 +390,12 @@
   CurrentSend.IsDiscarded = CurrentSend.DidNotRun || (HasBegun && !isSuccess());
 }
 
-/// Records what the upstream states about itself in the response. A response to
-/// an earlier call on the connection may be too old to tell the present rate
-/// limit; a pause that it asks for can only be counted as too long, and an
-/// upstream that was leaving then still is.
+/// Records what the upstream states about itself in the response.
 void GatewayCall::noteStatements(const UpstreamReplyInfo &replyInfo,
-                                 bool isForThisCall) {
-  if (isForThisCall)
-    noteRateLimit(replyInfo);
-  else if (replyInfo.RateLimit)
-    ignoreStatement({StatementKind::RateLimit, IgnoredReason::OtherCall,
-                     std::to_string(*replyInfo.RateLimit)});
-  if (replyInfo.Pause)
-    notePause(*replyInfo.Pause);
-  if (replyInfo.IsLeaving)
-    noteLeaving();
-  for (const IgnoredStatement &it : replyInfo.Ignored)
-    ignoreStatement(it);
-}
-
-void GatewayCall::notePause(Duration pause) {
-  const Instant now = bootNow();
-  if (!State.Replicas.statements().notePause(CurrentSend.Replica,
-                                             {CurrentSend.SentAt, now, pause}))
-    return ignoreStatement({StatementKind::Pause, IgnoredReason::EarlierProcess,
-                            std::to_string(toSeconds(pause))});
-  State.Counts.countUpstreamStatement(toText(StatementKind::Pause), "applied");
-  if (State.StatementLogBudget.take(now))
-    LogLine(Severity::Info, "upstream asks for a pause")
-        .field("upstream", CurrentSend.Replica.text())
-        .field("id", Call.Id)
-        .field("pause_ms", toMilliseconds(pause));
-}
-
-void GatewayCall::noteLeaving() {
-  const Instant now = bootNow();
-  UpstreamStatements &statements = State.Replicas.statements();
-  const bool isKnown = statements.isLeaving(CurrentSend.Replica);
-  if (!statements.noteLeaving(CurrentSend.Replica, CurrentSend.SentAt, now))
-    return ignoreStatement(
-        {StatementKind::Leaving, IgnoredReason::EarlierProcess, ""});
-  State.Counts.countUpstreamStatement(toText(StatementKind::Leaving),
-                                      "applied");
-  if (!isKnown)
-    LogLine(Severity::Info, "upstream states that it leaves")
-        .field("upstream", CurrentSend.Replica.text())
-        .field("id", Call.Id);
-}
-
-/// Whether no unknown statement of that name has been logged. Further names
-/// than MaxUnknownStatements are not.
-bool GatewayCall::isFirstOfItsName(const std::string &name) const {
-  return State.LoggedUnknownStatements.size() < MaxUnknownStatements &&
-         State.LoggedUnknownStatements.insert(name).second;
-}
-
-void GatewayCall::ignoreStatement(const IgnoredStatement &statement) {
-  State.Counts.countUpstreamStatement(toText(statement.Kind),
-                                      toText(statement.Reason));
-  if (statement.Kind == StatementKind::Unknown &&
-      !isFirstOfItsName(statement.Value))
-    return;
-  if (State.StatementLogBudget.take(bootNow()))
-    LogLine(Severity::Warning, "upstream statement ignored")
-        .field("upstream", CurrentSend.Replica.text())
-        .field("id", Call.Id)
-        .field("statement", toText(statement.Kind))
-        .field("why", toText(statement.Reason))
-        .field("value", statement.Value.substr(0, MaxLoggedValue));
-}
-
-/// Records the rate limit that the response names. Only a successful response
-/// without one ends a limit; it describes the upstream at some time after the
-/// call was sent.
-void GatewayCall::noteRateLimit(const UpstreamReplyInfo &replyInfo) {
-  if (!replyInfo.RateLimit && !isSuccess())
-    return;
-  if (replyInfo.RateLimit)
-    State.Counts.countUpstreamStatement(toText(StatementKind::RateLimit),
-                                        "applied");
-  const Instant now = bootNow();
-  const RateLimitStatement statement{
-      replyInfo.RateLimit, replyInfo.RateLimit ? now : CurrentSend.At};
-  if (!State.Replicas.statements().noteRateLimit(CurrentSend.Replica,
-                                                 statement))
-    return;
-  State.NotifyPeers();
-  LogLine line(Severity::Info, replyInfo.RateLimit
-                                   ? "upstream names a rate limit"
-                                   : "upstream rate limit over");
-  line.field("upstream", CurrentSend.Replica.text()).field("id", Call.Id);
-  if (replyInfo.RateLimit)
-    line.field("per_second", *replyInfo.RateLimit);
+                                 bool isSuccessful, bool isForThisCall) {
+  ResponseStatements(State, {CurrentSend.Replica, Call.Id, CurrentSend.At,
+                             CurrentSend.SentAt, isSuccessful, isForThisCall})
+      .apply(replyInfo);
 }
 
 void GatewayCall::noteCallStarted() {
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -67,12 +67,8 @@
   std::optional<ReplicaChoice> chooseUpstream(Instant now);
   bool exceedsFirstTokenLimit(const ReplicaChoice &choice) const;
   void noteFirstByte();
-  void noteStatements(const UpstreamReplyInfo &replyInfo, bool isForThisCall);
-  void noteRateLimit(const UpstreamReplyInfo &replyInfo);
-  void notePause(Duration pause);
-  void noteLeaving();
-  bool isFirstOfItsName(const std::string &name) const;
-  void ignoreStatement(const IgnoredStatement &statement);
+  void noteStatements(const UpstreamReplyInfo &replyInfo, bool isSuccessful,
+                      bool isForThisCall);
   Duration prefillTime(std::int64_t tokens) const;
   void noteDemand(std::int64_t tokensToPrefill, Instant now);
   bool hasConnectionCapacity(const std::string &address) const;
--- /dev/null
+++ b/Services/sorrelbayd/ResponseStatements.cpp
@@ -0,0 +1,100 @@
+#include "ResponseStatements.h"
+#include "LibBase/BootClock.h"
+#include "LibBase/LogLine.h"
+
+namespace sorrelbay {
+
+/// Names of unknown statements that are logged.
+static constexpr std::size_t MaxUnknownStatements = 32;
+/// Characters of a header field's value that are logged.
+static constexpr std::size_t MaxLoggedValue = 64;
+static constexpr const char *Applied = "applied";
+
+/// A response to an earlier call on the connection may be too old to tell the
+/// present rate limit. A pause that it asks for can only be counted as too
+/// long, and an upstream that was leaving then still is.
+void ResponseStatements::apply(const UpstreamReplyInfo &replyInfo) {
+  if (Source.IsForThisCall)
+    applyRateLimit(replyInfo.RateLimit);
+  else if (replyInfo.RateLimit)
+    ignore({StatementKind::RateLimit, IgnoredReason::OtherCall,
+            std::to_string(*replyInfo.RateLimit)});
+  if (replyInfo.Pause)
+    applyPause(*replyInfo.Pause);
+  if (replyInfo.IsLeaving)
+    applyLeaving();
+  for (const IgnoredStatement &it : replyInfo.Ignored)
+    ignore(it);
+}
+
+/// Only a successful response without a limit ends one; it describes the
+/// upstream at some time after the call was sent.
+void ResponseStatements::applyRateLimit(
+    const std::optional<double> &perSecond) {
+  if (!perSecond && !Source.IsSuccess)
+    return;
+  if (perSecond)
+    State.Counts.countUpstreamStatement(toText(StatementKind::RateLimit),
+                                        Applied);
+  const Instant now = bootNow();
+  const RateLimitStatement statement{perSecond,
+                                     perSecond ? now : Source.ChosenAt};
+  if (!State.Replicas.statements().noteRateLimit(Source.Upstream, statement))
+    return;
+  State.NotifyPeers();
+  LogLine line(Severity::Info, perSecond ? "upstream names a rate limit"
+                                         : "upstream rate limit over");
+  line.field("upstream", Source.Upstream.text()).field("id", Source.CallId);
+  if (perSecond)
+    line.field("per_second", *perSecond);
+}
+
+void ResponseStatements::applyPause(Duration pause) {
+  const Instant now = bootNow();
+  if (!State.Replicas.statements().notePause(Source.Upstream,
+                                             {Source.SentAt, now, pause}))
+    return ignore({StatementKind::Pause, IgnoredReason::EarlierProcess,
+                   std::to_string(toSeconds(pause))});
+  State.Counts.countUpstreamStatement(toText(StatementKind::Pause), Applied);
+  if (State.StatementLogBudget.take(now))
+    LogLine(Severity::Info, "upstream asks for a pause")
+        .field("upstream", Source.Upstream.text())
+        .field("id", Source.CallId)
+        .field("pause_ms", toMilliseconds(pause));
+}
+
+void ResponseStatements::applyLeaving() {
+  UpstreamStatements &statements = State.Replicas.statements();
+  const bool isKnown = statements.isLeaving(Source.Upstream);
+  if (!statements.noteLeaving(Source.Upstream, Source.SentAt, bootNow()))
+    return ignore({StatementKind::Leaving, IgnoredReason::EarlierProcess, ""});
+  State.Counts.countUpstreamStatement(toText(StatementKind::Leaving), Applied);
+  if (!isKnown)
+    LogLine(Severity::Info, "upstream states that it leaves")
+        .field("upstream", Source.Upstream.text())
+        .field("id", Source.CallId);
+}
+
+/// Whether no unknown statement of that name has been logged. Further names
+/// than MaxUnknownStatements are not.
+bool ResponseStatements::isFirstOfItsName(const std::string &name) const {
+  return State.LoggedUnknownStatements.size() < MaxUnknownStatements &&
+         State.LoggedUnknownStatements.insert(name).second;
+}
+
+void ResponseStatements::ignore(const IgnoredStatement &statement) {
+  State.Counts.countUpstreamStatement(toText(statement.Kind),
+                                      toText(statement.Reason));
+  if (statement.Kind == StatementKind::Unknown &&
+      !isFirstOfItsName(statement.Value))
+    return;
+  if (State.StatementLogBudget.take(bootNow()))
+    LogLine(Severity::Warning, "upstream statement ignored")
+        .field("upstream", Source.Upstream.text())
+        .field("id", Source.CallId)
+        .field("statement", toText(statement.Kind))
+        .field("why", toText(statement.Reason))
+        .field("value", statement.Value.substr(0, MaxLoggedValue));
+}
+
+} // namespace sorrelbay
