sorrelbayd: Take no retry for a call that nothing can be sent to

A rejected call took a retry out of the service's budget before an upstream was looked for. While all upstreams are paused, each rejection used up a retry without a repeat, so that calls which could be repeated afterwards were refused. Ruled out: giving the retry back, as a withdrawn send would have to give it back, too. Change: if no upstream that fits takes calls at the moment, the call is refused without a retry, with the shortest wait. Conclusion: the budget pays for repeats only.

--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -592,12 +592,13 @@
 void GatewayCall::retryOrFinish(const char *cause) {
   Body.clear();
   const Instant now = bootNow();
+  const Duration wait =
+      State.Replicas.unavailability(replicaRequest(), now).Wait;
   const bool canRetry =
       HasBegun ? RetryState->canResume(now) : RetryState->canSend(now);
-  if (canRetry && takeRetryFromBudget())
+  if (canRetry && wait == Duration::zero() && takeRetryFromBudget())
     return trySend();
-  finishLocally(cause,
-                State.Replicas.unavailability(replicaRequest(), now).Wait);
+  finishLocally(cause, wait);
 }
 
 void GatewayCall::onCallerDisconnected() {
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -174,6 +174,33 @@
   }
 }
 
+// A call is rejected, and all upstreams have asked for a pause: there is
+// nothing to send it to. If it used up a retry all the same, the next call that
+// could be repeated would fail.
+BOOST_AUTO_TEST_CASE(a_call_without_an_upstream_to_repeat_it_takes_no_retry) {
+  GatewayFixture fixture;
+  fixture.callUntil(200, "key", "/s/1");
+  std::atomic<bool> wasRejected{false};
+  fixture.Upstream = [&](const std::shared_ptr<HttpExchange> &it) {
+    const HttpHeaders id = {
+        {"X-Call", headerValue(it->request().Headers, "X-Call")}};
+    const std::string replica = headerValue(it->request().Headers, "X-Replica");
+    if (replica == "r1")
+      return rejectAndAskForPause(it, "60");
+    if (replica != "r2")
+      return it->respond(200, id, "");
+    wasRejected = true;
+    it->respond(503, {id.front(), {"X-Not-Run", "1"}}, "");
+  };
+  BOOST_TEST(fixture.call("key", "/s/1").Status == 503);
+  fixture.addReplica("r2");
+  fixture.addReplica("r3");
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+  for (int n = 0; n < 100 && !wasRejected; ++n)
+    BOOST_TEST(fixture.call("key", "/s/1").Status == 200);
+  BOOST_TEST(wasRejected);
+}
+
 // While all upstreams ask for a pause, calls are refused here. A service that
 // looked less busy for it would get fewer replicas when it needs more.
 BOOST_AUTO_TEST_CASE(calls_refused_during_a_pause_count_as_demand) {
