Tests: Use the project's words for pauses

Cause: read-through; a constant and a comment of the tests of pauses used the users' wording. Ruled out: nothing. Change: names and a comment only. Before and after: upstream_statements/* green. Conclusion: no check changes.

--- a/Tests/LibServing/TestUpstreamStatements.cpp
+++ b/Tests/LibServing/TestUpstreamStatements.cpp
@@ -8,7 +8,7 @@
 
 const HostId Self("self");
 const ServiceId Service("service");
-const UpstreamId Resting("resting");
+const UpstreamId Paused("paused");
 const UpstreamId Other("other");
 const Instant Begin{seconds(1000)};
 
@@ -25,9 +25,9 @@
 /// the response to a call that was sent 10 ms before.
 ReplicaTable tableWithPause() {
   ReplicaTable table;
-  table.note(record(Resting), Begin - seconds(10));
+  table.note(record(Paused), Begin - seconds(10));
   table.statements().setServingHosts(Self, {Self});
-  table.statements().notePause(Resting,
+  table.statements().notePause(Paused,
                                {Begin - milliseconds(10), Begin, seconds(3)});
   return table;
 }
@@ -75,7 +75,7 @@
     ReplicaTable table = tableWithPause();
     const Instant at = Begin + milliseconds(it.AtMs);
     table.statements().notePause(
-        Resting, {at - milliseconds(5), at, milliseconds(it.LengthMs)});
+        Paused, {at - milliseconds(5), at, milliseconds(it.LengthMs)});
     const Instant end = Begin + milliseconds(it.EndsAtMs);
     BOOST_TEST(!getsCalls(table, end - milliseconds(1)));
     BOOST_TEST(getsCalls(table, end));
@@ -85,7 +85,7 @@
 // A wrong value must not keep the upstream without calls for good.
 BOOST_AUTO_TEST_CASE(a_pause_without_a_sensible_end_is_cut) {
   ReplicaTable table = tableWithPause();
-  table.statements().notePause(Resting, {Begin, Begin, hours(200000)});
+  table.statements().notePause(Paused, {Begin, Begin, hours(200000)});
   BOOST_TEST(!getsCalls(table, Begin + minutes(59)));
   BOOST_TEST(getsCalls(table, Begin + hours(1)));
 }
@@ -146,26 +146,26 @@
 // upstream as ready. Neither says anything of the pause.
 BOOST_AUTO_TEST_CASE(views_of_the_store_do_not_end_a_pause) {
   ReplicaTable table = tableWithPause();
-  table.note(record(Resting), Begin + milliseconds(100));
+  table.note(record(Paused), Begin + milliseconds(100));
   BOOST_TEST(!getsCalls(table, Begin + milliseconds(200)));
-  table.remove(Resting);
+  table.remove(Paused);
   table.forgetOldStatements(Begin + milliseconds(300));
-  table.note(record(Resting), Begin + seconds(1));
+  table.note(record(Paused), Begin + seconds(1));
   BOOST_TEST(!getsCalls(table, Begin + seconds(2)));
 }
 
 BOOST_AUTO_TEST_CASE(a_new_process_of_the_upstream_is_not_paused) {
   ReplicaTable table = tableWithPause();
   const Instant restarted = Begin + seconds(1);
-  table.note(record(Resting, 2), restarted);
+  table.note(record(Paused, 2), restarted);
   BOOST_TEST(getsCalls(table, restarted));
   // The response of the earlier process arrives late.
   BOOST_TEST(!table.statements().notePause(
-      Resting, {Begin, restarted + milliseconds(50), seconds(3)}));
+      Paused, {Begin, restarted + milliseconds(50), seconds(3)}));
   BOOST_TEST(getsCalls(table, restarted + milliseconds(100)));
-  BOOST_TEST(table.statements().notePause(
-      Resting, {restarted + milliseconds(50), restarted + milliseconds(60),
-                seconds(3)}));
+  BOOST_TEST(table.statements().notePause(Paused, {restarted + milliseconds(50),
+                                                   restarted + milliseconds(60),
+                                                   seconds(3)}));
   BOOST_TEST(!getsCalls(table, restarted + milliseconds(100)));
 }
 
@@ -174,34 +174,33 @@
 BOOST_AUTO_TEST_CASE(a_pause_of_a_process_that_is_registered_later_stays) {
   ReplicaTable table = tableWithPause();
   const Instant known = Begin + seconds(1);
-  table.note(record(Resting, 2), known, Begin - milliseconds(800));
+  table.note(record(Paused, 2), known, Begin - milliseconds(800));
   BOOST_TEST(!getsCalls(table, known));
   BOOST_TEST(getsCalls(table, Begin + seconds(3)));
   ReplicaTable another = tableWithPause();
-  another.note(record(Resting, 2), known, Begin + milliseconds(800));
+  another.note(record(Paused, 2), known, Begin + milliseconds(800));
   BOOST_TEST(getsCalls(another, known));
 }
 
 // The store still shows the upstream as ready, or its registration lapses.
 BOOST_AUTO_TEST_CASE(a_stated_leaving_holds_for_the_process) {
   ReplicaTable table;
-  table.note(record(Resting), Begin - seconds(10));
+  table.note(record(Paused), Begin - seconds(10));
   BOOST_TEST(table.ready(Service) == 1);
-  BOOST_TEST(
-      table.statements().noteLeaving(Resting, Begin - seconds(1), Begin));
+  BOOST_TEST(table.statements().noteLeaving(Paused, Begin - seconds(1), Begin));
   BOOST_TEST(!getsCalls(table, Begin));
-  BOOST_TEST(!table.maySend(Resting, Begin));
+  BOOST_TEST(!table.maySend(Paused, Begin));
   BOOST_TEST(table.ready(Service) == 0);
   BOOST_TEST(table.records().front().IsLeaving);
-  table.note(record(Resting), Begin + seconds(1));
-  table.remove(Resting);
+  table.note(record(Paused), Begin + seconds(1));
+  table.remove(Paused);
   table.forgetOldStatements(Begin + minutes(1));
-  table.note(record(Resting), Begin + minutes(2));
+  table.note(record(Paused), Begin + minutes(2));
   BOOST_TEST(!getsCalls(table, Begin + minutes(2)));
   const Instant restarted = Begin + minutes(3);
-  table.note(record(Resting, 2), restarted);
+  table.note(record(Paused, 2), restarted);
   BOOST_TEST(getsCalls(table, restarted));
-  BOOST_TEST(!table.statements().noteLeaving(Resting, Begin, restarted));
+  BOOST_TEST(!table.statements().noteLeaving(Paused, Begin, restarted));
   BOOST_TEST(getsCalls(table, restarted));
 }
 
@@ -209,13 +208,13 @@
 // fallback to ejected ones must not reach it.
 BOOST_AUTO_TEST_CASE(no_fallback_reaches_an_upstream_that_stated_its_leaving) {
   ReplicaTable table;
-  table.note(record(Resting), Begin);
+  table.note(record(Paused), Begin);
   ReplicaRecord other = record(Other);
   other.IsLeaving = true;
   table.note(other, Begin);
-  const Instant now = eject(table, Resting, Begin);
+  const Instant now = eject(table, Paused, Begin);
   BOOST_TEST(getsCalls(table, now));
-  table.statements().noteLeaving(Resting, now, now);
+  table.statements().noteLeaving(Paused, now, now);
   BOOST_TEST(!getsCalls(table, now));
   ReplicaRequest request;
   request.ForService = Service;
@@ -227,7 +226,7 @@
 BOOST_AUTO_TEST_CASE(the_wait_for_paused_upstreams_is_the_shortest_pause) {
   ReplicaRequest request;
   request.ForService = Service;
-  request.Tried = {Resting};
+  request.Tried = {Paused};
   ReplicaTable table = tableWithPause();
   const Instant now = Begin + seconds(1);
   auto why = table.unavailability(request, now);
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -153,7 +153,7 @@
 
 } // namespace
 
-// An upstream turns a call away and asks for a pause, and goes on getting calls
+// An upstream rejects a call and asks for a pause, and goes on getting calls
 // that keep it from recovering.
 BOOST_AUTO_TEST_CASE(an_upstream_that_asked_for_a_pause_gets_no_calls) {
   for (const char *path : {"/a/1", "/s/1"}) {
