sorrelbayd: Describe the spread of Retry-After as it is

Cause: read-through; the comment said that a caller may be told more than twice the shortest delay. Change: a comment. Conclusion: no behaviour changes.

--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -653,9 +653,9 @@
   }
 }
 
-/// A random time after which the caller may retry, at most twice the shortest
-/// delay and `longestSpread` more: callers must not all return at the same
-/// time, and must have time left for the call itself.
+/// A random time after which the caller may retry, up to twice the shortest
+/// delay but no more than `longestSpread` above it: callers must not all return
+/// at the same time, and must have time left for the call itself.
 Duration GatewayCall::jitteredRetryAfter(Duration shortestDelay,
                                          Duration longestSpread) {
   const Duration waitLimit = Call.WaitLimit.value_or(DefaultWaitLimit);
