LibServing: Keep an upstream's pauses as a plain list

Cause: read-through of the whole change. The pauses were kept in an order in which each covers the ones behind it, which only their longest end needs; what is named of a rate limit was looked up in three places; an overload of ReplicaTable::statements had no caller. Ruled out: keeping the latest end only, as a restart drops pauses by the call that they answered. Change: a pause is appended, ended ones go, the longest one left counts.

--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -208,7 +208,6 @@
 
   /// What the upstreams state about themselves in their responses.
   UpstreamStatements &statements() { return Statements; }
-  const UpstreamStatements &statements() const { return Statements; }
   /// Drops the statements of upstreams that have not been registered for a
   /// while.
   void forgetOldStatements(Instant now);
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -105,6 +105,14 @@
     it.RateLimit.Cached.reset();
 }
 
+/// The upstream's rate limit; null if it names none.
+UpstreamRateLimit *UpstreamStatements::namedRateLimit(const UpstreamId &id) {
+  const auto it = ByUpstream.find(id);
+  const bool isNamed = it != ByUpstream.end() &&
+                       it->second.RateLimit.Statement.PerSecond.has_value();
+  return isNamed ? &it->second.RateLimit : nullptr;
+}
+
 bool UpstreamStatements::isRateLimitUnconfirmed(const UpstreamId &id,
                                                 Instant now) const {
   const auto it = ByUpstream.find(id);
@@ -130,11 +138,10 @@
 
 std::optional<Duration> UpstreamStatements::rateLimitWait(const UpstreamId &id,
                                                           Instant now) {
-  const auto it = ByUpstream.find(id);
-  if (it == ByUpstream.end() || !it->second.RateLimit.Statement.PerSecond)
+  UpstreamRateLimit *limit = namedRateLimit(id);
+  if (!limit)
     return std::nullopt;
-  UpstreamRateLimit &limit = it->second.RateLimit;
-  return limit.Limiter.wait(rateShare(id, limit, now), now);
+  return limit->Limiter.wait(rateShare(id, *limit, now), now);
 }
 
 bool UpstreamStatements::notePause(const UpstreamId &id,
@@ -143,38 +150,29 @@
     return false;
   if (statement.Length <= Duration::zero())
     return true;
-  const Pause added{statement.SentAt,
-                    statement.At + std::min(statement.Length, LongestPause)};
+  const Instant until = statement.At + std::min(statement.Length, LongestPause);
   Statements &it = ByUpstream[id];
-  it.LastAt = std::max(it.LastAt, added.Until);
-  std::vector<Pause> &pauses = it.Pauses;
-  const auto covers = [](const Pause &a, const Pause &b) {
-    return a.Until >= b.Until && a.SentAt >= b.SentAt;
-  };
-  if (std::any_of(pauses.begin(), pauses.end(),
-                  [&](const Pause &known) { return covers(known, added); }))
-    return true;
-  pauses.erase(std::remove_if(pauses.begin(), pauses.end(),
-                              [&](const Pause &known) {
-                                return covers(added, known) ||
-                                       known.Until <= statement.At;
-                              }),
-               pauses.end());
-  const auto position =
-      std::find_if(pauses.begin(), pauses.end(), [&](const Pause &known) {
-        return known.Until < added.Until;
-      });
-  pauses.insert(position, added);
+  it.LastAt = std::max(it.LastAt, until);
+  it.Pauses.erase(std::remove_if(it.Pauses.begin(), it.Pauses.end(),
+                                 [&](const Pause &pause) {
+                                   return pause.Until <= statement.At;
+                                 }),
+                  it.Pauses.end());
+  it.Pauses.push_back({statement.SentAt, until});
   return true;
 }
 
+Duration UpstreamStatements::Statements::pauseLeft(Instant now) const {
+  Duration longest = Duration::zero();
+  for (const Pause &it : Pauses)
+    longest = std::max<Duration>(longest, it.Until - now);
+  return longest;
+}
+
 Duration UpstreamStatements::pauseLeft(const UpstreamId &id,
                                        Instant now) const {
   const auto it = ByUpstream.find(id);
-  if (it == ByUpstream.end() || it->second.Pauses.empty())
-    return Duration::zero();
-  return std::max<Duration>(it->second.Pauses.front().Until - now,
-                            Duration::zero());
+  return it == ByUpstream.end() ? Duration::zero() : it->second.pauseLeft(now);
 }
 
 bool UpstreamStatements::noteLeaving(const UpstreamId &id, Instant sentAt,
@@ -196,7 +194,7 @@
   const auto it = ByUpstream.find(id);
   if (it == ByUpstream.end())
     return true;
-  if (it->second.LeavingSentAt || isPaused(id, now))
+  if (it->second.LeavingSentAt || it->second.pauseLeft(now) > Duration::zero())
     return false;
   UpstreamRateLimit &limit = it->second.RateLimit;
   return !limit.Statement.PerSecond ||
@@ -204,11 +202,8 @@
 }
 
 void UpstreamStatements::noteSent(const UpstreamId &id, Instant now) {
-  const auto it = ByUpstream.find(id);
-  if (it == ByUpstream.end() || !it->second.RateLimit.Statement.PerSecond)
-    return;
-  UpstreamRateLimit &limit = it->second.RateLimit;
-  limit.Limiter.note(rateShare(id, limit, now), now);
+  if (UpstreamRateLimit *limit = namedRateLimit(id))
+    limit->Limiter.note(rateShare(id, *limit, now), now);
 }
 
 void UpstreamStatements::noteUnregistered(const UpstreamId &id) {
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -22,10 +22,9 @@
 
 /// What upstreams state about themselves in their responses, as far as this
 /// host knows it, and whether it allows another call. Statements are kept apart
-/// from the upstreams' registrations: one whose registration lapses for a
-/// moment is still bound by them afterwards, and so is one that an outdated
-/// view of the store shows. A statement holds for the process that made it. Not
-/// thread-safe.
+/// from the upstreams' registrations: neither a lapse of the registration nor
+/// an outdated view of the store ends them. A statement holds for the process
+/// that made it. Not thread-safe.
 class UpstreamStatements {
 public:
   /// Records which process of the upstream is registered. Statements that an
@@ -94,7 +93,7 @@
     /// Statements up to this time were made by an earlier process.
     Instant Since{};
   };
-  /// A pause that has not ended.
+  /// A pause that had not ended when the last one was requested.
   struct Pause {
     Instant SentAt{};
     Instant Until{};
@@ -102,17 +101,18 @@
   /// The statements of one upstream, and this host's use of its rate limit.
   struct Statements {
     UpstreamRateLimit RateLimit;
-    /// Pauses of which each ends earlier than the one before and was requested
-    /// in the response to a later call.
     std::vector<Pause> Pauses;
     /// When the last call was sent in whose response the upstream stated that
     /// it is leaving; empty if it did not.
     std::optional<Instant> LeavingSentAt;
     /// When the last statement was made.
     Instant LastAt{};
+
+    Duration pauseLeft(Instant now) const;
   };
 
   Instant processSince(const UpstreamId &id) const;
+  UpstreamRateLimit *namedRateLimit(const UpstreamId &id);
   bool acceptRateLimit(const UpstreamId &id,
                        const RateLimitStatement &statement, bool isOwn);
   double rateShare(const UpstreamId &id, UpstreamRateLimit &limit, Instant now);
