LibServing: Name the file of ignored statements after its class

Cause: read-through; UpstreamStatement.h and UpstreamStatements.h differed by one letter and hold different things. Ruled out: nothing. Change: IgnoredStatement.h and .cpp. Conclusion: no behaviour changes.

--- a/Libraries/LibServing/UpstreamStatement.cpp
+++ b/Libraries/LibServing/IgnoredStatement.cpp
@@ -1,4 +1,4 @@
-#include "LibServing/UpstreamStatement.h"
+#include "LibServing/IgnoredStatement.h"
 
 namespace sorrelbay {
 
--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -2,7 +2,7 @@
 
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
-#include "LibServing/UpstreamStatement.h"
+#include "LibServing/IgnoredStatement.h"
 #include <cstdint>
 #include <optional>
 #include <string>
