sorrelbayd, platform: Read the head of a response once

Cause: read-through. The head of each response was parsed when the connection asked whose it is, and again when the call got it; reading statements had made that dearer. Ruled out: a cache by head; the two hooks follow each other for one head. Change: what the head states is kept with the send, which replaces its DidNotRun. Conclusion: one parse a response; no decision differs.

--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -56,13 +56,6 @@
   std::string Id;
   /// The upstream reported that it did not run the call.
   bool DidNotRun = false;
-  /// The number of calls running and waiting at the upstream, and its slots.
-  struct Load {
-    int Running = 0;
-    int Waiting = 0;
-    int Slots = 0;
-  };
-  std::optional<Load> Reported;
   /// Calls per second that the upstream accepts at the moment from all hosts
   /// together; empty if it does not limit them.
   std::optional<double> RateLimit;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -335,12 +335,7 @@
   HttpCallHooks hooks;
   const auto self = shared_from_this();
   hooks.IsForThisCall = [self](const HttpReplyHead &head) {
-    const UpstreamReplyInfo replyInfo = self->State.Hooks.ReadReplyInfo(head);
-    const bool isForThisCall =
-        replyInfo.Id.empty() || replyInfo.Id == self->Call.Id;
-    if (!isForThisCall)
-      self->noteStatements(replyInfo, false, false);
-    return isForThisCall;
+    return self->isForThisCall(head);
   };
   hooks.OnSending = [self] { return self->onSending(); };
   hooks.OnHead = [self](const HttpReplyHead &head) { self->onHead(head); };
@@ -374,10 +369,21 @@
   trySend();
 }
 
+/// Whether the response belongs to this call, not to an earlier one on the
+/// connection. Keeps what its head states for onHead.
+bool GatewayCall::isForThisCall(const HttpReplyHead &head) {
+  UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
+  if (!replyInfo.Id.empty() && replyInfo.Id != Call.Id) {
+    noteStatements(replyInfo, false, false);
+    return false;
+  }
+  CurrentSend.ReplyInfo = std::move(replyInfo);
+  return true;
+}
+
 void GatewayCall::onHead(const HttpReplyHead &head) {
   CurrentSend.Head = head;
-  const UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
-  CurrentSend.DidNotRun = replyInfo.DidNotRun;
+  const UpstreamReplyInfo &replyInfo = CurrentSend.ReplyInfo;
   const bool hasCallId = !replyInfo.Id.empty() || Call.Id.empty();
   noteStatements(replyInfo, isSuccess(), hasCallId);
   // A successful response without an id may belong to any call.
@@ -387,7 +393,8 @@
   }
   // An error response must not continue a response of which another attempt has
   // sent a part.
-  CurrentSend.IsDiscarded = CurrentSend.DidNotRun || (HasBegun && !isSuccess());
+  CurrentSend.IsDiscarded =
+      CurrentSend.ReplyInfo.DidNotRun || (HasBegun && !isSuccess());
 }
 
 /// Records what the upstream states about itself in the response.
@@ -412,7 +419,7 @@
   CurrentSend.FirstByteAt = now;
   State.Replicas.noteFirstByte(CurrentSend.Replica, ExpectedCost);
   const bool isPrefillDone =
-      Route->IsStream && isSuccess() && !CurrentSend.DidNotRun;
+      Route->IsStream && isSuccess() && !CurrentSend.ReplyInfo.DidNotRun;
   if (isPrefillDone && Call.PromptTokens && !State.wasStalled(now)) {
     const ReplicaChoice &expected = CurrentSend.Expected;
     State.Replicas.noteFirstToken(
@@ -422,7 +429,7 @@
   }
   if (FirstByteAt == Instant{})
     FirstByteAt = now;
-  if (!CurrentSend.DidNotRun)
+  if (!CurrentSend.ReplyInfo.DidNotRun)
     noteCallStarted();
   armTimer();
 }
@@ -495,7 +502,7 @@
 void GatewayCall::onEnd() {
   if (IsDone)
     return;
-  if (CurrentSend.DidNotRun) {
+  if (CurrentSend.ReplyInfo.DidNotRun) {
     RetryState->recordNotRun();
     endSend(SendResult::Rejected);
     return retryOrFinish("upstream_turned_away");
@@ -555,7 +562,7 @@
     RetryState->recordFailure();
     return resume() ? trySend() : abortResponse("upstream_broke_off");
   }
-  if (CurrentSend.DidNotRun)
+  if (CurrentSend.ReplyInfo.DidNotRun)
     RetryState->recordNotRun();
   else
     RetryState->recordFailure();
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -34,9 +34,10 @@
     Instant SentAt{};
     bool WasSending = false;
     bool HasFirstByte = false;
-    bool DidNotRun = false;
     bool IsDiscarded = false;
     HttpReplyHead Head;
+    /// What the head states.
+    UpstreamReplyInfo ReplyInfo;
     VersionId OfVersion;
     Instant FirstByteAt{};
     /// The prompt tokens and delays that were expected at the upstream.
@@ -54,6 +55,7 @@
   void onWithdrawn();
   bool takeRetryFromBudget();
   HttpCallHooks upstreamHooks();
+  bool isForThisCall(const HttpReplyHead &head);
   void onHead(const HttpReplyHead &head);
   void onBody(std::string_view bytes);
   void onEnd();
