sorrelbayd: Choose a call's upstreams in a unit of its own

Ruled out: moving the choice into ReplicaTable, which knows neither plans nor connections. Change: CallPlacement builds the request, leaves out upstreams without a connection for this host, says why there is none, and counts demand. A move; nothing is decided differently. Conclusion: one job each.

--- /dev/null
+++ b/Services/sorrelbayd/CallPlacement.cpp
@@ -0,0 +1,94 @@
+#include "CallPlacement.h"
+#include <algorithm>
+
+namespace sorrelbay {
+
+/// Whether this host may use a connection to the upstream. An upstream accepts
+/// a limited number of connections from all hosts together and resets those
+/// beyond it along with their calls, so each host uses at most its share.
+bool CallPlacement::hasConnectionCapacity(const std::string &address) const {
+  const ServingService *service = Placed.Plan.service(Placed.Service);
+  if (!service || service->MaxConnections <= 0 || State.Client.hasIdle(address))
+    return true;
+  const int maxOwnConnections =
+      std::max(1, service->MaxConnections / State.Fleet.hostCount());
+  return State.Client.connections(address) <
+         static_cast<std::size_t>(maxOwnConnections);
+}
+
+ReplicaRequest CallPlacement::request() const {
+  const ServingService *service = Placed.Plan.service(Placed.Service);
+  ReplicaRequest request;
+  request.ForService = Placed.Service;
+  request.OwnZone = State.Settings.Zone;
+  if (service && service->Engine)
+    request.Prompt = Placed.Call.Prompt;
+  request.PromptTokens = Placed.Call.PromptTokens.value_or(0);
+  request.Seed = State.Random();
+  request.Version = State.VersionFor(Placed.Service, Placed.Call.Id);
+  request.RouteRegions = Placed.Route.PermittedRegions;
+  if (Placed.Team)
+    request.TeamRegions = Placed.Team->PermittedRegions;
+  request.Hosts = State.Fleet.hostCount();
+  request.Tried = Tried;
+  return request;
+}
+
+std::optional<ReplicaChoice> CallPlacement::choose(Instant now) {
+  ReplicaRequest request = this->request();
+  for (;;) {
+    request.Tried = Tried;
+    auto chosen = State.Replicas.choose(request, now);
+    if (!chosen)
+      return chosen;
+    Tried.push_back(chosen->Id);
+    if (!hasConnectionCapacity(State.Replicas.find(chosen->Id)->Address))
+      continue;
+    noteDemand(chosen->TokensToPrefill, now);
+    return chosen;
+  }
+}
+
+Unavailability CallPlacement::unavailability(Instant now) const {
+  return State.Replicas.unavailability(request(), now);
+}
+
+Unavailability CallPlacement::noteUnavailable(Instant now) {
+  const ReplicaRequest request = this->request();
+  const Unavailability why = State.Replicas.unavailability(request, now);
+  // Upstreams that take fewer calls must not make the service look less busy.
+  if (why.Cause == UnavailabilityCause::Paused ||
+      why.Cause == UnavailabilityCause::Limited)
+    noteDemand(State.Replicas.expectedPrefill(request, now), now);
+  return why;
+}
+
+bool CallPlacement::exceedsFirstTokenLimit(const ReplicaChoice &choice) const {
+  if (!Placed.Route.IsStream ||
+      !State.Replicas.modelOf(Placed.Service).hasEnoughSamples())
+    return false;
+  const Duration queueWaitLimit = State.FirstTokenWaitLimits.maxQueueWait(
+      {Placed.Service, priority(), Placed.Route.LatencyTarget});
+  return queueWaitLimit > Duration::zero() && choice.Wait > queueWaitLimit;
+}
+
+Duration CallPlacement::prefillTime(std::int64_t tokens) const {
+  const double milliseconds = State.Replicas.modelOf(Placed.Service)
+                                  .prefillTime(static_cast<double>(tokens));
+  return fromSeconds(milliseconds / 1000);
+}
+
+int CallPlacement::priority() const {
+  const bool hasOwnPriority = Placed.Team && Placed.Team->Priority;
+  return hasOwnPriority ? *Placed.Team->Priority : Placed.Route.Priority;
+}
+
+/// Counts the call once in what callers ask of the service's engines.
+void CallPlacement::noteDemand(std::int64_t tokensToPrefill, Instant now) {
+  if (!IsDemandCounted)
+    State.Demand.note(Placed.Service,
+                      toSeconds(prefillTime(tokensToPrefill)) * 1000, now);
+  IsDemandCounted = true;
+}
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -97,6 +97,7 @@
   if (!service)
     return refuse(Unavailable, "route_without_service", std::nullopt);
   Service = service->Name;
+  Upstreams.emplace(State, PlacedCall{Call, *Plan, *Route, Team, Service});
   ExpectedCost.Tokens = Call.PromptTokens.value_or(0) + Call.MaxOutputTokens;
   const auto retryBudget = State.RetryBudgets.find(Service);
   if (retryBudget != State.RetryBudgets.end())
@@ -233,77 +234,16 @@
          it->second.takeRetry(RetryLayer::EntryHost);
 }
 
-/// Whether this host may use a connection to the upstream. An upstream accepts
-/// a limited number of connections from all hosts together and resets those
-/// beyond it along with their calls, so each host uses at most its share.
-bool GatewayCall::hasConnectionCapacity(const std::string &address) const {
-  const ServingService *service = Plan->service(Service);
-  if (!service || service->MaxConnections <= 0 || State.Client.hasIdle(address))
-    return true;
-  const int maxOwnConnections =
-      std::max(1, service->MaxConnections / State.Fleet.hostCount());
-  return State.Client.connections(address) <
-         static_cast<std::size_t>(maxOwnConnections);
-}
-
-ReplicaRequest GatewayCall::replicaRequest() {
-  const ServingService *service = Plan->service(Service);
-  ReplicaRequest request;
-  request.ForService = Service;
-  request.OwnZone = State.Settings.Zone;
-  if (service && service->Engine)
-    request.Prompt = Call.Prompt;
-  request.PromptTokens = Call.PromptTokens.value_or(0);
-  request.Seed = State.Random();
-  request.Version = State.VersionFor(Service, Call.Id);
-  request.RouteRegions = Route->PermittedRegions;
-  if (Team)
-    request.TeamRegions = Team->PermittedRegions;
-  request.Hosts = State.Fleet.hostCount();
-  request.Tried = Tried;
-  return request;
-}
-
-/// Chooses the upstream for the next attempt. Upstreams that may not get
-/// another connection count as tried.
-std::optional<ReplicaChoice> GatewayCall::chooseUpstream(Instant now) {
-  ReplicaRequest request = replicaRequest();
-  for (;;) {
-    request.Tried = Tried;
-    auto chosen = State.Replicas.choose(request, now);
-    if (!chosen)
-      return chosen;
-    Tried.push_back(chosen->Id);
-    if (hasConnectionCapacity(State.Replicas.find(chosen->Id)->Address))
-      return chosen;
-  }
-}
-
-int GatewayCall::priority() const {
-  return Team && Team->Priority ? *Team->Priority : Route->Priority;
-}
-
-/// Whether the prompts queued ahead delay the call so much that rejecting it at
-/// once is better for its caller.
-bool GatewayCall::exceedsFirstTokenLimit(const ReplicaChoice &choice) const {
-  if (!Route->IsStream || !State.Replicas.modelOf(Service).hasEnoughSamples())
-    return false;
-  const Duration queueWaitLimit = State.FirstTokenWaitLimits.maxQueueWait(
-      {Service, priority(), Route->LatencyTarget});
-  return queueWaitLimit > Duration::zero() && choice.Wait > queueWaitLimit;
-}
-
 void GatewayCall::trySend() {
   const Instant now = bootNow();
   if (HasBegun ? !RetryState->canResume(now) : !RetryState->canSend(now))
     return finishLocally("no_attempt_left");
-  const auto chosen = chooseUpstream(now);
+  const auto chosen = Upstreams->choose(now);
   if (!chosen)
     return finishWithoutUpstream(now);
-  noteDemand(chosen->TokensToPrefill, now);
   CurrentSend = {};
   CurrentSend.Expected = *chosen;
-  if (RetryState->sends() == 0 && exceedsFirstTokenLimit(*chosen))
+  if (RetryState->sends() == 0 && Upstreams->exceedsFirstTokenLimit(*chosen))
     return refuse(Unavailable, "first_token_too_late",
                   jitteredRetryAfter(chosen->Wait));
   const ReplicaRecord *replica = State.Replicas.find(chosen->Id);
@@ -313,7 +253,7 @@
   attempt.WaitLimit = RetryState->deadline() - now;
   if (Team)
     attempt.Team = Team->Name;
-  attempt.Priority = priority();
+  attempt.Priority = Upstreams->priority();
   attempt.ResumeAfter = Events.lastId();
   CurrentSend.Replica = chosen->Id;
   CurrentSend.OfVersion = replica->OfVersion;
@@ -322,7 +262,7 @@
   ExpectedCost.PromptTokens = chosen->TokensToPrefill;
   State.Replicas.noteSent(chosen->Id, ExpectedCost, now);
   State.Replicas.notePrompt(chosen->Id, Call.Prompt, now);
-  if (prefillTime(chosen->TokensToPrefill) >= LargePrompt)
+  if (Upstreams->prefillTime(chosen->TokensToPrefill) >= LargePrompt)
     State.NotifyPeers();
   const bool mayRunOnlyOnce = Route->Kind == Repeatability::NonIdempotent;
   Handle = State.Client.send(
@@ -599,8 +539,7 @@
 void GatewayCall::retryOrFinish(const char *cause) {
   Body.clear();
   const Instant now = bootNow();
-  const Duration wait =
-      State.Replicas.unavailability(replicaRequest(), now).Wait;
+  const Duration wait = Upstreams->unavailability(now).Wait;
   const bool canRetry =
       HasBegun ? RetryState->canResume(now) : RetryState->canSend(now);
   if (canRetry && wait == Duration::zero() && takeRetryFromBudget())
@@ -621,30 +560,10 @@
 
 /// Ends the call because no upstream may take it.
 void GatewayCall::finishWithoutUpstream(Instant now) {
-  const ReplicaRequest request = replicaRequest();
-  const Unavailability why = State.Replicas.unavailability(request, now);
-  // Upstreams that take fewer calls must not make the service look less busy.
-  if (why.Cause == UnavailabilityCause::Paused ||
-      why.Cause == UnavailabilityCause::Limited)
-    noteDemand(State.Replicas.expectedPrefill(request, now), now);
+  const Unavailability why = Upstreams->noteUnavailable(now);
   finishLocally(causeOf(why.Cause), why.Wait);
 }
 
-/// The engine time that the service's upstreams need to prefill the tokens.
-Duration GatewayCall::prefillTime(std::int64_t tokens) const {
-  const double milliseconds =
-      State.Replicas.modelOf(Service).prefillTime(static_cast<double>(tokens));
-  return fromSeconds(milliseconds / 1000);
-}
-
-/// Counts the call once in what callers ask of the service's engines.
-void GatewayCall::noteDemand(std::int64_t tokensToPrefill, Instant now) {
-  if (!IsDemandCounted)
-    State.Demand.note(Service, toSeconds(prefillTime(tokensToPrefill)) * 1000,
-                      now);
-  IsDemandCounted = true;
-}
-
 void GatewayCall::finishLocally(const char *cause, Duration retryDelay) {
   if (HasBegun)
     return abortResponse(cause);
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallPlacement.h"
 #include "GatewayState.h"
 #include "LibHttp/HttpExchange.h"
 #include "LibServing/CallRetryState.h"
@@ -8,7 +9,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace sorrelbay {
 
@@ -47,7 +47,6 @@
   void start();
   bool findRoute();
   bool findTeam();
-  int priority() const;
   bool chargeUnits();
   bool admit();
   void trySend();
@@ -65,15 +64,9 @@
   void armTimer();
   void endSend(SendResult result);
   void recordOutcome(SendResult result);
-  ReplicaRequest replicaRequest();
-  std::optional<ReplicaChoice> chooseUpstream(Instant now);
-  bool exceedsFirstTokenLimit(const ReplicaChoice &choice) const;
   void noteFirstByte();
   void noteStatements(const UpstreamReplyInfo &replyInfo, bool isSuccessful,
                       bool isForThisCall);
-  Duration prefillTime(std::int64_t tokens) const;
-  void noteDemand(std::int64_t tokensToPrefill, Instant now);
-  bool hasConnectionCapacity(const std::string &address) const;
   bool resume();
   void abortResponse(const char *cause);
   void retryOrFinish(const char *cause);
@@ -100,18 +93,17 @@
   const ServingRoute *Route = nullptr;
   const ServingTeam *Team = nullptr;
   ServiceId Service;
+  std::optional<CallPlacement> Upstreams;
   std::optional<CallRetryState> RetryState;
   CallCost ExpectedCost;
   std::int64_t Units = 0;
   bool HasChargedUnits = false;
-  std::vector<UpstreamId> Tried;
   int FailedConnects = 0;
   std::shared_ptr<HttpCallHandle> Handle;
   Send CurrentSend;
   bool IsOpen = false;
   bool HasBegun = false;
   bool IsCounted = false;
-  bool IsDemandCounted = false;
   bool IsDone = false;
   std::string Body;
   EventSplitter Events;
