sorrelbayd: Give up no send while nothing else takes the call

Cause: read-through: that a call takes no retry while no upstream takes it was checked in one of the four places that take one. Where it was not, a call whose upstream was silent for three times its latency target was given up although all upstreams had asked for a pause; its caller got 502, and the answer that arrived later was lost. Ruled out: checking it in each of the four places. Change: takeRetryFromBudget checks it, so that repeats after rejections and failures, resumed streams and the switch after a silence follow the same rule. Conclusion: ready answers are delivered, also late.

--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -225,9 +225,10 @@
 }
 
 /// Deducts one retry of this call from the retry budget. Returns false if none
-/// is left or the route's attempts are used up.
+/// is left, the route's attempts are used up, or no upstream takes the call.
 bool GatewayCall::takeRetryFromBudget() {
-  if (RetryState->sends() >= Route->MaxAttempts)
+  if (RetryState->sends() >= Route->MaxAttempts ||
+      Upstreams->unavailability(bootNow()).Wait > Duration::zero())
     return false;
   auto it = State.RetryBudgets.find(Service);
   return it != State.RetryBudgets.end() &&
@@ -539,12 +540,11 @@
 void GatewayCall::retryOrFinish(const char *cause) {
   Body.clear();
   const Instant now = bootNow();
-  const Duration wait = Upstreams->unavailability(now).Wait;
   const bool canRetry =
       HasBegun ? RetryState->canResume(now) : RetryState->canSend(now);
-  if (canRetry && wait == Duration::zero() && takeRetryFromBudget())
+  if (canRetry && takeRetryFromBudget())
     return trySend();
-  finishLocally(cause, wait);
+  finishLocally(cause, Upstreams->unavailability(now).Wait);
 }
 
 void GatewayCall::onCallerDisconnected() {
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -21,7 +21,7 @@
   boost::asio::post(loop, [done, result] { done(result); });
 }
 
-/// Parses "version;key" as a plan with the two routes.
+/// Parses "version;key" as a plan with the three routes.
 ServingPlan planOf(const Resource &object) {
   const std::size_t at = object.Body.find(';');
   if (at == std::string::npos)
@@ -41,7 +41,14 @@
   stream.IsResumable = true;
   stream.Kind = Repeatability::Idempotent;
   stream.MaxAttempts = 2;
-  plan.Routes = {route, stream};
+  ServingRoute quick = route;
+  quick.Name = RouteId("q");
+  quick.PathPrefix = "/q/";
+  quick.Kind = Repeatability::Idempotent;
+  quick.MaxAttempts = 2;
+  quick.Timeout = seconds(30);
+  quick.LatencyTarget = milliseconds(400);
+  plan.Routes = {route, stream, quick};
   ServingTeam team;
   team.Name = TeamId("team");
   team.Keys = {object.Body.substr(at + 1)};
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -50,8 +50,9 @@
 
 /// A gateway with an in-memory store and one upstream, all in this process. The
 /// test sets the upstream's request handler. A plan's text is "version;key".
-/// The plan has two routes to the service "desk", both open to the key: "/a/",
-/// whose calls must not be retried, and "/s/", with resumable streams.
+/// The plan has three routes to the service "desk", all open to the key: "/a/",
+/// whose calls must not be retried, "/s/", with resumable streams, and "/q/",
+/// whose calls may be repeated and have a latency target.
 class GatewayFixture {
 public:
   using UpstreamHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -201,6 +201,36 @@
   BOOST_TEST(wasRejected);
 }
 
+// The only upstream is slow with one call, and asks for a pause in its response
+// to another. Given up for its silence, the slow call would have no upstream,
+// and its caller would lose the answer.
+BOOST_AUTO_TEST_CASE(a_slow_call_is_not_given_up_while_no_upstream_takes_it) {
+  GatewayFixture fixture;
+  fixture.callUntil(200, "key", "/q/1");
+  std::shared_ptr<HttpExchange> slow;
+  fixture.Upstream = [&](std::shared_ptr<HttpExchange> it) {
+    if (!slow)
+      slow = std::move(it);
+    else
+      rejectAndAskForPause(it, "60");
+  };
+  const int before = fixture.UpstreamCalls;
+  HttpReply reply;
+  std::thread caller([&] { reply = fixture.call("key", "/q/1"); });
+  while (fixture.UpstreamCalls == before)
+    std::this_thread::sleep_for(milliseconds(5));
+  BOOST_TEST(fixture.call("key").Status == 503);
+  // Longer than the silence after which a call goes to another upstream.
+  std::this_thread::sleep_for(seconds(2));
+  fixture.onUpstream([&] {
+    slow->respond(
+        200, {{"X-Call", headerValue(slow->request().Headers, "X-Call")}}, "");
+    slow.reset();
+  });
+  caller.join();
+  BOOST_TEST(reply.Status == 200);
+}
+
 // While all upstreams ask for a pause, calls are refused here. A service that
 // looked less busy for it would get fewer replicas when it needs more.
 BOOST_AUTO_TEST_CASE(calls_refused_during_a_pause_count_as_demand) {
