LibDecision, sorrelbayd, Tests: Use plain words in three comments

Ruled out: the log lines `peer heard` and `told by a peer`, which operators' scripts read and OPERATIONS names. Before and after: not run; no code changes. Conclusion: no behaviour changes.

--- a/Libraries/LibDecision/DeskCallProtocol.h
+++ b/Libraries/LibDecision/DeskCallProtocol.h
@@ -57,7 +57,7 @@
 };
 
 /// Send the call to a replica that has not been tried yet, over a new
-/// connection. If a pooled connection turned out to be closed, it would be
+/// connection. A pooled connection may be closed already, and it would be
 /// unknown whether the call arrived.
 struct SendToDesk {};
 
--- a/Services/sorrelbayd/ResponseStatements.cpp
+++ b/Services/sorrelbayd/ResponseStatements.cpp
@@ -10,7 +10,7 @@
 static constexpr std::size_t MaxLoggedValue = 64;
 static constexpr const char *Applied = "applied";
 
-/// A response to an earlier call on the connection may be too old to tell the
+/// A response to an earlier call on the connection may be too old to state the
 /// present rate limit. A pause that it asks for can only be counted as too
 /// long, and an upstream that was leaving then still is.
 void ResponseStatements::apply(const UpstreamReplyInfo &replyInfo) {
--- a/Tests/LibServing/TestUpstreamStatements.cpp
+++ b/Tests/LibServing/TestUpstreamStatements.cpp
@@ -222,7 +222,7 @@
               UnavailabilityCause::NoUpstream));
 }
 
-// Callers that are told too short a time return in vain.
+// Callers that return before the end of the shortest pause are refused again.
 BOOST_AUTO_TEST_CASE(the_wait_for_paused_upstreams_is_the_shortest_pause) {
   ReplicaRequest request;
   request.ForService = Service;
