LibDecision: State the unit of a route's evidence

Cause: read-through of three headers drawn at random; two members had no unit. Ruled out: nothing. Change: a comment. Before and after: not run; no code changes. Conclusion: no behaviour changes.

--- a/Libraries/LibDecision/Rollout.h
+++ b/Libraries/LibDecision/Rollout.h
@@ -31,6 +31,8 @@
 struct RouteProgress {
   RouteId Id;
   ComparedCounts Calls;
+  /// The evidence that the next step uses, and what it needs, as log likelihood
+  /// ratios.
   double Evidence = 0;
   double Needed = 0;
 };
