LibHttp, sorrelbayd: Log failed connections to upstreams and left-out hosts

The logs name no connection that could not be opened, and nothing says which hosts address lookups name; by them the hypotheses of the timeline can't be told apart.

Change: a hook of the HTTP client tells how opening a connection ended; a log line for each that failed (20 a second), a counter by service and result, the number of failed connections in each call's line, and a line when address lookups name other hosts. For that the choice of the hosts that a lookup names moves into a unit of its own, as it was. No decision changes.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -11,6 +11,18 @@
 
 using namespace beastcommon;
 
+const char *toText(ConnectResult result) {
+  switch (result) {
+  case ConnectResult::Connected:
+    return "connected";
+  case ConnectResult::Refused:
+    return "refused";
+  case ConnectResult::TimedOut:
+    return "timed_out";
+  }
+  return "";
+}
+
 namespace {
 class ClientConnection;
 using ClientConnectionPointer = std::shared_ptr<ClientConnection>;
@@ -75,6 +87,7 @@
   void returnToPool();
   void watchIdle();
   void fail(HttpFailure why);
+  void failToConnect(ConnectResult result);
 
   std::shared_ptr<SharedState> ClientState;
   std::string Address;
@@ -186,18 +199,24 @@
   hooks.OnFailure(why);
 }
 
+void ClientConnection::failToConnect(ConnectResult result) {
+  if (IsActive && Hooks.OnConnect)
+    Hooks.OnConnect(result);
+  fail(HttpFailure::NotSent);
+}
+
 void ClientConnection::connect() {
   Timer.expires_after(ClientState->Settings.ConnectTimeout);
   Timer.async_wait([self = shared_from_this()](ErrorCode ec) {
     if (!ec && !self->IsConnected)
-      self->fail(HttpFailure::NotSent);
+      self->failToConnect(ConnectResult::TimedOut);
   });
   Tcp::endpoint endpoint;
   try {
     endpoint = endpointOf(Address);
   } catch (const std::exception &) {
     asio::post(ClientState->Loop, [self = shared_from_this()] {
-      self->fail(HttpFailure::NotSent);
+      self->failToConnect(ConnectResult::Refused);
     });
     return;
   }
@@ -205,11 +224,13 @@
     if (self->IsClosed)
       return;
     if (ec)
-      return self->fail(HttpFailure::NotSent);
+      return self->failToConnect(ConnectResult::Refused);
     self->IsConnected = true;
     ErrorCode ignored;
     self->Timer.cancel(ignored);
     configureSocket(self->Socket);
+    if (self->Hooks.OnConnect)
+      self->Hooks.OnConnect(ConnectResult::Connected);
     self->send();
   });
 }
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -37,6 +37,17 @@
   Withdrawn,
 };
 
+/// How an attempt to open a connection ended.
+enum class ConnectResult {
+  Connected,
+  /// The server or the network refused the connection, or reset it.
+  Refused,
+  TimedOut,
+};
+
+/// The result's name in logs and metrics.
+const char *toText(ConnectResult result);
+
 /// Callbacks for the progress of one call. All run on the event loop's thread
 /// and never from inside send().
 struct HttpCallHooks {
@@ -52,6 +63,9 @@
   /// false, nothing is written, the connection is closed, and the call fails
   /// with Withdrawn.
   std::function<bool()> OnSending;
+  /// Called if the call needs a new connection, when the attempt to open it has
+  /// ended.
+  std::function<void(ConnectResult)> OnConnect;
 };
 
 /// A handle to a call in flight. Destroying it does not cancel the call.
--- /dev/null
+++ b/Libraries/LibServing/AddressLookup.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "LibServing/FleetView.h"
+#include <string>
+#include <vector>
+
+namespace sorrelbay {
+
+/// The answer to a caller that asks which hosts to connect to.
+struct AddressLookup {
+  /// The addresses of the hosts that it names.
+  std::vector<std::string> Addresses;
+  /// The known hosts that it leaves out, leaving ones aside.
+  std::vector<HostId> LeftOut;
+};
+
+/// The hosts that `self` names to callers: those that are ready and were seen
+/// recently. A caller is better off with the address of a silent host than with
+/// none, so if there are no others, it is given those.
+AddressLookup lookUpAddresses(const FleetMember &self, const FleetView &view,
+                              Instant now);
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -16,6 +16,8 @@
 constexpr Duration TickInterval = milliseconds(250);
 /// A longer delay of the periodic work is logged.
 constexpr Duration MaxLoopDelay = milliseconds(500);
+/// Characters of a list of hosts that are logged.
+constexpr std::size_t MaxLoggedHosts = 300;
 /// Most addresses in the response to an address lookup.
 constexpr std::size_t MaxLookupAddresses = 64;
 /// How long callers cache an address from a lookup, unless AddressTimeToLive is
@@ -360,23 +362,23 @@
   return State.knowsUpstreams() && hasKeys;
 }
 
+/// Logs the hosts that address lookups leave out, when they change.
+void Gateway::logHostsLeftOut(const AddressLookup &lookup) {
+  std::string leftOut;
+  for (const HostId &it : lookup.LeftOut)
+    leftOut += (leftOut.empty() ? "" : ",") + it.text();
+  if (leftOut == State.HostsLeftOut)
+    return;
+  State.HostsLeftOut = leftOut;
+  LogLine(Severity::Info, "address lookups changed")
+      .field("left_out", leftOut.substr(0, MaxLoggedHosts))
+      .field("named", static_cast<std::int64_t>(lookup.Addresses.size()));
+}
+
 void Gateway::respondToAddressLookup(HttpExchange &exchange) {
-  const Instant now = bootNow();
-  std::vector<std::string> addresses;
-  std::vector<std::string> silentHosts;
-  if (isReady(now))
-    addresses.push_back(Callers->address());
-  for (const KnownMember &it : State.Fleet.members()) {
-    if (it.Member.IsLeaving)
-      continue;
-    const bool isGood = it.Member.IsReady && State.Fleet.isAnswering(it, now);
-    (isGood ? addresses : silentHosts).push_back(it.Member.CallerAddress);
-  }
-  // A caller is better off with the address of a silent host than with none.
-  if (addresses.empty())
-    addresses = silentHosts;
-  if (addresses.empty() && !State.isStopping())
-    addresses.push_back(Callers->address());
+  AddressLookup lookup = lookUpAddresses(Fleet.self(), State.Fleet, bootNow());
+  logHostsLeftOut(lookup);
+  std::vector<std::string> &addresses = lookup.Addresses;
   if (addresses.size() > MaxLookupAddresses) {
     std::shuffle(addresses.begin(), addresses.end(), State.Random);
     addresses.resize(MaxLookupAddresses);
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -6,6 +6,7 @@
 #include "GatewayState.h"
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibObjectApi/ResourceWatcher.h"
+#include "LibServing/AddressLookup.h"
 #include "ReplicaOrders.h"
 #include "UsageReporter.h"
 #include <boost/asio/executor_work_guard.hpp>
@@ -40,6 +41,8 @@
   void stop();
   /// The address callers connect to, with the port that was assigned.
   std::string callerAddress() const { return Callers->address(); }
+  /// The address that serves address lookups.
+  std::string lookupAddress() const { return Addresses->address(); }
   /// The address that serves metrics. There must be one in the settings.
   std::string metricsAddress() const { return MetricsServer->address(); }
 
@@ -60,6 +63,7 @@
               ResourceWatcherHooks hooks);
   bool isReady(Instant now) const;
   void respondToAddressLookup(HttpExchange &exchange);
+  void logHostsLeftOut(const AddressLookup &lookup);
   void updateRetryBudgets();
 
   boost::asio::io_context Loop;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -278,6 +278,7 @@
   hooks.IsForThisCall = [self](const HttpReplyHead &head) {
     return self->isForThisCall(head);
   };
+  hooks.OnConnect = [self](ConnectResult result) { self->onConnect(result); };
   hooks.OnSending = [self] { return self->onSending(); };
   hooks.OnHead = [self](const HttpReplyHead &head) { self->onHead(head); };
   hooks.OnBody = [self](std::string_view bytes) { self->onBody(bytes); };
@@ -286,6 +287,18 @@
   return hooks;
 }
 
+void GatewayCall::onConnect(ConnectResult result) {
+  const Instant now = bootNow();
+  State.Counts.countUpstreamConnect(Service.text(), toText(result));
+  if (result == ConnectResult::Connected || !State.ConnectLogBudget.take(now))
+    return;
+  LogLine(Severity::Warning, "upstream connection failed")
+      .field("id", Call.Id)
+      .field("upstream", CurrentSend.Replica.text())
+      .field("why", toText(result))
+      .field("ms", toMilliseconds(now - CurrentSend.At));
+}
+
 /// Whether the call may still be sent to the upstream that was chosen for it,
 /// now that there is a connection.
 bool GatewayCall::onSending() {
@@ -634,7 +647,8 @@
         .field("rate", Team->Rate)
         .field("burst", Team->Burst);
   if (RetryState)
-    line.field("sends", static_cast<std::int64_t>(RetryState->sends()));
+    line.field("sends", static_cast<std::int64_t>(RetryState->sends()))
+        .field("failed_connects", static_cast<std::int64_t>(FailedConnects));
   if (!CurrentSend.Replica.empty())
     line.field("upstream", CurrentSend.Replica.text());
   if (CurrentSend.Expected.FirstToken > Duration::zero())
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -50,6 +50,7 @@
   bool chargeUnits();
   bool admit();
   void trySend();
+  void onConnect(ConnectResult result);
   bool onSending();
   void onWithdrawn();
   bool takeRetryFromBudget();
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -68,6 +68,8 @@
   LogRateLimiter FailureLogBudget{200};
   /// Log lines a second for statements of upstreams.
   LogRateLimiter StatementLogBudget{50};
+  /// Log lines a second for connections to upstreams that failed.
+  LogRateLimiter ConnectLogBudget{20};
   /// Unknown statements of upstreams that have been logged. They may come with
   /// each response.
   std::set<std::string> LoggedUnknownStatements;
@@ -77,6 +79,8 @@
   /// Calls to the store since they were last logged, and when that was.
   std::map<std::string, std::int64_t> StoreCalls;
   Instant StoreCallsLoggedAt{};
+  /// The hosts that the last address lookup left out, as they were logged.
+  std::string HostsLeftOut;
   bool isStopping() const { return StoppingSince.has_value(); }
   /// Chooses a call's version and records its outcome; set by the Gateway,
   /// which connects them to its rollouts.
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -28,6 +28,7 @@
   Family<Counter> &Dropped;
   Family<Counter> &Statements;
   Family<Counter> &IgnoredInput;
+  Family<Counter> &UpstreamConnects;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -86,6 +87,10 @@
       IgnoredInput(counterFamily(
           Registry, "sorrelbay_upstream_ignored_input_total",
           "Input from upstreams that belongs to no call, by kind.")),
+      UpstreamConnects(
+          counterFamily(Registry, "sorrelbay_upstream_connects_total",
+                        "Attempts to open a connection to an upstream, by "
+                        "service and result.")),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -166,6 +171,12 @@
       .Increment();
 }
 
+void Metrics::countUpstreamConnect(const std::string &service,
+                                   const std::string &result) {
+  All->UpstreamConnects.Add({{"service", service}, {"result", result}})
+      .Increment();
+}
+
 void Metrics::countObjectApi(const std::string &call,
                              const std::string &result) {
   All->ObjectApi.Add({{"call", call}, {"result", result}}).Increment();
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -45,6 +45,10 @@
   /// became of it: "applied", or why it was ignored.
   void countUpstreamStatement(const std::string &statement,
                               const std::string &result);
+  /// Counts an attempt to open a connection to an upstream of the service, by
+  /// its result.
+  void countUpstreamConnect(const std::string &service,
+                            const std::string &result);
   /// Sets the counts of the connections to upstreams.
   void setUpstreamConnectionCounts(const HttpClientCounts &counts);
   void setOpenCalls(std::size_t n);
