Tests/sorrelbayd: Reproduce the refusals of a host that reaches no upstream

Two daemons with one store; the paths of one of them to the upstream are cut, in three manners: connections hang, are reset, or go on while new ones are refused. Callers of the cut host must soon be served, and the end of the cut must lose no call.

--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -88,9 +88,10 @@
   return call;
 }
 
-GatewaySettings settingsFor(Duration keyRemoval, Duration grace) {
+GatewaySettings settingsFor(const std::string &name, Duration keyRemoval,
+                            Duration grace) {
   GatewaySettings settings;
-  settings.Host = HostId("host");
+  settings.Host = HostId(name);
   settings.Zone = ZoneId("z");
   settings.CallerListen = "127.0.0.1:0";
   settings.ReadinessListen = "127.0.0.1:0";
@@ -259,7 +260,10 @@
   return out;
 }
 
-GatewayHooks GatewayFixture::hooks(boost::asio::io_context &loop) {
+/// `upstreamAddress` replaces the address that upstreams are registered with;
+/// empty to use that.
+GatewayHooks GatewayFixture::hooks(boost::asio::io_context &loop,
+                                   const std::string &upstreamAddress) {
   GatewayHooks out;
   out.ReadCall = callOf;
   out.UpstreamCall = [](const HttpRequest &request, const UpstreamAttempt &it) {
@@ -294,11 +298,19 @@
   };
   out.IsReadinessProbe = [](const HttpRequest &) { return true; };
   out.IsAddressLookup = [](const HttpRequest &) { return true; };
-  out.AddressesBody = [](const std::vector<std::string> &, Duration) {
-    return std::string("[]");
+  out.AddressesBody = [](const std::vector<std::string> &addresses, Duration) {
+    std::string body;
+    for (const std::string &it : addresses)
+      body += (body.empty() ? "" : " ") + it;
+    return body;
   };
   out.ReadPlan = planOf;
-  out.ReadReplica = replicaOf;
+  out.ReadReplica = [upstreamAddress](const Resource &object) {
+    ReplicaRecord record = replicaOf(object);
+    if (!upstreamAddress.empty())
+      record.Address = upstreamAddress;
+    return record;
+  };
   out.ReadRollout = [](const Resource &object) {
     RolloutOrder order;
     order.Service = ServiceId("desk");
@@ -335,7 +347,8 @@
   return out;
 }
 
-GatewayFixture::GatewayFixture(Duration keyRemoval, Duration grace) {
+GatewayFixture::GatewayFixture(Duration keyRemoval, Duration grace)
+    : KeyRemoval(keyRemoval), Grace(grace) {
   Upstream = [](const std::shared_ptr<HttpExchange> &it) {
     it->respond(200, {{"X-Call", headerValue(it->request().Headers, "X-Call")}},
                 "ok for " + headerValue(it->request().Headers, "X-Team"));
@@ -351,8 +364,8 @@
   Store.put(ResourceKind::Plan, "main", "1;key");
   addReplica("r1");
   Served = std::make_unique<Gateway>(
-      settingsFor(keyRemoval, grace),
-      [this](boost::asio::io_context &loop) { return hooks(loop); });
+      settingsFor("host", keyRemoval, grace),
+      [this](boost::asio::io_context &loop) { return hooks(loop, ""); });
   Served->start();
   CallerAddress = Served->callerAddress();
 }
@@ -377,8 +390,49 @@
             UpstreamServer->address() + (isLeaving ? " leaving" : " ready"));
 }
 
+std::unique_ptr<GatewayHost> GatewayFixture::addHost(const std::string &name) {
+  std::unique_ptr<GatewayHost> host(
+      new GatewayHost{UpstreamPath(UpstreamServer->address()), nullptr, ""});
+  host->Served = std::make_unique<Gateway>(
+      settingsFor(name, KeyRemoval, Grace),
+      [this, path = host->Path.address()](boost::asio::io_context &loop) {
+        return hooks(loop, path);
+      });
+  host->Served->start();
+  host->CallerAddress = host->Served->callerAddress();
+  const auto names = [](const Gateway &it, const std::string &address) {
+    return lookUp(it).find(address) != std::string::npos;
+  };
+  for (int n = 0; n < MaxPollAttempts; ++n) {
+    if (names(*Served, host->CallerAddress) &&
+        names(*host->Served, CallerAddress) &&
+        callAt(host->CallerAddress, "/a/1").Status == 200)
+      return host;
+    std::this_thread::sleep_for(milliseconds(25));
+  }
+  BOOST_REQUIRE_MESSAGE(false, "the host never served");
+  return host;
+}
+
+std::string GatewayFixture::lookUp(const Gateway &host) {
+  HttpCall call;
+  call.Path = "/";
+  return sendOnce(host.lookupAddress(), call).Body;
+}
+
+HttpReply GatewayFixture::callAt(const std::string &address,
+                                 const std::string &path) {
+  return send(address, "key", path);
+}
+
 HttpReply GatewayFixture::call(const std::string &key,
                                const std::string &path) {
+  return send(CallerAddress, key, path);
+}
+
+HttpReply GatewayFixture::send(const std::string &address,
+                               const std::string &key,
+                               const std::string &path) const {
   static std::atomic<int> lastId{0};
   HttpCall call;
   call.Method = "POST";
@@ -389,7 +443,7 @@
                   {"X-Key", key}};
   if (PromptTokens != 0)
     call.Headers.push_back({"X-Tokens", std::to_string(PromptTokens)});
-  return sendOnce(CallerAddress, call);
+  return sendOnce(address, call);
 }
 
 double GatewayFixture::metric(const std::string &name) {
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -3,6 +3,7 @@
 #include "Gateway.h"
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibHttp/HttpClient.h"
+#include "UpstreamPath.h"
 #include <array>
 #include <atomic>
 #include <boost/asio/io_context.hpp>
@@ -48,6 +49,14 @@
   std::array<std::atomic<int>, ResourceKindCount> Watches{};
 };
 
+/// A further gateway of a fixture, which reaches the upstream over a path that
+/// can be cut.
+struct GatewayHost {
+  UpstreamPath Path;
+  std::unique_ptr<Gateway> Served;
+  std::string CallerAddress;
+};
+
 /// A gateway with an in-memory store and one upstream, all in this process. The
 /// test sets the upstream's request handler. A plan's text is "version;key".
 /// The plan has three routes to the service "desk", all open to the key: "/a/",
@@ -68,6 +77,12 @@
   void waitUntilSeen(ResourceKind kind);
   /// Sends a call with that key; the timeout of the route is three seconds.
   HttpReply call(const std::string &key, const std::string &path = "/a/1");
+  /// The same at the host with that address.
+  HttpReply callAt(const std::string &address, const std::string &path);
+  /// The addresses that the host names to callers, separated by spaces.
+  static std::string lookUp(const Gateway &host);
+  /// Starts another host, and waits until it and the first name each other.
+  std::unique_ptr<GatewayHost> addHost(const std::string &name);
   /// Repeats the call until its response has that status. Fails the test if it
   /// never does.
   HttpReply callUntil(int status, const std::string &key,
@@ -79,6 +94,8 @@
   double metric(const std::string &name);
   void addReplica(const std::string &id, bool isLeaving = false);
 
+  /// Runs the upstream, on a thread of its own.
+  boost::asio::io_context UpstreamLoop;
   FakeStore Store;
   /// The upstream's request handler. The initial one responds 200 with "ok for"
   /// and the team.
@@ -90,9 +107,13 @@
   std::string CallerAddress;
 
 private:
-  GatewayHooks hooks(boost::asio::io_context &loop);
+  HttpReply send(const std::string &address, const std::string &key,
+                 const std::string &path) const;
+  GatewayHooks hooks(boost::asio::io_context &loop,
+                     const std::string &upstreamAddress);
 
-  boost::asio::io_context UpstreamLoop;
+  Duration KeyRemoval;
+  Duration Grace;
   std::unique_ptr<AsyncHttpServer> UpstreamServer;
   std::thread UpstreamWorker;
 };
