LibServing: Decide what a host does about upstreams that it can't reach

- AddressLookup leaves hosts out that report a service they can't reach, unless there are no others; such hosts hold no share of rate limits.
- DeferredFailures: failures without a response count against versions a second later, unless the host turns out to have lost its paths.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -20,12 +20,27 @@
 }
 
 json memberToJson(const FleetMember &it) {
-  return {it.Host.text(),        it.Zone.text(), it.PeerAddress,
-          it.CallerAddress,      it.IsReady,     it.IsLeaving,
-          it.IsStoreUnreachable, it.HoldsDuties, it.LeaseRevision,
-          it.FencingToken,       it.Capacity};
+  json unreachable = json::array();
+  for (const ServiceId &service : it.UnreachableServices)
+    unreachable.push_back(service.text());
+  return {it.Host.text(),
+          it.Zone.text(),
+          it.PeerAddress,
+          it.CallerAddress,
+          it.IsReady,
+          it.IsLeaving,
+          it.IsStoreUnreachable,
+          it.HoldsDuties,
+          it.LeaseRevision,
+          it.FencingToken,
+          it.Capacity,
+          it.RelayAddress,
+          unreachable};
 }
 
+/// The number of fields of a member before there were relayed calls.
+constexpr std::size_t MemberFieldsWithoutRelays = 11;
+
 FleetMember memberFromJson(const json &from) {
   FleetMember out;
   out.Host = HostId(from.at(0).get<std::string>());
@@ -39,6 +54,12 @@
   from.at(8).get_to(out.LeaseRevision);
   from.at(9).get_to(out.FencingToken);
   from.at(10).get_to(out.Capacity);
+  // Hosts of an earlier version accept no relayed calls.
+  if (from.size() > MemberFieldsWithoutRelays) {
+    from.at(11).get_to(out.RelayAddress);
+    for (const json &service : from.at(12))
+      out.UnreachableServices.insert(ServiceId(service.get<std::string>()));
+  }
   return out;
 }
 
--- a/Libraries/LibServing/AddressLookup.h
+++ b/Libraries/LibServing/AddressLookup.h
@@ -14,9 +14,10 @@
   std::vector<HostId> LeftOut;
 };
 
-/// The hosts that `self` names to callers: those that are ready and were seen
-/// recently. A caller is better off with the address of a silent host than with
-/// none, so if there are no others, it is given those.
+/// The hosts that `self` names to callers: those that are ready, were seen
+/// recently and reach the upstreams of all services. A caller is better off
+/// with the address of a host that has to relay its calls, or of a silent one,
+/// than with none, so if there are no others, it is given those.
 AddressLookup lookUpAddresses(const FleetMember &self, const FleetView &view,
                               Instant now);
 
--- a/Libraries/LibServing/CallRetryState.cpp
+++ b/Libraries/LibServing/CallRetryState.cpp
@@ -28,6 +28,19 @@
 
 void CallRetryState::recordNotRun() { IsSent = false; }
 
+void CallRetryState::recordDeclined() {
+  verifyInvariant(IsSent, "declined_call_was_relayed",
+                  "a call is declined that was not relayed");
+  IsSent = false;
+  ++AttemptsLeft;
+  --Sends;
+}
+
+void CallRetryState::recordLostRelay() {
+  recordFailure();
+  AttemptsLeft = 0;
+}
+
 void CallRetryState::recordFailure() {
   MayHaveRun = MayHaveRun || IsSent;
   IsSent = false;
--- a/Libraries/LibServing/CallRetryState.h
+++ b/Libraries/LibServing/CallRetryState.h
@@ -36,6 +36,11 @@
   void recordSend();
   /// The upstream reported that it did not run the call.
   void recordNotRun();
+  /// The host that the call was relayed to sent it to no upstream.
+  void recordDeclined();
+  /// The host that the call was relayed to did not report the outcome: it may
+  /// have used all attempts.
+  void recordLostRelay();
   /// The connection broke, the upstream did not respond in time, or it
   /// responded with a server error.
   void recordFailure();
@@ -46,6 +51,7 @@
   bool isAnswering() const { return IsAnswering; }
   /// The number of times that the call was sent.
   int sends() const { return Sends; }
+  int attemptsLeft() const { return AttemptsLeft; }
   Instant deadline() const { return Deadline; }
   CallFailureKind failureKind(Instant now) const;
 
--- /dev/null
+++ b/Libraries/LibServing/DeferredFailures.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "LibBase/Identifier.h"
+#include "LibBase/Time.h"
+#include <deque>
+#include <vector>
+
+namespace sorrelbay {
+
+/// A send that failed without a response.
+struct UnansweredSend {
+  ServiceId Service;
+  VersionId Version;
+  RouteId Route;
+};
+
+/// Sends that failed without a response, held back until it is known whether
+/// this host had lost its paths to the service. Otherwise a host that is cut
+/// off would find any version faulty. Not thread-safe.
+class DeferredFailures {
+public:
+  void add(const UnansweredSend &send, Instant now);
+  /// Drops the failures of a service that turned out to be unreachable from
+  /// this host.
+  void discard(const ServiceId &service);
+  /// Removes and returns the failures that count by now.
+  std::vector<UnansweredSend> takeDue(Instant now);
+
+private:
+  struct Deferred {
+    UnansweredSend Send;
+    Instant At{};
+  };
+
+  std::deque<Deferred> Held;
+};
+
+} // namespace sorrelbay
--- a/Libraries/LibServing/EventSplitter.h
+++ b/Libraries/LibServing/EventSplitter.h
@@ -2,6 +2,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace sorrelbay {
 
@@ -10,6 +11,8 @@
 /// without the caller receiving a part of that event twice.
 class EventSplitter {
 public:
+  /// Sets the id of the event that the stream follows.
+  void resumeAfter(std::string id) { LastId = std::move(id); }
   /// Adds the next bytes of the stream and returns the events that they
   /// complete, unchanged.
   std::string feed(std::string_view bytes);
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -5,6 +5,7 @@
 #include "LibServing/TeamRateLimiter.h"
 #include "LibServing/UsageCounts.h"
 #include <map>
+#include <set>
 #include <string>
 #include <tuple>
 #include <vector>
@@ -43,14 +44,21 @@
   /// The number of cores that it may use. The largest hosts aggregate for their
   /// zones.
   double Capacity = 0;
+  /// The address on which it accepts calls that other hosts relay to it; empty
+  /// if it accepts none.
+  std::string RelayAddress;
+  /// Services none of whose upstreams the host can reach.
+  std::set<ServiceId> UnreachableServices;
 
   friend bool operator==(const FleetMember &a, const FleetMember &b) {
     return std::tie(a.Host, a.Zone, a.PeerAddress, a.CallerAddress, a.IsReady,
                     a.IsLeaving, a.IsStoreUnreachable, a.HoldsDuties,
-                    a.LeaseRevision, a.FencingToken, a.Capacity) ==
+                    a.LeaseRevision, a.FencingToken, a.Capacity, a.RelayAddress,
+                    a.UnreachableServices) ==
            std::tie(b.Host, b.Zone, b.PeerAddress, b.CallerAddress, b.IsReady,
                     b.IsLeaving, b.IsStoreUnreachable, b.HoldsDuties,
-                    b.LeaseRevision, b.FencingToken, b.Capacity);
+                    b.LeaseRevision, b.FencingToken, b.Capacity, b.RelayAddress,
+                    b.UnreachableServices);
   }
 };
 
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -566,10 +566,13 @@
 std::vector<HostId> FleetView::servingHosts(const FleetMember &self,
                                             Instant now) const {
   std::vector<HostId> out;
-  if (self.IsReady && !self.IsLeaving)
+  const auto isServing = [](const FleetMember &it) {
+    return it.IsReady && !it.IsLeaving && it.UnreachableServices.empty();
+  };
+  if (isServing(self))
     out.push_back(Settings.Self);
   for (const auto &[host, it] : Known)
-    if (it.Member.IsReady && !it.Member.IsLeaving && isAnswering(it, now))
+    if (isServing(it.Member) && isAnswering(it, now))
       out.push_back(host);
   std::sort(out.begin(), out.end());
   return out;
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -122,8 +122,8 @@
   /// All registered or known hosts including this one, also silent ones; empty
   /// until the registered hosts have been read from the store.
   std::vector<HostId> allHosts() const;
-  /// The hosts that serve callers, as far as they were seen recently; this one
-  /// is included if it does.
+  /// The hosts that serve callers and reach all upstreams, as far as they were
+  /// seen recently; this one is included if it does.
   std::vector<HostId> servingHosts(const FleetMember &self, Instant now) const;
   /// The number of known hosts that are not leaving, including this one; at
   /// least 1.
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -508,6 +508,18 @@
   entry.SendsSeen = 0;
 }
 
+void ReplicaTable::resetHealth(const ServiceId &service) {
+  for (auto &[id, entry] : Entries) {
+    if (entry.Record.OfService != service)
+      continue;
+    entry.FailureShare = 0;
+    entry.SendsSeen = 0;
+    entry.EjectedUntil = {};
+    entry.LastEjection = {};
+    entry.IsBeingProbed = false;
+  }
+}
+
 void ReplicaTable::notePeer(const SourceId &peer,
                             std::map<UpstreamId, OutstandingWork> open) {
   std::map<UpstreamId, OutstandingWork> &known = PeerWork[peer];
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -249,6 +249,9 @@
   void notePeer(const SourceId &peer,
                 std::map<UpstreamId, OutstandingWork> open);
   void forgetPeer(const SourceId &peer);
+  /// Forgets the failures of the service's upstreams and ends their ejections,
+  /// because this host had lost its paths to them.
+  void resetHealth(const ServiceId &service);
 
   /// This host's work in progress, for its reports.
   std::map<UpstreamId, OutstandingWork> ownWork() const;
