--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -69,6 +69,7 @@
   ClientConnection &operator=(const ClientConnection &) = delete;
 
   void connect();
+  void openIdle(std::function<void(ConnectResult)> done);
   void start(const HttpCall &call, HttpCallHooks hooks);
   void close();
   void cancel();
@@ -84,6 +85,7 @@
   void readBody();
   void onBodyRead(ErrorCode ec);
   void onResponseEnd();
+  void onOpenedIdle();
   void returnToPool();
   void watchIdle();
   void fail(HttpFailure why);
@@ -109,6 +111,8 @@
   bool WaitsForResume = false;
   bool IsClosed = false;
   bool IsConnected = false;
+  /// The connection is opened for later calls.
+  bool IsOpenedIdle = false;
 };
 
 class CallHandle : public HttpCallHandle {
@@ -231,10 +235,27 @@
     configureSocket(self->Socket);
     if (self->Hooks.OnConnect)
       self->Hooks.OnConnect(ConnectResult::Connected);
+    if (self->IsOpenedIdle)
+      return self->onOpenedIdle();
     self->send();
   });
 }
 
+void ClientConnection::openIdle(std::function<void(ConnectResult)> done) {
+  Hooks.OnConnect = std::move(done);
+  Hooks.OnFailure = [](HttpFailure) {};
+  IsActive = true;
+  IsOpenedIdle = true;
+  connect();
+}
+
+void ClientConnection::onOpenedIdle() {
+  IsActive = false;
+  IsOpenedIdle = false;
+  Hooks = {};
+  returnToPool();
+}
+
 void ClientConnection::start(const HttpCall &call, HttpCallHooks hooks) {
   Hooks = std::move(hooks);
   IsActive = true;
@@ -465,6 +486,13 @@
   return handle;
 }
 
+void AsyncHttpClient::openIdle(const std::string &address,
+                               std::function<void(ConnectResult)> done) {
+  ++ClientState->Counts.Opened;
+  std::make_shared<ClientConnection>(ClientState, address)
+      ->openIdle(std::move(done));
+}
+
 std::size_t AsyncHttpClient::connections(const std::string &address) const {
   const auto it = ClientState->ConnectionCounts.find(address);
   return it == ClientState->ConnectionCounts.end() ? 0 : it->second;
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -123,6 +123,10 @@
   std::shared_ptr<HttpCallHandle>
   send(const std::string &address, const HttpCall &call, HttpCallHooks hooks,
        std::optional<Duration> maxIdleTime = {});
+  /// Opens a connection to "ip:port" and keeps it for later calls. `done` is
+  /// called with the result, and never from inside this function.
+  void openIdle(const std::string &address,
+                std::function<void(ConnectResult)> done);
   /// The number of connections to the address, active and idle.
   std::size_t connections(const std::string &address) const;
   /// Whether there is an idle connection to the address.
--- a/Libraries/LibHttp/HttpMessage.cpp
+++ b/Libraries/LibHttp/HttpMessage.cpp
@@ -1,9 +1,22 @@
 #include "LibHttp/HttpMessage.h"
 #include <algorithm>
+#include <array>
 #include <cctype>
 
 namespace sorrelbay {
 
+static constexpr std::array<std::string_view, 10> ConnectionHeaders = {
+    "Connection",
+    "Keep-Alive",
+    "Proxy-Connection",
+    "Transfer-Encoding",
+    "Content-Length",
+    "TE",
+    "Trailer",
+    "Upgrade",
+    "Proxy-Authorization",
+    "Expect"};
+
 static bool equalsIgnoringCase(std::string_view a, std::string_view b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [](unsigned char x, unsigned char y) {
@@ -11,6 +24,12 @@
                     });
 }
 
+static bool isConnectionHeader(std::string_view name) {
+  return std::any_of(
+      ConnectionHeaders.begin(), ConnectionHeaders.end(),
+      [&](std::string_view it) { return equalsIgnoringCase(it, name); });
+}
+
 static const HttpHeader *find(const HttpHeaders &headers,
                               std::string_view name) {
   const auto it =
@@ -29,4 +48,20 @@
   return find(headers, name) != nullptr;
 }
 
+HttpHeaders withoutHeader(const HttpHeaders &headers, std::string_view name) {
+  HttpHeaders out;
+  for (const HttpHeader &it : headers)
+    if (!equalsIgnoringCase(it.Name, name))
+      out.push_back(it);
+  return out;
+}
+
+HttpHeaders endToEndHeaders(const HttpHeaders &headers) {
+  HttpHeaders out;
+  for (const HttpHeader &it : headers)
+    if (!isConnectionHeader(it.Name))
+      out.push_back(it);
+  return out;
+}
+
 } // namespace sorrelbay
--- a/Libraries/LibHttp/HttpMessage.h
+++ b/Libraries/LibHttp/HttpMessage.h
@@ -23,6 +23,13 @@
 /// Whether there is a header field with that name.
 bool hasHeader(const HttpHeaders &headers, std::string_view name);
 
+/// The header fields without those with that name.
+HttpHeaders withoutHeader(const HttpHeaders &headers, std::string_view name);
+
+/// The header fields without those that concern only one connection. Host
+/// belongs to the request and stays.
+HttpHeaders endToEndHeaders(const HttpHeaders &headers);
+
 /// No byte of the request has left this host, because the connection was
 /// refused or timed out. The server has not run the request.
 class HttpNotSent : public Error {
--- a/Libraries/LibObjectApi/ResourceStore.cpp
+++ b/Libraries/LibObjectApi/ResourceStore.cpp
@@ -16,6 +16,8 @@
     return "duties";
   case ResourceKind::Usage:
     return "usage";
+  case ResourceKind::Relays:
+    return "relays";
   case ResourceKind::Evacuations:
     return "evacuations";
   }
--- a/Libraries/LibObjectApi/ResourceStore.h
+++ b/Libraries/LibObjectApi/ResourceStore.h
@@ -28,10 +28,13 @@
   /// The operators' orders to send no calls to a zone's upstreams. An order is
   /// named after its zone and is in force until it is removed.
   Evacuations,
+  /// The secret with which daemons prove to each other that they relay a call;
+  /// written by the first of them.
+  Relays,
 };
 
 /// The number of enumerators of ResourceKind, for tables indexed by kind.
-constexpr std::size_t ResourceKindCount = 7;
+constexpr std::size_t ResourceKindCount = 8;
 
 /// The kind's name in logs and metrics.
 const char *toText(ResourceKind kind);
--- a/Services/sorrelbayd/CallPlacement.h
+++ b/Services/sorrelbayd/CallPlacement.h
@@ -15,6 +15,8 @@
   /// Null if the route needs no key.
   const ServingTeam *Team = nullptr;
   ServiceId Service;
+  /// Another host has counted the call as demand.
+  bool IsDemandCounted = false;
 };
 
 /// Chooses the upstreams for one call, for its first attempt and for repeats,
@@ -22,7 +24,8 @@
 class CallPlacement {
 public:
   CallPlacement(GatewayState &state, PlacedCall placed)
-      : State(state), Placed(std::move(placed)) {}
+      : State(state), Placed(std::move(placed)),
+        IsDemandCounted(Placed.IsDemandCounted) {}
 
   /// The upstream for the next attempt; empty if none may take the call. An
   /// upstream is chosen at most once.
@@ -38,6 +41,8 @@
   bool exceedsFirstTokenLimit(const ReplicaChoice &choice) const;
   /// The engine time that the service's upstreams need to prefill the tokens.
   Duration prefillTime(std::int64_t tokens) const;
+  /// Whether the call has been counted as demand.
+  bool isDemandCounted() const { return IsDemandCounted; }
   /// The call's rank; 0 is the most urgent.
   int priority() const;
 
@@ -50,7 +55,7 @@
   PlacedCall Placed;
   /// Upstreams that were chosen, or that may not get another connection.
   std::vector<UpstreamId> Tried;
-  bool IsDemandCounted = false;
+  bool IsDemandCounted;
 };
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -29,6 +29,8 @@
 constexpr Duration IdleTimeoutWhileStopping = milliseconds(1200);
 /// Time by which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
+/// What a relayed call's header has more than the caller's.
+constexpr std::size_t MaxEnvelopeBytes = 8UL * 1024;
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
@@ -50,7 +52,7 @@
                     [this](const RelayedChanges &relayed) {
                       applyRelayedChanges(relayed);
                     }}),
-      TickTimer(Loop) {
+      Upstreams(State), Secret(State), TickTimer(Loop) {
   State.Replicas.setRegions(State.Settings.RegionOf);
   State.Self = [this] { return Fleet.self(); };
   State.NotifyPeers = [this] { Fleet.publishPromptly(); };
@@ -63,6 +65,11 @@
                                UpstreamOutcome outcome) {
     ServiceRollouts.record(service, version, route, outcome);
   };
+  State.NoteConnect = [this](const ServiceId &service,
+                             const UpstreamId &upstream, ConnectResult result) {
+    Upstreams.noteConnect(service, upstream, result);
+  };
+  State.WatchForSilence = [this] { Upstreams.watchForSilence(); };
   State.IsRollingOut = [this](const ServiceId &service) {
     return ServiceRollouts.isRollingOut(service);
   };
@@ -74,19 +81,22 @@
     Worker.join();
 }
 
+/// The limits of the plan in force on what callers send.
+HttpLimits Gateway::callLimits() const {
+  HttpLimits limits;
+  if (!State.Plan)
+    return limits;
+  const CallLimits &planLimits = State.Plan->plan().Limits;
+  limits.MaxHeaderBytes = planLimits.MaxHeaderBytes;
+  limits.MaxBodyBytes = planLimits.MaxBodyBytes;
+  limits.ReadTimeout = planLimits.HeaderTimeout;
+  limits.IdleTimeout = planLimits.IdleTimeout;
+  return limits;
+}
+
 void Gateway::listen() {
   AsyncHttpServerHooks callers;
-  callers.Limits = [this] {
-    HttpLimits limits;
-    if (!State.Plan)
-      return limits;
-    const CallLimits &planLimits = State.Plan->plan().Limits;
-    limits.MaxHeaderBytes = planLimits.MaxHeaderBytes;
-    limits.MaxBodyBytes = planLimits.MaxBodyBytes;
-    limits.ReadTimeout = planLimits.HeaderTimeout;
-    limits.IdleTimeout = planLimits.IdleTimeout;
-    return limits;
-  };
+  callers.Limits = [this] { return callLimits(); };
   callers.Handle = [this](std::shared_ptr<HttpExchange> exchange) {
     GatewayCall::serve(State, std::move(exchange));
   };
@@ -111,9 +121,26 @@
   };
   Addresses = std::make_unique<AsyncHttpServer>(
       Loop, State.Settings.AddressListen, addresses);
+  listenForRelayedCalls();
   Fleet.listen();
 }
 
+void Gateway::listenForRelayedCalls() {
+  if (State.Settings.RelayListen.empty())
+    return;
+  AsyncHttpServerHooks hooks;
+  hooks.Limits = [this] {
+    HttpLimits limits = callLimits();
+    limits.MaxHeaderBytes += MaxEnvelopeBytes;
+    return limits;
+  };
+  hooks.Handle = [this](std::shared_ptr<HttpExchange> exchange) {
+    GatewayCall::serveRelayed(State, std::move(exchange));
+  };
+  RelayedCallers = std::make_unique<AsyncHttpServer>(
+      Loop, State.Settings.RelayListen, hooks);
+}
+
 void Gateway::listenForMetrics() {
   if (State.Settings.MetricsListen.empty())
     return;
@@ -325,6 +352,7 @@
   Orders.tick(now);
   ServiceRollouts.tick(now);
   updateRetryBudgets();
+  Upstreams.tick(now);
   Fleet.tick(now);
   State.logStoreCalls(now);
 }
@@ -349,6 +377,9 @@
   self.IsReady = isReady(now);
   self.IsLeaving = State.isStopping();
   self.IsStoreUnreachable = State.Reachability.isStoreUnreachable(now);
+  if (RelayedCallers && !State.RelaySecret.empty())
+    self.RelayAddress = RelayedCallers->address();
+  self.UnreachableServices = State.Paths.unreachable();
   Duties.addLeaseTo(self, now);
   return self;
 }
@@ -394,6 +425,8 @@
   listen();
   listenForMetrics();
   watchStore();
+  if (RelayedCallers)
+    Secret.start();
   Fleet.start();
   repeat(TickTimer, TickInterval, [this] { tick(); });
   Worker = std::thread([this] {
@@ -422,6 +455,8 @@
     State.StoppingSince = bootNow();
     Fleet.publish(bootNow());
     Callers->beginClosing(IdleTimeoutWhileStopping);
+    if (RelayedCallers)
+      RelayedCallers->beginClosing(IdleTimeoutWhileStopping);
     Fleet.leave();
     left.set_value();
   });
@@ -433,7 +468,9 @@
     std::this_thread::sleep_for(TickInterval);
     std::promise<bool> hasNoConnections;
     boost::asio::post(Loop, [this, &hasNoConnections] {
-      hasNoConnections.set_value(Callers->connections() == 0);
+      const bool servesRelayed =
+          RelayedCallers && RelayedCallers->openRequests() != 0;
+      hasNoConnections.set_value(Callers->connections() == 0 && !servesRelayed);
     });
     if (hasNoConnections.get_future().get() && bootNow() - begun > shortestStop)
       break;
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -7,7 +7,9 @@
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibObjectApi/ResourceWatcher.h"
 #include "LibServing/AddressLookup.h"
+#include "RelaySecret.h"
 #include "ReplicaOrders.h"
+#include "UpstreamMonitor.h"
 #include "UsageReporter.h"
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -41,6 +43,8 @@
   void stop();
   /// The address callers connect to, with the port that was assigned.
   std::string callerAddress() const { return Callers->address(); }
+  /// The address that accepts relayed calls. There must be one in the settings.
+  std::string relayAddress() const { return RelayedCallers->address(); }
   /// The address that serves address lookups.
   std::string lookupAddress() const { return Addresses->address(); }
   /// The address that serves metrics. There must be one in the settings.
@@ -48,7 +52,9 @@
 
 private:
   void listen();
+  void listenForRelayedCalls();
   void listenForMetrics();
+  HttpLimits callLimits() const;
   void watchStore();
   void applyPlan(const Resource &object);
   void applyReplica(const Resource &object);
@@ -74,7 +80,11 @@
   ReplicaOrders Orders;
   GatewayRollouts ServiceRollouts;
   GatewayFleet Fleet;
+  UpstreamMonitor Upstreams;
+  RelaySecret Secret;
   std::unique_ptr<AsyncHttpServer> Callers;
+  /// Null if the settings name no address for relayed calls.
+  std::unique_ptr<AsyncHttpServer> RelayedCallers;
   std::unique_ptr<AsyncHttpServer> Readiness;
   std::unique_ptr<AsyncHttpServer> Addresses;
   std::unique_ptr<AsyncHttpServer> MetricsServer;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
 #include "LibHttp/TimerExpiry.h"
+#include "LibPeer/PeerFailures.h"
 #include "LibServing/Allotment.h"
 #include "LibServing/StopPolicy.h"
 #include "ResponseStatements.h"
@@ -13,6 +14,7 @@
 namespace {
 
 constexpr int Unauthorized = 401;
+constexpr int Forbidden = 403;
 constexpr int NotFound = 404;
 constexpr int TooManyRequests = 429;
 constexpr int BadGateway = 502;
@@ -25,6 +27,10 @@
 /// Most failed connection attempts, with nothing sent, that are followed by an
 /// attempt at another upstream.
 constexpr int MaxFailedConnects = 3;
+/// A call to which that many connections failed is relayed if possible.
+constexpr int ConnectsBeforeRelay = 2;
+/// Most hosts that a call is relayed to, one after the other.
+constexpr std::size_t MaxRelays = 3;
 /// A call that may run only once uses a pooled connection only if it was in use
 /// this recently: a connection that the upstream has just closed would lose the
 /// call.
@@ -90,19 +96,21 @@
   const Duration waitLimit = std::min(
       Call.WaitLimit.value_or(DefaultWaitLimit),
       Route->Timeout > Duration::zero() ? Route->Timeout : DefaultWaitLimit);
-  RetryState.emplace(Route->Kind, std::max(1, Route->MaxAttempts),
-                     ReceivedAt + waitLimit);
-  const WeightedService *service =
-      chooseService(*Route, State.randomFraction());
-  if (!service)
-    return refuse(Unavailable, "route_without_service", std::nullopt);
-  Service = service->Name;
-  Upstreams.emplace(State, PlacedCall{Call, *Plan, *Route, Team, Service});
+  const int attempts = std::max(1, Route->MaxAttempts);
+  if (Relayed)
+    RetryState.emplace(Route->Kind, std::min(attempts, Relayed->Attempts),
+                       ReceivedAt + std::min(waitLimit, Relayed->WaitLimit));
+  else
+    RetryState.emplace(Route->Kind, attempts, ReceivedAt + waitLimit);
+  if (!chooseRouteService())
+    return;
+  Upstreams.emplace(State, PlacedCall{Call, *Plan, *Route, Team, Service,
+                                      Relayed && Relayed->IsDemandCounted});
   ExpectedCost.Tokens = Call.PromptTokens.value_or(0) + Call.MaxOutputTokens;
   const auto retryBudget = State.RetryBudgets.find(Service);
-  if (retryBudget != State.RetryBudgets.end())
+  if (!Relayed && retryBudget != State.RetryBudgets.end())
     retryBudget->second.noteCall();
-  if (!chargeUnits() || !admit())
+  if (!Relayed && (!chargeUnits() || !admit()))
     return;
   Exchange->onClientDisconnected(
       [self = shared_from_this()] { self->onCallerDisconnected(); });
@@ -110,6 +118,65 @@
   trySend();
 }
 
+void GatewayCall::serveRelayed(GatewayState &state,
+                               std::shared_ptr<HttpExchange> exchange) {
+  std::make_shared<GatewayCall>(state, std::move(exchange))->startRelayed();
+}
+
+/// Only a host that knows the fleet's secret may have its calls served without
+/// being charged for them here.
+void GatewayCall::startRelayed() {
+  RelayEnvelope envelope;
+  try {
+    envelope = envelopeOf(Exchange->request(), State.RelaySecret);
+  } catch (const PeerMessageRefused &error) {
+    if (State.FailureLogBudget.take(ReceivedAt))
+      LogLine(Severity::Warning, "relayed call refused")
+          .field("id", Call.Id)
+          .field("why", error.what());
+    return Exchange->respond(
+        Forbidden,
+        {relayResultHeader({RelayOutcome::Declined, "unproven", {}})}, "");
+  }
+  Relayed = envelope;
+  if (const char *cause = declineCause(State, Call, envelope, ReceivedAt))
+    return decline(cause);
+  UpstreamRequest = withoutEnvelope(Exchange->request());
+  Events.resumeAfter(envelope.ResumeAfter);
+  start();
+}
+
+/// Leaves the call to the host that relayed it. Nothing was sent to an
+/// upstream.
+void GatewayCall::decline(const char *cause) {
+  IsDone = true;
+  Timer.cancel();
+  State.Counts.countRelayedCall("received", cause);
+  if (State.FailureLogBudget.take(bootNow()))
+    LogLine(Severity::Info, "relayed call declined")
+        .field("id", Call.Id)
+        .field("from", Relayed->From.text())
+        .field("why", cause);
+  Exchange->respond(Unavailable,
+                    {relayResultHeader({RelayOutcome::Declined, cause, {}})},
+                    "");
+}
+
+bool GatewayCall::chooseRouteService() {
+  if (Relayed) {
+    Service = Relayed->Service;
+    return true;
+  }
+  const WeightedService *service =
+      chooseService(*Route, State.randomFraction());
+  if (!service) {
+    refuse(Unavailable, "route_without_service", std::nullopt);
+    return false;
+  }
+  Service = service->Name;
+  return true;
+}
+
 bool GatewayCall::findRoute() {
   Route = Plan->routeOf(Call.HostName, Call.Path);
   if (Route)
@@ -181,7 +248,8 @@
 
 void GatewayCall::armTimer() {
   Instant at = RetryState->deadline();
-  const bool canSwitchUpstream = IsOpen && !CurrentSend.HasFirstByte &&
+  const bool canSwitchUpstream = IsOpen && !isRelaying() &&
+                                 !CurrentSend.HasFirstByte &&
                                  Route->Kind == Repeatability::Idempotent &&
                                  RetryState->sends() < Route->MaxAttempts &&
                                  Route->LatencyTarget > Duration::zero();
@@ -199,7 +267,8 @@
   const Instant now = bootNow();
   if (now < RetryState->deadline()) {
     // The upstream has not responded; another one may still respond in time.
-    if (IsOpen && !CurrentSend.HasFirstByte && takeRetryFromBudget()) {
+    if (IsOpen && !isRelaying() && !CurrentSend.HasFirstByte &&
+        takeRetryFromBudget()) {
       Handle->cancel();
       RetryState->recordFailure();
       endSend(SendResult::Broken);
@@ -239,9 +308,16 @@
   const Instant now = bootNow();
   if (HasBegun ? !RetryState->canResume(now) : !RetryState->canSend(now))
     return finishLocally("no_attempt_left");
+  if (prefersRelay() && tryRelay(now))
+    return;
   const auto chosen = Upstreams->choose(now);
-  if (!chosen)
-    return finishWithoutUpstream(now);
+  if (!chosen) {
+    if (Relayed && FailedConnects > 0 && RetryState->sends() == 0)
+      return decline("no_connection");
+    if (FailedConnects == 0 || !tryRelay(now))
+      finishWithoutUpstream(now);
+    return;
+  }
   CurrentSend = {};
   CurrentSend.Expected = *chosen;
   if (RetryState->sends() == 0 && Upstreams->exceedsFirstTokenLimit(*chosen))
@@ -267,11 +343,62 @@
     State.NotifyPeers();
   const bool mayRunOnlyOnce = Route->Kind == Repeatability::NonIdempotent;
   Handle = State.Client.send(
-      replica->Address, State.Hooks.UpstreamCall(Exchange->request(), attempt),
+      replica->Address,
+      State.Hooks.UpstreamCall(
+          UpstreamRequest ? *UpstreamRequest : Exchange->request(), attempt),
       upstreamHooks(), mayRunOnlyOnce ? OnceOnlyFreshness : DefaultFreshness);
   armTimer();
 }
 
+/// Whether this host can't send the call to an upstream itself, as far as it
+/// knows. A relayed call is never relayed again.
+bool GatewayCall::prefersRelay() const {
+  return State.Paths.isUnreachable(Service) ||
+         FailedConnects >= ConnectsBeforeRelay;
+}
+
+/// Relays the call to a host that reaches the service. Returns false if there
+/// is none.
+bool GatewayCall::tryRelay(Instant now) {
+  if (Relayed || State.RelaySecret.empty() || TriedPeers.size() >= MaxRelays)
+    return false;
+  const auto peer = State.Relays.choose(Service, State.Fleet, TriedPeers,
+                                        State.Random(), now);
+  if (!peer)
+    return false;
+  TriedPeers.push_back(peer->Host);
+  State.Relays.noteSent(peer->Host);
+  CurrentSend = {};
+  CurrentSend.Peer = peer->Host;
+  CurrentSend.At = now;
+  IsOpen = true;
+  const bool mayRunOnlyOnce = Route->Kind == Repeatability::NonIdempotent;
+  Handle = State.Client.send(
+      peer->Address,
+      makeRelayCall(Exchange->request(), relayEnvelope(peer->Host, now),
+                    State.RelaySecret),
+      upstreamHooks(), mayRunOnlyOnce ? OnceOnlyFreshness : DefaultFreshness);
+  armTimer();
+  return true;
+}
+
+RelayEnvelope GatewayCall::relayEnvelope(const HostId &peer,
+                                         Instant now) const {
+  RelayEnvelope out;
+  out.From = State.Settings.Host;
+  out.To = peer;
+  out.CallId = Call.Id;
+  out.Method = Call.Method;
+  out.Path = Call.Path;
+  out.Service = Service;
+  out.WaitLimit = RetryState->deadline() - now;
+  out.Attempts = RetryState->attemptsLeft();
+  out.PlanVersion = Plan->plan().Version;
+  out.ResumeAfter = Events.lastId();
+  out.IsDemandCounted = Upstreams->isDemandCounted();
+  return out;
+}
+
 HttpCallHooks GatewayCall::upstreamHooks() {
   HttpCallHooks hooks;
   const auto self = shared_from_this();
@@ -289,7 +416,9 @@
 
 void GatewayCall::onConnect(ConnectResult result) {
   const Instant now = bootNow();
-  State.Counts.countUpstreamConnect(Service.text(), toText(result));
+  if (isRelaying())
+    return;
+  State.NoteConnect(Service, CurrentSend.Replica, result);
   if (result == ConnectResult::Connected || !State.ConnectLogBudget.take(now))
     return;
   LogLine(Severity::Warning, "upstream connection failed")
@@ -303,11 +432,16 @@
 /// now that there is a connection.
 bool GatewayCall::onSending() {
   const Instant now = bootNow();
-  if (!State.Replicas.maySend(CurrentSend.Replica, now))
+  if (!isRelaying() && !State.Replicas.maySend(CurrentSend.Replica, now))
     return false;
   CurrentSend.WasSending = true;
   CurrentSend.SentAt = now;
   RetryState->recordSend();
+  if (isRelaying())
+    return true;
+  CurrentSend.IsWaiting = true;
+  State.Paths.noteSent(Service, now);
+  State.WatchForSilence();
   return true;
 }
 
@@ -327,8 +461,10 @@
 /// connection. Keeps what its head states for onHead.
 bool GatewayCall::isForThisCall(const HttpReplyHead &head) {
   UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
+  noteReceived();
   if (!replyInfo.Id.empty() && replyInfo.Id != Call.Id) {
-    noteStatements(replyInfo, false, false);
+    if (!isRelaying())
+      noteStatements(replyInfo, false, false);
     return false;
   }
   CurrentSend.ReplyInfo = std::move(replyInfo);
@@ -337,6 +473,8 @@
 
 void GatewayCall::onHead(const HttpReplyHead &head) {
   CurrentSend.Head = head;
+  if (isRelaying())
+    return onRelayHead();
   const UpstreamReplyInfo &replyInfo = CurrentSend.ReplyInfo;
   const bool hasCallId = !replyInfo.Id.empty() || Call.Id.empty();
   noteStatements(replyInfo, isSuccess(), hasCallId);
@@ -351,6 +489,32 @@
       CurrentSend.ReplyInfo.DidNotRun || (HasBegun && !isSuccess());
 }
 
+/// An upstream that responded through another host asked that host for a pause,
+/// not this one.
+void GatewayCall::onRelayHead() {
+  CurrentSend.Relay = parseRelayResult(CurrentSend.Head.Headers);
+  CurrentSend.Head.Headers = withoutRelayResult(CurrentSend.Head.Headers);
+  CurrentSend.ReplyInfo.DidNotRun = false;
+  switch (CurrentSend.Relay.Outcome) {
+  case RelayOutcome::Unknown:
+    Handle->cancel();
+    return onFailure(HttpFailure::Broken);
+  case RelayOutcome::Declined:
+  case RelayOutcome::Refused:
+    CurrentSend.IsDiscarded =
+        HasBegun || CurrentSend.Relay.Outcome == RelayOutcome::Declined;
+    return;
+  case RelayOutcome::Answered:
+    break;
+  }
+  CurrentSend.Replica = CurrentSend.Relay.Upstream;
+  CurrentSend.IsDiscarded = HasBegun && !isSuccess();
+  UpstreamReplyInfo statements = CurrentSend.ReplyInfo;
+  statements.Pause.reset();
+  statements.Ignored.clear();
+  noteStatements(statements, isSuccess(), true);
+}
+
 /// Records what the upstream states about itself in the response.
 void GatewayCall::noteStatements(const UpstreamReplyInfo &replyInfo,
                                  bool isSuccessful, bool isForThisCall) {
@@ -360,17 +524,31 @@
 }
 
 void GatewayCall::noteCallStarted() {
-  if (IsCounted || !Team)
+  if (IsCounted || !Team || isRelaying())
     return;
   IsCounted = true;
   State.Usage.noteCallStarted(
       Team->Name, State.Time.at(Route->IsStream ? bootNow() : CurrentSend.At));
 }
 
+/// The upstream has sent something.
+void GatewayCall::noteReceived() {
+  if (isRelaying())
+    return;
+  State.Paths.noteReceived(Service, bootNow());
+  if (CurrentSend.IsWaiting)
+    State.Paths.noteWaitEnded(Service, CurrentSend.SentAt);
+  CurrentSend.IsWaiting = false;
+}
+
 void GatewayCall::noteFirstByte() {
   const Instant now = bootNow();
   CurrentSend.HasFirstByte = true;
   CurrentSend.FirstByteAt = now;
+  if (FirstByteAt == Instant{})
+    FirstByteAt = now;
+  if (isRelaying())
+    return armTimer();
   State.Replicas.noteFirstByte(CurrentSend.Replica, ExpectedCost);
   const bool isPrefillDone =
       Route->IsStream && isSuccess() && !CurrentSend.ReplyInfo.DidNotRun;
@@ -381,14 +559,13 @@
         {expected.TokensToPrefill + expected.TokensAhead, now - CurrentSend.At},
         now);
   }
-  if (FirstByteAt == Instant{})
-    FirstByteAt = now;
   if (!CurrentSend.ReplyInfo.DidNotRun)
     noteCallStarted();
   armTimer();
 }
 
 void GatewayCall::onBody(std::string_view bytes) {
+  noteReceived();
   if (!CurrentSend.HasFirstByte) {
     noteFirstByte();
   }
@@ -412,11 +589,19 @@
     if (self->IsOpen && self->Handle)
       self->Handle->resume();
   });
-  Exchange->begin(CurrentSend.Head.Status,
-                  State.Hooks.ResponseHeaders(CurrentSend.Head.Headers),
+  Exchange->begin(CurrentSend.Head.Status, responseHeaders(),
                   CurrentSend.Head.Length);
 }
 
+/// The header of the upstream's response as it is forwarded.
+HttpHeaders GatewayCall::responseHeaders() const {
+  HttpHeaders out = State.Hooks.ResponseHeaders(CurrentSend.Head.Headers);
+  if (Relayed)
+    out.push_back(
+        relayResultHeader({RelayOutcome::Answered, "", CurrentSend.Replica}));
+  return out;
+}
+
 void GatewayCall::relayStream(std::string_view bytes) {
   if (!HasBegun)
     beginResponse();
@@ -432,6 +617,18 @@
   if (!IsOpen)
     return;
   IsOpen = false;
+  if (isRelaying()) {
+    const bool isReached =
+        CurrentSend.WasSending || result != SendResult::Broken;
+    return State.Relays.noteEnded(CurrentSend.Peer, isReached, bootNow());
+  }
+  if (CurrentSend.IsWaiting)
+    State.Paths.noteWaitEnded(Service, CurrentSend.SentAt);
+  CurrentSend.IsWaiting = false;
+  // Without a path to its upstreams, this host can't tell their faults.
+  if (result == SendResult::Broken &&
+      State.Paths.wasUnreachable(Service, CurrentSend.At))
+    result = SendResult::Inconclusive;
   recordOutcome(result);
   State.Replicas.noteEnded(CurrentSend.Replica, ExpectedCost,
                            CurrentSend.HasFirstByte, result, bootNow());
@@ -443,6 +640,9 @@
   if (result == SendResult::Rejected || result == SendResult::Inconclusive ||
       !CurrentSend.WasSending)
     return;
+  if (result == SendResult::Broken)
+    return State.Failures.add({Service, CurrentSend.OfVersion, Route->Name},
+                              bootNow());
   UpstreamOutcome outcome = UpstreamOutcome::Failed;
   if (result == SendResult::Answered) {
     const bool isLate =
@@ -453,9 +653,56 @@
   State.RecordOutcome(Service, CurrentSend.OfVersion, Route->Name, outcome);
 }
 
+/// The host that the call was relayed to has responded.
+void GatewayCall::onRelayEnd() {
+  const RelayResult &relay = CurrentSend.Relay;
+  State.Counts.countRelayedCall("sent", relay.Outcome == RelayOutcome::Answered
+                                            ? "answered"
+                                            : relay.Cause);
+  if (relay.Outcome == RelayOutcome::Declined) {
+    RetryState->recordDeclined();
+    endSend(SendResult::Rejected);
+    return trySend();
+  }
+  const bool isSuccessful = isSuccess();
+  endSend(isSuccessful ? SendResult::Answered : SendResult::Failed);
+  if (HasBegun && CurrentSend.IsDiscarded)
+    return abortResponse("resume_failed");
+  if (relay.Outcome == RelayOutcome::Refused)
+    return passOnRefusal();
+  finishResponse();
+}
+
+/// Gives the caller the response that the other host generated.
+void GatewayCall::passOnRefusal() {
+  const int status = CurrentSend.Head.Status;
+  IsDone = true;
+  Timer.cancel();
+  if (HasChargedUnits && (status == Unavailable || status == TooManyRequests))
+    State.RateLimiters[Team->Name].giveBack(Units);
+  log("refused", status, CurrentSend.Relay.Cause.c_str());
+  Exchange->respond(status,
+                    State.Hooks.ResponseHeaders(CurrentSend.Head.Headers),
+                    std::move(Body));
+}
+
+void GatewayCall::onRelayFailure(HttpFailure why) {
+  endSend(SendResult::Broken);
+  State.Counts.countRelayedCall("sent", "broken");
+  if (why == HttpFailure::NotSent && !CurrentSend.WasSending)
+    return trySend();
+  RetryState->recordLostRelay();
+  Body.clear();
+  if (HasBegun)
+    return abortResponse("relay_broke_off");
+  finishLocally("relay_broke_off");
+}
+
 void GatewayCall::onEnd() {
   if (IsDone)
     return;
+  if (isRelaying())
+    return onRelayEnd();
   if (CurrentSend.ReplyInfo.DidNotRun) {
     RetryState->recordNotRun();
     endSend(SendResult::Rejected);
@@ -488,8 +735,7 @@
   Timer.cancel();
   if (!HasBegun) {
     log("answered", CurrentSend.Head.Status, "");
-    Exchange->respond(CurrentSend.Head.Status,
-                      State.Hooks.ResponseHeaders(CurrentSend.Head.Headers),
+    Exchange->respond(CurrentSend.Head.Status, responseHeaders(),
                       std::move(Body));
     return;
   }
@@ -505,12 +751,10 @@
     return;
   if (why == HttpFailure::Withdrawn)
     return onWithdrawn();
-  if (why == HttpFailure::NotSent && !CurrentSend.WasSending) {
-    endSend(SendResult::Broken);
-    if (++FailedConnects <= MaxFailedConnects)
-      return trySend();
-    return finishLocally("no_connection");
-  }
+  if (isRelaying())
+    return onRelayFailure(why);
+  if (why == HttpFailure::NotSent && !CurrentSend.WasSending)
+    return onNotSent();
   if (HasBegun) {
     endSend(SendResult::Broken);
     RetryState->recordFailure();
@@ -526,6 +770,18 @@
                                               : "upstream_broke_off");
 }
 
+/// No connection to the upstream could be opened.
+void GatewayCall::onNotSent() {
+  endSend(SendResult::Broken);
+  ++FailedConnects;
+  if (Relayed && RetryState->sends() == 0 && prefersRelay())
+    return decline("no_connection");
+  if (FailedConnects <= MaxFailedConnects)
+    return trySend();
+  if (!tryRelay(bootNow()))
+    finishLocally("no_connection");
+}
+
 /// Prepares a stream whose upstream broke off to continue at another one, after
 /// the last complete event and within the same response, so that its caller
 /// sees a pause instead of a cut. Returns false if it must not be continued.
@@ -613,20 +869,30 @@
   if (HasChargedUnits && (status == Unavailable || status == TooManyRequests))
     State.RateLimiters[Team->Name].giveBack(Units);
   log("refused", status, cause);
-  Exchange->respond(status, State.Hooks.LocalResponseHeaders(Call, retryAfter),
-                    "");
+  HttpHeaders headers = State.Hooks.LocalResponseHeaders(Call, retryAfter);
+  if (Relayed)
+    headers.push_back(relayResultHeader({RelayOutcome::Refused, cause, {}}));
+  Exchange->respond(status, headers, "");
 }
 
-void GatewayCall::log(const char *outcome, int status, const char *cause) {
-  const Instant now = bootNow();
+/// Counts the call in the metrics. A relayed call counts at the host that the
+/// caller sent it to.
+void GatewayCall::count(const char *result) {
+  if (Relayed)
+    return State.Counts.countRelayedCall("received", result);
   const std::string route = Route ? Route->Name.text() : "";
-  State.Counts.countCall(route, *cause == 0 ? outcome : cause);
+  State.Counts.countCall(route, result);
   if (FirstByteAt != Instant{})
     State.Counts.observeFirstToken(route, FirstByteAt - ReceivedAt);
   if (FirstByteAt != Instant{} &&
       CurrentSend.Expected.FirstToken > Duration::zero())
     State.Counts.observeExpectedFirstToken(route,
                                            CurrentSend.Expected.FirstToken);
+}
+
+void GatewayCall::log(const char *outcome, int status, const char *cause) {
+  const Instant now = bootNow();
+  count(*cause == 0 ? outcome : cause);
   const bool isGood = status / 100 == 2 && *cause == 0;
   LogRateLimiter &budget =
       isGood ? State.SuccessLogBudget : State.FailureLogBudget;
@@ -651,6 +917,10 @@
         .field("failed_connects", static_cast<std::int64_t>(FailedConnects));
   if (!CurrentSend.Replica.empty())
     line.field("upstream", CurrentSend.Replica.text());
+  if (isRelaying())
+    line.field("relayed_to", CurrentSend.Peer.text());
+  if (Relayed)
+    line.field("relayed_from", Relayed->From.text());
   if (CurrentSend.Expected.FirstToken > Duration::zero())
     line.field("expected_wait_ms", toMilliseconds(CurrentSend.Expected.Wait))
         .field("expected_first_byte_ms",
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "CallPlacement.h"
+#include "CallRelay.h"
 #include "GatewayState.h"
 #include "LibHttp/HttpExchange.h"
 #include "LibServing/CallRetryState.h"
@@ -9,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -21,6 +23,10 @@
   /// Starts serving the request and returns without waiting for it.
   static void serve(GatewayState &state,
                     std::shared_ptr<HttpExchange> exchange);
+  /// The same for a call that another host relays to this one. It is sent to
+  /// upstreams only, and counts at the other host.
+  static void serveRelayed(GatewayState &state,
+                           std::shared_ptr<HttpExchange> exchange);
 
   GatewayCall(GatewayState &state, std::shared_ptr<HttpExchange> exchange);
 
@@ -28,11 +34,17 @@
   /// One attempt to send the call to an upstream.
   struct Send {
     UpstreamId Replica;
+    /// The host that the call is relayed to; empty if it is sent to an
+    /// upstream.
+    HostId Peer;
+    RelayResult Relay;
     /// When the upstream was chosen.
     Instant At{};
     /// When the call was written to the connection.
     Instant SentAt{};
     bool WasSending = false;
+    /// The call was sent and has got no byte yet.
+    bool IsWaiting = false;
     bool HasFirstByte = false;
     bool IsDiscarded = false;
     HttpReplyHead Head;
@@ -45,11 +57,22 @@
   };
 
   void start();
+  void startRelayed();
+  void decline(const char *cause);
+  bool chooseRouteService();
   bool findRoute();
   bool findTeam();
   bool chargeUnits();
   bool admit();
   void trySend();
+  bool prefersRelay() const;
+  bool tryRelay(Instant now);
+  RelayEnvelope relayEnvelope(const HostId &peer, Instant now) const;
+  void onRelayHead();
+  void onRelayEnd();
+  void onRelayFailure(HttpFailure why);
+  void passOnRefusal();
+  void onNotSent();
   void onConnect(ConnectResult result);
   bool onSending();
   void onWithdrawn();
@@ -66,6 +89,7 @@
   void endSend(SendResult result);
   void recordOutcome(SendResult result);
   void noteFirstByte();
+  void noteReceived();
   void noteStatements(const UpstreamReplyInfo &replyInfo, bool isSuccessful,
                       bool isForThisCall);
   bool resume();
@@ -83,8 +107,11 @@
               std::optional<Duration> retryAfter);
   Duration jitteredRetryAfter(Duration shortestDelay,
                               Duration longestSpread = Duration::max());
+  void count(const char *result);
   void log(const char *outcome, int status, const char *cause);
   bool isSuccess() const { return CurrentSend.Head.Status / 100 == 2; }
+  bool isRelaying() const { return !CurrentSend.Peer.empty(); }
+  HttpHeaders responseHeaders() const;
 
   GatewayState &State;
   std::shared_ptr<HttpExchange> Exchange;
@@ -96,6 +123,12 @@
   ServiceId Service;
   std::optional<CallPlacement> Upstreams;
   std::optional<CallRetryState> RetryState;
+  /// Set if another host relays the call to this one.
+  std::optional<RelayEnvelope> Relayed;
+  /// The request as it is sent to upstreams, if it is not the received one.
+  std::optional<HttpRequest> UpstreamRequest;
+  /// The hosts to which the call has been relayed.
+  std::vector<HostId> TriedPeers;
   CallCost ExpectedCost;
   std::int64_t Units = 0;
   bool HasChargedUnits = false;
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -95,6 +95,8 @@
   settings.ReadinessListen = addressAt(listen, "readiness");
   settings.AddressListen = addressAt(listen, "addresses");
   settings.PeerListen = addressAt(listen, "peers");
+  if (listen.has("relays"))
+    settings.RelayListen = addressAt(listen, "relays");
   if (listen.has("metrics"))
     settings.MetricsListen = addressAt(listen, "metrics");
   TomlReader store = all.table("store");
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -77,6 +77,9 @@
   std::string AddressListen;
   /// Listening address for other daemons.
   std::string PeerListen;
+  /// Listening address for calls that other daemons relay to this one; empty to
+  /// accept none, and to relay none.
+  std::string RelayListen;
   /// Listening address for metrics; empty to serve none.
   std::string MetricsListen;
   std::string StoreAddress;
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -1,5 +1,6 @@
 #include "GatewayState.h"
 #include "LibBase/BootClock.h"
+#include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
 #include "LibObjectApi/InstrumentedStore.h"
 
@@ -30,6 +31,13 @@
   return hooks;
 }
 
+static UpstreamReachabilitySettings
+reachabilitySettingsFor(const HostId &host) {
+  UpstreamReachabilitySettings settings;
+  settings.FirstProbe = stableHash(host.text());
+  return settings;
+}
+
 GatewayState::GatewayState(boost::asio::io_context &loop,
                            GatewaySettings settings, GatewayHooks hooks)
     : Loop(loop), Settings(std::move(settings)),
@@ -37,6 +45,7 @@
       Incarnation(newIncarnation(Settings.Host)),
       Client(loop, {milliseconds(250), seconds(4), 32UL * 1024}),
       Usage(Incarnation, Settings.Zone, Settings.Bounds.UsageWindow),
+      Paths(reachabilitySettingsFor(Settings.Host)),
       Fleet({Settings.Host, Settings.Zone, bootNow()}),
       Time(sorrelbay::now(), bootNow()), Random(std::random_device()()) {}
 
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -9,12 +9,15 @@
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibLoad/EngineDemand.h"
 #include "LibLoad/QueueWaitLimits.h"
+#include "LibServing/DeferredFailures.h"
 #include "LibServing/FleetClock.h"
 #include "LibServing/FleetView.h"
+#include "LibServing/RelayPeers.h"
 #include "LibServing/ReplicaTable.h"
 #include "LibServing/ServingPlan.h"
 #include "LibServing/StoreReachability.h"
 #include "LibServing/TeamRateLimiter.h"
+#include "LibServing/UpstreamReachability.h"
 #include "LibServing/UsageCounts.h"
 #include "Metrics.h"
 #include <boost/asio/io_context.hpp>
@@ -59,6 +62,14 @@
   std::map<TeamId, TeamRateLimiter> RateLimiters;
   UsageCounts Usage;
   std::map<ServiceId, RetryBudget> RetryBudgets;
+  /// Whether this host reaches the upstreams, and the hosts that it relays
+  /// calls to while it does not.
+  UpstreamReachability Paths;
+  RelayPeers Relays;
+  DeferredFailures Failures;
+  /// The secret that all hosts share; empty until it has been read from the
+  /// store.
+  std::string RelaySecret;
   FleetView Fleet;
   FleetClock Time;
   std::mt19937_64 Random;
@@ -92,6 +103,11 @@
                      UpstreamOutcome)>
       RecordOutcome;
   std::function<bool(const ServiceId &)> IsRollingOut;
+  /// Records the result of opening a connection to an upstream of the service,
+  /// and that a call waits for one's response; set by the Gateway.
+  std::function<void(const ServiceId &, const UpstreamId &, ConnectResult)>
+      NoteConnect;
+  std::function<void()> WatchForSilence;
   /// This host's entry as published to peers.
   std::function<FleetMember()> Self;
   /// Publishes this host's open work to peers without waiting for the next
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -29,6 +29,7 @@
   Family<Counter> &Statements;
   Family<Counter> &IgnoredInput;
   Family<Counter> &UpstreamConnects;
+  Family<Counter> &RelayedCalls;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -91,6 +92,9 @@
           counterFamily(Registry, "sorrelbay_upstream_connects_total",
                         "Attempts to open a connection to an upstream, by "
                         "service and result.")),
+      RelayedCalls(counterFamily(Registry, "sorrelbay_relayed_calls_total",
+                                 "Calls relayed between hosts, by direction "
+                                 "and result.")),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -177,6 +181,12 @@
       .Increment();
 }
 
+void Metrics::countRelayedCall(const std::string &direction,
+                               const std::string &result) {
+  All->RelayedCalls.Add({{"direction", direction}, {"result", result}})
+      .Increment();
+}
+
 void Metrics::countObjectApi(const std::string &call,
                              const std::string &result) {
   All->ObjectApi.Add({{"call", call}, {"result", result}}).Increment();
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -49,6 +49,10 @@
   /// its result.
   void countUpstreamConnect(const std::string &service,
                             const std::string &result);
+  /// Counts a call that this host relayed ("sent") or that was relayed to it
+  /// ("received"), by its result.
+  void countRelayedCall(const std::string &direction,
+                        const std::string &result);
   /// Sets the counts of the connections to upstreams.
   void setUpstreamConnectionCounts(const HttpClientCounts &counts);
   void setOpenCalls(std::size_t n);
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -97,6 +97,7 @@
   settings.ReadinessListen = "127.0.0.1:0";
   settings.AddressListen = "127.0.0.1:0";
   settings.PeerListen = "127.0.0.1:0";
+  settings.RelayListen = "127.0.0.1:0";
   settings.MetricsListen = "127.0.0.1:0";
   settings.Heartbeat = seconds(1);
   GatewayBounds &bounds = settings.Bounds;
@@ -271,10 +272,12 @@
     call.Method = request.Method;
     call.Path = request.Path;
     call.Body = request.Body;
-    call.Headers = {{"X-Replica", it.Replica.text()},
-                    {"X-After", it.ResumeAfter},
-                    {"X-Call", headerValue(request.Headers, "X-Call")},
-                    {"X-Team", it.Team.text()}};
+    call.Headers = {
+        {"X-Replica", it.Replica.text()},
+        {"X-After", it.ResumeAfter},
+        {"X-Call", headerValue(request.Headers, "X-Call")},
+        {"X-Team", it.Team.text()},
+        {"X-Wait-Ms", std::to_string(toMilliseconds(it.WaitLimit))}};
     return call;
   };
   out.ReadReplyInfo = [](const HttpReplyHead &head) {
--- a/Tests/sorrelbayd/TestCutHost.cpp
+++ b/Tests/sorrelbayd/TestCutHost.cpp
@@ -1,4 +1,6 @@
+#include "CallRelay.h"
 #include "GatewayFixture.h"
+#include "LibHttp/BeastCommon.h"
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -45,6 +47,16 @@
   return n;
 }
 
+/// Whether the condition holds within a few seconds.
+bool holdsSoon(const std::function<bool()> &holds) {
+  for (int n = 0; n < 400; ++n) {
+    if (holds())
+      return true;
+    std::this_thread::sleep_for(milliseconds(25));
+  }
+  return false;
+}
+
 /// Responds after WorkTime.
 void respondLater(const std::shared_ptr<HttpExchange> &it,
                   boost::asio::io_context &loop) {
@@ -85,4 +97,137 @@
   BOOST_TEST(servedPairs(fixture, cut->CallerAddress) == Pairs);
 }
 
+// Lookups that went on naming a cut host would lead new callers there, whose
+// calls take a detour.
+BOOST_AUTO_TEST_CASE(a_cut_host_is_left_out_of_address_lookups) {
+  GatewayFixture fixture;
+  const auto cut = fixture.addHost("cut");
+  const auto isNamed = [&] {
+    return fixture.lookUp(*fixture.Served).find(cut->CallerAddress) !=
+           std::string::npos;
+  };
+  cut->Path.set(PathState::Resets);
+  BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
+  BOOST_TEST(holdsSoon([&] { return !isNamed(); }));
+  BOOST_TEST(fixture.lookUp(*cut->Served) == fixture.CallerAddress);
+  cut->Path.set(PathState::Open);
+  BOOST_TEST(holdsSoon(isNamed));
+}
+
+// A call that may run only once is relayed, and would be run by both hosts, or
+// with more time than its caller gives it.
+BOOST_AUTO_TEST_CASE(relayed_calls_run_once_within_their_time) {
+  GatewayFixture fixture;
+  const auto cut = fixture.addHost("cut");
+  cut->Path.set(PathState::Resets);
+  BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
+  std::atomic<long> longestWaitMs{0};
+  fixture.Upstream = [&](const std::shared_ptr<HttpExchange> &it) {
+    longestWaitMs =
+        std::max(longestWaitMs.load(),
+                 std::stol(headerValue(it->request().Headers, "X-Wait-Ms")));
+    it->respond(200, {{"X-Call", headerValue(it->request().Headers, "X-Call")}},
+                "");
+  };
+  const int before = fixture.UpstreamCalls;
+  for (int n = 0; n < 10; ++n)
+    BOOST_TEST(fixture.callAt(cut->CallerAddress, "/a/1").Status == 200);
+  BOOST_TEST(fixture.UpstreamCalls == before + 10);
+  BOOST_TEST(longestWaitMs <= 3000);
+}
+
+// The upstream fails a relayed call. Repeated by both hosts, it would reach
+// more upstreams than its route allows.
+BOOST_AUTO_TEST_CASE(a_relayed_call_that_fails_is_not_repeated_by_two_hosts) {
+  GatewayFixture fixture;
+  fixture.addReplica("r2");
+  fixture.addReplica("r3");
+  const auto cut = fixture.addHost("cut");
+  cut->Path.set(PathState::Resets);
+  BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
+  fixture.Upstream = [&](const std::shared_ptr<HttpExchange> &it) {
+    it->abort();
+  };
+  const int before = fixture.UpstreamCalls;
+  BOOST_TEST(fixture.callAt(cut->CallerAddress, "/q/1").Status == 502);
+  BOOST_TEST(fixture.UpstreamCalls <= before + 2);
+}
+
+// A caller leaves while its call is relayed. The upstream would work on.
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_cancels_its_relayed_call) {
+  GatewayFixture fixture;
+  const auto cut = fixture.addHost("cut");
+  cut->Path.set(PathState::Resets);
+  BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
+  std::atomic<bool> isCancelled{false};
+  std::atomic<bool> hasArrived{false};
+  std::shared_ptr<HttpExchange> open;
+  fixture.Upstream = [&](std::shared_ptr<HttpExchange> it) {
+    open = std::move(it);
+    open->onClientDisconnected([&] { isCancelled = true; });
+    hasArrived = true;
+  };
+  {
+    boost::asio::io_context loop;
+    boost::asio::ip::tcp::socket caller(loop);
+    caller.connect(beastcommon::endpointOf(cut->CallerAddress));
+    const std::string request = "POST /a/1 HTTP/1.1\r\nHost: test.example\r\n"
+                                "X-Call: leaving\r\nX-Key: key\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    boost::asio::write(caller, boost::asio::buffer(request));
+    BOOST_REQUIRE(holdsSoon([&] { return hasArrived.load(); }));
+  }
+  BOOST_TEST(holdsSoon([&] { return isCancelled.load(); }));
+  fixture.onUpstream([&] { open.reset(); });
+}
+
+// A caller that claims to be a host would have its calls served without being
+// charged for them.
+BOOST_AUTO_TEST_CASE(a_call_without_proof_is_not_taken_as_relayed) {
+  GatewayFixture fixture;
+  fixture.callUntil(200, "key");
+  RelayEnvelope envelope;
+  envelope.From = HostId("cut");
+  envelope.To = HostId("host");
+  envelope.CallId = "forged";
+  envelope.Method = "POST";
+  envelope.Path = "/a/1";
+  envelope.Service = ServiceId("desk");
+  envelope.WaitLimit = seconds(1);
+  envelope.Attempts = 1;
+  HttpRequest request;
+  request.Method = "POST";
+  request.Path = "/a/1";
+  request.Headers = {
+      {"Host", "test.example"}, {"X-Call", "forged"}, {"X-Key", "key"}};
+  const int before = fixture.UpstreamCalls;
+  const HttpCall forged = makeRelayCall(request, envelope, makeRelaySecret());
+  BOOST_TEST(sendOnce(fixture.Served->relayAddress(), forged).Status == 403);
+  HttpCall bare = forged;
+  bare.Headers = request.Headers;
+  BOOST_TEST(sendOnce(fixture.Served->relayAddress(), bare).Status == 403);
+  BOOST_TEST(fixture.UpstreamCalls == before);
+  // At the address for callers the claim has no meaning.
+  BOOST_TEST(sendOnce(fixture.CallerAddress, forged).Status == 200);
+}
+
+// Both hosts are cut off. Each would pass its calls to the other.
+BOOST_AUTO_TEST_CASE(no_call_is_relayed_while_no_host_reaches_the_upstreams) {
+  GatewayFixture fixture;
+  const auto first = fixture.addHost("first");
+  const auto second = fixture.addHost("second");
+  fixture.Store.remove(ResourceKind::Replicas, "r1");
+  for (const auto &it : {first.get(), second.get()})
+    it->Path.set(PathState::Resets);
+  fixture.addReplica("r2");
+  const int before = fixture.UpstreamCalls;
+  fixture.Served.reset();
+  BOOST_TEST(holdsSoon([&] {
+    return fixture.callAt(first->CallerAddress, "/a/1").Status == 503;
+  }));
+  for (int n = 0; n < 5; ++n)
+    BOOST_TEST(fixture.callAt(first->CallerAddress, "/a/1").Status == 503);
+  BOOST_TEST(fixture.UpstreamCalls == before);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
