LibHttp: Survive a short silence of a sound upstream

What callers saw: nothing yet.

Cause: our sockets set TCP_USER_TIMEOUT (2 s) beside keep-alive (2 s, then each second, two probes). On Linux that time also ends the probes, whatever their count: measured on real sockets (the other end drops all segments by a socket filter), an idle connection was given up 1.15 s after a silence began that covered one probe, a silence of 1.0 s among them; without the user time-out after 2.17 s, as the count says. A silence of 1.3 s that covered no probe was survived. Bytes in flight were given up after 2.47 s. Besides, a peer that is alive and does not read is given up after the same time (2.53 s): a full window counts, too.

Weighed: no user time-out at all (bytes in flight are then held for minutes); two probes and 3 s (a silence of 1.2 s that covers both ends the connection); longer intervals (a silent connection is noticed later still).

Change: first probe after 1 s, three probes, user time-out 3.5 s; a static assertion keeps the latter behind the last probe. A silence of 2 s is survived at any time, a dead path noticed after 4 s at most (3 s before).

--- a/Libraries/LibHttp/BeastCommon.cpp
+++ b/Libraries/LibHttp/BeastCommon.cpp
@@ -4,10 +4,17 @@
 
 namespace sorrelbay::beastcommon {
 
-static constexpr int UnackedDataTimeoutMs = 2000;
-static constexpr int ProbeIdleSeconds = 2;
+/// Linux gives up keep-alive probes by this time too, whatever their count:
+/// when a probe would be due and nothing has arrived for so long. It must be
+/// longer than the time of the last probe.
+static constexpr int UnackedDataTimeoutMs = 3500;
+static constexpr int ProbeIdleSeconds = 1;
 static constexpr int ProbeIntervalSeconds = 1;
-static constexpr int ProbeCount = 2;
+static constexpr int ProbeCount = 3;
+static_assert((ProbeIdleSeconds + (ProbeCount - 1) * ProbeIntervalSeconds) *
+                      1000 <
+                  UnackedDataTimeoutMs,
+              "unanswered probes must not be given up before the last one");
 
 Tcp::endpoint endpointOf(const std::string &address) {
   const std::size_t colon = address.rfind(':');
--- a/Libraries/LibHttp/BeastCommon.h
+++ b/Libraries/LibHttp/BeastCommon.h
@@ -18,8 +18,8 @@
 
 /// Disables Nagle's algorithm, which delays small writes, and bounds the time
 /// to detect a silent peer: unacknowledged bytes and unanswered keep-alive
-/// probes close the connection after two seconds, instead of minutes by
-/// default.
+/// probes close the connection after about four seconds, instead of minutes by
+/// default. A silence of two seconds is survived at any time.
 void configureSocket(Tcp::socket &socket);
 
 /// Whether bytes have arrived that were not read.
