LibServing, sorrelbayd: Keep upstreams from failing over their rejections

Upstreams of a service may state in all responses how many rejections a second they bear (Server-Brittle); one that has to reject more for lack of room fails. No code read it, so that hosts, of which each keeps no count of what the others send, rejected upstreams into failure together.

Change: the statement is kept and reported to peers like a rate limit, for the process that made it. While it holds, the hosts divide 0.9 of the upstream's slots and 0.7 of the rejections in whole units, the rest in rendezvous order. A host sends within its slots; beyond them only where under 0.6 of the slots are taken as far as hosts have reported, with each call of the last 150 ms counted as a rejection; and nothing for 1.2 s after it has caused its share of rejections (one, if it has none). A host that knows of others and has heard of none takes a sixteenth of the slots and no rejection. Calls that no upstream may take are refused at once (upstreams_limited) and count as demand.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -81,6 +81,7 @@
 
 /// The position of the rate limits in a report.
 constexpr std::size_t RateLimitsField = 19;
+constexpr std::size_t RejectionLimitsField = 20;
 
 json rateLimitsToJson(const RateLimitStatements &limits) {
   json out = json::array();
@@ -137,6 +138,9 @@
   // Hosts of an earlier version send no rate limits.
   if (messageFields.size() > RateLimitsField)
     report.RateLimits = rateLimitsFromJson(messageFields.at(RateLimitsField));
+  if (messageFields.size() > RejectionLimitsField)
+    report.RejectionLimits =
+        rateLimitsFromJson(messageFields.at(RejectionLimitsField));
   return report;
 }
 
@@ -200,7 +204,8 @@
                   teamsToJson(report.Pace),
                   demand,
                   included,
-                  rateLimitsToJson(report.RateLimits)});
+                  rateLimitsToJson(report.RateLimits),
+                  rateLimitsToJson(report.RejectionLimits)});
 }
 
 std::string encodeFleetMessage(const RelayedChanges &relayedChanges) {
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -104,6 +104,8 @@
   /// the reporter's boot clock until a FleetView has received the report, and
   /// then those of its host's.
   RateLimitStatements RateLimits;
+  /// The same about the rejections a second that they bear.
+  RateLimitStatements RejectionLimits;
   /// The hosts' records of rollouts, as encoded by RolloutCodec; empty if there
   /// are none.
   std::string Moves;
--- a/Libraries/LibServing/FleetReportMerger.cpp
+++ b/Libraries/LibServing/FleetReportMerger.cpp
@@ -45,6 +45,8 @@
   Tables.Replicas.notePeer(source, report.Open);
   for (const auto &[id, statement] : report.RateLimits)
     Tables.Replicas.statements().notePeerRateLimit(id, statement);
+  for (const auto &[id, statement] : report.RejectionLimits)
+    Tables.Replicas.statements().notePeerRejectionLimit(id, statement);
   Tables.Demand.notePeer(source, report.Demand);
   const bool isSum = report.Scope != ReportScope::Host;
   // When this host becomes or stops being an aggregator, the teams have already
@@ -86,6 +88,7 @@
 void FleetReportMerger::recount(const FleetMember &self, Instant now) {
   Tables.Replicas.statements().setServingHosts(self.Host,
                                                View.servingHosts(self, now));
+  Tables.Replicas.statements().setSendingHosts(View.sendingHosts());
   Tables.Replicas.forgetOldStatements(now);
   std::set<SourceId> countedSources;
   for (const FleetReport *it : View.counted(self, now)) {
@@ -116,6 +119,7 @@
   report.Open = Tables.Replicas.ownWork();
   report.Demand = Tables.Demand.own(now);
   report.RateLimits = Tables.Replicas.statements().ownRateLimits(now);
+  report.RejectionLimits = Tables.Replicas.statements().ownRejectionLimits(now);
   for (const auto &[team, limiter] : Tables.RateLimiters) {
     report.Used[team] = limiter.used();
     if (const auto level = limiter.settledLevel())
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -103,8 +103,10 @@
   storedReport.At = now;
   // The time in transit is not known; it makes statements look newer.
   const Duration clockOffset = now - Instant(Duration(report.SentAt));
-  for (auto &[id, it] : storedReport.Report.RateLimits)
-    it.At += clockOffset;
+  for (RateLimitStatements *statements :
+       {&storedReport.Report.RateLimits, &storedReport.Report.RejectionLimits})
+    for (auto &[id, it] : *statements)
+      it.At += clockOffset;
   if (report.Scope == ReportScope::OwnZone)
     subtractOwnContribution(storedReport.Report);
   return true;
@@ -482,6 +484,7 @@
     addTo(out.Open, storedReport.Report.Open);
     addTo(out.Demand, storedReport.Report.Demand);
     mergeNewest(out.RateLimits, storedReport.Report.RateLimits);
+    mergeNewest(out.RejectionLimits, storedReport.Report.RejectionLimits);
     out.Uptime = std::max(out.Uptime, storedReport.Report.Uptime);
   }
   for (const auto &[host, it] : Known)
@@ -519,6 +522,7 @@
     addTo(out.Open, storedReport.Report.Open);
     addTo(out.Demand, storedReport.Report.Demand);
     mergeNewest(out.RateLimits, storedReport.Report.RateLimits);
+    mergeNewest(out.RejectionLimits, storedReport.Report.RejectionLimits);
     out.Uptime = std::max(out.Uptime, storedReport.Report.Uptime);
   }
   out.Members.clear();
@@ -578,6 +582,19 @@
   return out;
 }
 
+SendingHosts FleetView::sendingHosts() const {
+  SendingHosts out;
+  out.Self = Settings.Self;
+  out.All.push_back(Settings.Self);
+  for (const auto &[host, it] : Known)
+    if (!it.Member.IsLeaving)
+      out.All.push_back(host);
+  std::sort(out.All.begin(), out.All.end());
+  out.AreOthersUnknown =
+      Known.empty() && (!HasRegistered || !Registered.empty());
+  return out;
+}
+
 int FleetView::hostCount() const {
   const auto n = std::count_if(Known.begin(), Known.end(), [](const auto &it) {
     return !it.second.Member.IsLeaving;
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -125,6 +125,9 @@
   /// The hosts that serve callers and reach all upstreams, as far as they were
   /// seen recently; this one is included if it does.
   std::vector<HostId> servingHosts(const FleetMember &self, Instant now) const;
+  /// The hosts that may send calls to upstreams: this one and the others that
+  /// are not leaving, also those that have just fallen silent.
+  SendingHosts sendingHosts() const;
   /// The number of known hosts that are not leaving, including this one; at
   /// least 1.
   int hostCount() const;
--- a/Libraries/LibServing/IgnoredStatement.cpp
+++ b/Libraries/LibServing/IgnoredStatement.cpp
@@ -6,6 +6,8 @@
   switch (kind) {
   case StatementKind::RateLimit:
     return "rate_limit";
+  case StatementKind::RejectionLimit:
+    return "rejection_limit";
   case StatementKind::Pause:
     return "pause";
   case StatementKind::Leaving:
--- a/Libraries/LibServing/IgnoredStatement.h
+++ b/Libraries/LibServing/IgnoredStatement.h
@@ -9,6 +9,8 @@
 enum class StatementKind {
   /// The calls per second that it accepts from all hosts together.
   RateLimit,
+  /// The rejections per second that it bears.
+  RejectionLimit,
   /// The time for which it wants no calls from this host.
   Pause,
   /// It is leaving and wants no new calls.
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -149,6 +149,10 @@
   return entry.ColdLimiter.hasCapacity(*entry.ColdShare, now);
 }
 
+UpstreamRoom ReplicaTable::roomFor(const Entry &entry) {
+  return {entry.Record.Slots, entry.Own.Calls, entry.Peers.Calls};
+}
+
 void ReplicaTable::forgetOldStatements(Instant now) {
   Statements.forgetUnregistered(
       [this](const UpstreamId &id) { return Entries.count(id) != 0; }, now);
@@ -189,10 +193,14 @@
       continue;
     const auto limitWait = Statements.rateLimitWait(id, now);
     const Duration pause = Statements.pauseLeft(id, now);
-    const Duration wait = std::max(pause, limitWait.value_or(Duration::zero()));
+    const auto rejectionWait =
+        Statements.rejectionWait(id, roomFor(entry), now);
+    const Duration wait = std::max({pause, limitWait.value_or(Duration::zero()),
+                                    rejectionWait.value_or(Duration::zero())});
     shortest = std::min(shortest.value_or(wait), wait);
     areAllPaused = areAllPaused && pause > Duration::zero();
-    hasLimited = hasLimited || limitWait.has_value();
+    hasLimited =
+        hasLimited || limitWait.has_value() || rejectionWait.has_value();
     hasCold = hasCold || isCold(entry, now);
   }
   if (!shortest)
@@ -259,7 +267,7 @@
   std::vector<Entry *> unhealthy;
   for (auto &[id, entry] : Entries) {
     if (!fits(entry, request) || !hasColdCapacity(entry, now) ||
-        !Statements.allowCall(id, now))
+        !Statements.allowCall(id, roomFor(entry), now))
       continue;
     const bool isHealthy = now >= entry.EjectedUntil && !entry.IsBeingProbed;
     (isHealthy ? eligible : unhealthy).push_back(&entry);
@@ -438,7 +446,7 @@
     entry.IsBeingProbed = true;
   if (isCold(entry, now))
     entry.ColdLimiter.note(now);
-  Statements.noteSent(id, now);
+  Statements.noteSent(id, roomFor(entry), now);
   ++it->second.Own.Calls;
   it->second.Own.PromptTokens += work.PromptTokens;
   it->second.Own.Tokens += work.Tokens;
@@ -462,6 +470,8 @@
     entry.Own.PromptTokens -= work.PromptTokens;
   entry.Own.Tokens = std::max<std::int64_t>(0, entry.Own.Tokens - work.Tokens);
   entry.Own.PromptTokens = std::max<std::int64_t>(0, entry.Own.PromptTokens);
+  if (result == SendResult::Rejected)
+    Statements.noteRejected(id, now);
   updateHealth(entry, result, now);
 }
 
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -101,7 +101,8 @@
   NoUpstream,
   /// Some are cold, and this host has used up its share of their rate.
   Cold,
-  /// Some name a rate limit, and this host has used up its share of it.
+  /// Some name a rate limit, or the rejections that they bear, and this host
+  /// has used up its share.
   Limited,
   /// All have asked this host for a pause.
   Paused,
@@ -327,6 +328,7 @@
   bool isLeaving(const Entry &entry) const;
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdCapacity(Entry &entry, Instant now);
+  static UpstreamRoom roomFor(const Entry &entry);
   void updateHealth(Entry &entry, SendResult result, Instant now);
   double othersFailureShare(const Entry &entry) const;
 
--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -59,6 +59,9 @@
   /// Calls per second that the upstream accepts at the moment from all hosts
   /// together; empty if it does not limit them.
   std::optional<double> RateLimit;
+  /// Rejections per second for lack of room that the upstream bears at the
+  /// moment: it fails if there are more; empty if it states none.
+  std::optional<double> RejectionLimit;
   /// The time for which the upstream wants no calls from this host, from the
   /// response on; empty if it states none.
   std::optional<Duration> Pause;
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -39,6 +39,8 @@
   Statements &it = known->second;
   if (it.RateLimit.Statement.At <= since)
     it.RateLimit = {};
+  if (it.RejectionLimit.Statement.At <= since)
+    it.RejectionLimit = {};
   it.Pauses.erase(
       std::remove_if(it.Pauses.begin(), it.Pauses.end(),
                      [&](const Pause &pause) { return pause.SentAt <= since; }),
@@ -54,47 +56,111 @@
 
 bool UpstreamStatements::noteRateLimit(const UpstreamId &id,
                                        const RateLimitStatement &statement) {
-  return acceptRateLimit(id, statement, true);
+  return accept(id, &Statements::RateLimit, statement, true);
 }
 
 void UpstreamStatements::notePeerRateLimit(
     const UpstreamId &id, const RateLimitStatement &statement) {
-  acceptRateLimit(id, statement, false);
+  accept(id, &Statements::RateLimit, statement, false);
+}
+
+bool UpstreamStatements::noteRejectionLimit(
+    const UpstreamId &id, const RateLimitStatement &statement) {
+  return accept(id, &Statements::RejectionLimit, statement, true);
+}
+
+void UpstreamStatements::notePeerRejectionLimit(
+    const UpstreamId &id, const RateLimitStatement &statement) {
+  accept(id, &Statements::RejectionLimit, statement, false);
 }
 
 /// Keeps the statement if it is newer than what is known. Returns whether the
 /// limit has changed.
-bool UpstreamStatements::acceptRateLimit(const UpstreamId &id,
-                                         const RateLimitStatement &statement,
-                                         bool isOwn) {
+template <typename Limit>
+bool UpstreamStatements::accept(const UpstreamId &id, Limit Statements::*limit,
+                                const RateLimitStatement &statement,
+                                bool isOwn) {
   const auto known = ByUpstream.find(id);
   const bool isEndOfNone =
       !statement.PerSecond && (known == ByUpstream.end() ||
-                               !known->second.RateLimit.Statement.PerSecond);
+                               !(known->second.*limit).Statement.PerSecond);
   if (isEndOfNone || statement.At <= processSince(id))
     return false;
   Statements &it = known == ByUpstream.end() ? ByUpstream[id] : known->second;
-  if (statement.At <= it.RateLimit.Statement.At)
+  Limit &changed = it.*limit;
+  if (statement.At <= changed.Statement.At)
     return false;
-  const bool hasChanged =
-      it.RateLimit.Statement.PerSecond != statement.PerSecond;
-  it.RateLimit.Statement = statement;
-  it.RateLimit.IsOwn = isOwn;
+  const bool hasChanged = changed.Statement.PerSecond != statement.PerSecond;
+  changed.Statement = statement;
+  changed.IsOwn = isOwn;
   it.LastAt = std::max(it.LastAt, statement.At);
   return hasChanged;
 }
 
-RateLimitStatements UpstreamStatements::ownRateLimits(Instant now) const {
+template <typename Limit>
+RateLimitStatements UpstreamStatements::ownStatements(Limit Statements::*limit,
+                                                      Instant now) const {
   RateLimitStatements out;
   for (const auto &[id, it] : ByUpstream) {
-    const RateLimitStatement &statement = it.RateLimit.Statement;
-    if (it.RateLimit.IsOwn &&
+    const RateLimitStatement &statement = (it.*limit).Statement;
+    if ((it.*limit).IsOwn &&
         (statement.PerSecond || now - statement.At < RateLimitEndReportTime))
       out.emplace(id, statement);
   }
   return out;
 }
 
+RateLimitStatements UpstreamStatements::ownRateLimits(Instant now) const {
+  return ownStatements(&Statements::RateLimit, now);
+}
+
+RateLimitStatements UpstreamStatements::ownRejectionLimits(Instant now) const {
+  return ownStatements(&Statements::RejectionLimit, now);
+}
+
+void UpstreamStatements::setSendingHosts(SendingHosts hosts) {
+  if (Senders == hosts)
+    return;
+  Senders = std::move(hosts);
+  for (auto &[id, it] : ByUpstream)
+    it.RejectionLimit.Cached.reset();
+}
+
+/// The upstream's limit of rejections; null if it names none.
+UpstreamRejectionLimit *
+UpstreamStatements::namedRejectionLimit(const UpstreamId &id) {
+  const auto it = ByUpstream.find(id);
+  const bool isNamed =
+      it != ByUpstream.end() && it->second.RejectionLimit.Statement.PerSecond;
+  return isNamed ? &it->second.RejectionLimit : nullptr;
+}
+
+RejectionShare
+UpstreamStatements::shareOfRejections(const UpstreamId &id,
+                                      UpstreamRejectionLimit &limit,
+                                      const UpstreamRoom &room) const {
+  const double perSecond = *limit.Statement.PerSecond;
+  if (!limit.Cached || limit.Cached->PerSecond != perSecond ||
+      limit.Cached->Slots != room.Slots)
+    limit.Cached = {perSecond, room.Slots,
+                    rejectionShare(id, Senders, room.Slots, perSecond)};
+  return limit.Cached->Share;
+}
+
+std::optional<Duration>
+UpstreamStatements::rejectionWait(const UpstreamId &id,
+                                  const UpstreamRoom &room, Instant now) {
+  UpstreamRejectionLimit *limit = namedRejectionLimit(id);
+  if (!limit)
+    return std::nullopt;
+  return limit->Limiter.wait(shareOfRejections(id, *limit, room), room, now);
+}
+
+void UpstreamStatements::noteRejected(const UpstreamId &id, Instant now) {
+  if (UpstreamRejectionLimit *limit = namedRejectionLimit(id))
+    limit->Limiter.noteRejected(now);
+}
+
 void UpstreamStatements::setServingHosts(const HostId &self,
                                          std::vector<HostId> hosts) {
   if (Self == self && ServingHosts == hosts)
@@ -190,20 +256,29 @@
   return it != ByUpstream.end() && it->second.LeavingSentAt.has_value();
 }
 
-bool UpstreamStatements::allowCall(const UpstreamId &id, Instant now) {
+bool UpstreamStatements::allowCall(const UpstreamId &id,
+                                   const UpstreamRoom &room, Instant now) {
   const auto it = ByUpstream.find(id);
   if (it == ByUpstream.end())
     return true;
   if (it->second.LeavingSentAt || it->second.pauseLeft(now) > Duration::zero())
     return false;
   UpstreamRateLimit &limit = it->second.RateLimit;
-  return !limit.Statement.PerSecond ||
-         limit.Limiter.hasCapacity(rateShare(id, limit, now), now);
+  if (limit.Statement.PerSecond &&
+      !limit.Limiter.hasCapacity(rateShare(id, limit, now), now))
+    return false;
+  return rejectionWait(id, room, now).value_or(Duration::zero()) ==
+         Duration::zero();
 }
 
-void UpstreamStatements::noteSent(const UpstreamId &id, Instant now) {
+void UpstreamStatements::noteSent(const UpstreamId &id,
+                                  const UpstreamRoom &room, Instant now) {
   if (UpstreamRateLimit *limit = namedRateLimit(id))
     limit->Limiter.note(rateShare(id, *limit, now), now);
+  UpstreamRejectionLimit *rejections = namedRejectionLimit(id);
+  if (rejections &&
+      room.OwnCalls >= shareOfRejections(id, *rejections, room).Slots)
+    rejections->Limiter.noteSent(now);
 }
 
 void UpstreamStatements::noteUnregistered(const UpstreamId &id) {
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -3,6 +3,7 @@
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
 #include "LibServing/UpstreamRateLimit.h"
+#include "LibServing/UpstreamRejectionLimit.h"
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -55,6 +56,25 @@
   /// rate limit; empty if the upstream has none.
   std::optional<Duration> rateLimitWait(const UpstreamId &id, Instant now);
 
+  /// Records what a response to this host stated about the rejections a second
+  /// that the upstream bears: if it has to reject more calls for lack of room,
+  /// it fails. Returns whether what is known has changed.
+  bool noteRejectionLimit(const UpstreamId &id,
+                          const RateLimitStatement &statement);
+  /// The same for a response to another host, as that host reports it.
+  void notePeerRejectionLimit(const UpstreamId &id,
+                              const RateLimitStatement &statement);
+  /// The newest of these statements that were made to this host.
+  RateLimitStatements ownRejectionLimits(Instant now) const;
+  /// Sets the hosts that divide the rejections which upstreams bear.
+  void setSendingHosts(SendingHosts hosts);
+  /// The time until this host may send the next call within its share of the
+  /// rejections that the upstream bears; empty if it names no limit.
+  std::optional<Duration> rejectionWait(const UpstreamId &id,
+                                        const UpstreamRoom &room, Instant now);
+  /// Records that the upstream rejected a call of this host.
+  void noteRejected(const UpstreamId &id, Instant now);
+
   /// Records a request for a pause. Of several, the one that ends last applies:
   /// a shorter one does not take back a longer one. Returns false if an earlier
   /// process of the upstream made it, so that it has no effect.
@@ -74,9 +94,9 @@
   bool isLeaving(const UpstreamId &id) const;
 
   /// Whether the statements allow this host another call to the upstream.
-  bool allowCall(const UpstreamId &id, Instant now);
-  /// Records that a call is sent to the upstream.
-  void noteSent(const UpstreamId &id, Instant now);
+  bool allowCall(const UpstreamId &id, const UpstreamRoom &room, Instant now);
+  /// Records that a call is sent to the upstream. `room` is as before the call.
+  void noteSent(const UpstreamId &id, const UpstreamRoom &room, Instant now);
 
   /// The upstream is not registered any more. What it stated is kept for a
   /// while.
@@ -101,6 +121,7 @@
   /// The statements of one upstream, and this host's use of its rate limit.
   struct Statements {
     UpstreamRateLimit RateLimit;
+    UpstreamRejectionLimit RejectionLimit;
     std::vector<Pause> Pauses;
     /// When the last call was sent in whose response the upstream stated that
     /// it is leaving; empty if it did not.
@@ -113,8 +134,16 @@
 
   Instant processSince(const UpstreamId &id) const;
   UpstreamRateLimit *namedRateLimit(const UpstreamId &id);
-  bool acceptRateLimit(const UpstreamId &id,
-                       const RateLimitStatement &statement, bool isOwn);
+  template <typename Limit>
+  bool accept(const UpstreamId &id, Limit Statements::*limit,
+              const RateLimitStatement &statement, bool isOwn);
+  template <typename Limit>
+  RateLimitStatements ownStatements(Limit Statements::*limit,
+                                    Instant now) const;
+  UpstreamRejectionLimit *namedRejectionLimit(const UpstreamId &id);
+  RejectionShare shareOfRejections(const UpstreamId &id,
+                                   UpstreamRejectionLimit &limit,
+                                   const UpstreamRoom &room) const;
   double rateShare(const UpstreamId &id, UpstreamRateLimit &limit, Instant now);
 
   std::map<UpstreamId, Process> Processes;
@@ -122,6 +151,7 @@
   std::map<UpstreamId, Statements> ByUpstream;
   HostId Self;
   std::vector<HostId> ServingHosts;
+  SendingHosts Senders;
 };
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/ResponseStatements.cpp
+++ b/Services/sorrelbayd/ResponseStatements.cpp
@@ -19,6 +19,11 @@
   else if (replyInfo.RateLimit)
     ignore({StatementKind::RateLimit, IgnoredReason::OtherCall,
             std::to_string(*replyInfo.RateLimit)});
+  if (Source.IsForThisCall)
+    applyRejectionLimit(replyInfo.RejectionLimit);
+  else if (replyInfo.RejectionLimit)
+    ignore({StatementKind::RejectionLimit, IgnoredReason::OtherCall,
+            std::to_string(*replyInfo.RejectionLimit)});
   if (replyInfo.Pause)
     applyPause(*replyInfo.Pause);
   if (replyInfo.IsLeaving)
@@ -27,19 +32,40 @@
     ignore(it);
 }
 
-/// Only a successful response without a limit ends one; it describes the
-/// upstream at some time after the call was sent.
-void ResponseStatements::applyRateLimit(
-    const std::optional<double> &perSecond) {
+/// What the response states about a limit; empty if nothing. Only a successful
+/// response without a limit ends one; it describes the upstream at some time
+/// after the call was sent.
+std::optional<RateLimitStatement> ResponseStatements::limitStatement(
+    StatementKind kind, const std::optional<double> &perSecond) const {
   if (!perSecond && !Source.IsSuccess)
+    return std::nullopt;
+  if (perSecond)
+    State.Counts.countUpstreamStatement(toText(kind), Applied);
+  return RateLimitStatement{perSecond, perSecond ? bootNow() : Source.ChosenAt};
+}
+
+void ResponseStatements::applyRejectionLimit(
+    const std::optional<double> &perSecond) {
+  const auto statement =
+      limitStatement(StatementKind::RejectionLimit, perSecond);
+  if (!statement || !State.Replicas.statements().noteRejectionLimit(
+                        Source.Upstream, *statement))
+    return;
+  State.NotifyPeers();
+  if (!State.StatementLogBudget.take(bootNow()))
     return;
+  LogLine line(Severity::Info, perSecond ? "upstream names a rejection limit"
+                                         : "upstream rejection limit over");
+  line.field("upstream", Source.Upstream.text()).field("id", Source.CallId);
   if (perSecond)
-    State.Counts.countUpstreamStatement(toText(StatementKind::RateLimit),
-                                        Applied);
-  const Instant now = bootNow();
-  const RateLimitStatement statement{perSecond,
-                                     perSecond ? now : Source.ChosenAt};
-  if (!State.Replicas.statements().noteRateLimit(Source.Upstream, statement))
+    line.field("per_second", *perSecond);
+}
+
+void ResponseStatements::applyRateLimit(
+    const std::optional<double> &perSecond) {
+  const auto statement = limitStatement(StatementKind::RateLimit, perSecond);
+  if (!statement ||
+      !State.Replicas.statements().noteRateLimit(Source.Upstream, *statement))
     return;
   State.NotifyPeers();
   LogLine line(Severity::Info, perSecond ? "upstream names a rate limit"
--- a/Services/sorrelbayd/ResponseStatements.h
+++ b/Services/sorrelbayd/ResponseStatements.h
@@ -30,6 +30,10 @@
 
 private:
   void applyRateLimit(const std::optional<double> &perSecond);
+  void applyRejectionLimit(const std::optional<double> &perSecond);
+  std::optional<RateLimitStatement>
+  limitStatement(StatementKind kind,
+                 const std::optional<double> &perSecond) const;
   void applyPause(Duration pause);
   void applyLeaving();
   void ignore(const IgnoredStatement &statement);
--- a/Tests/LibPeer/TestFleetReportCodec.cpp
+++ b/Tests/LibPeer/TestFleetReportCodec.cpp
@@ -13,6 +13,14 @@
   report.RateLimits[UpstreamId("limited")] = {2.2, Instant(Duration(4000))};
   report.RateLimits[UpstreamId("ended")] = {std::nullopt,
                                             Instant(Duration(3000))};
+  report.RejectionLimits[UpstreamId("brittle")] = {5.0,
+                                                   Instant(Duration(2000))};
+  FleetMember member;
+  member.Host = HostId("h");
+  member.Capacity = 2;
+  member.RelayAddress = "10.0.0.1:7615";
+  member.UnreachableServices = {ServiceId("a"), ServiceId("b")};
+  report.Members = {member};
   return report;
 }
 
@@ -30,17 +38,38 @@
   BOOST_TEST(!limits.at(UpstreamId("ended")).PerSecond);
 }
 
+BOOST_AUTO_TEST_CASE(rejection_limits_and_members_are_transferred) {
+  const auto message =
+      decodeFleetMessage(encodeFleetMessage(reportWithLimits()));
+  const auto &report = std::get<FleetReport>(message);
+  BOOST_REQUIRE(report.RejectionLimits.size() == 1U);
+  BOOST_TEST(*report.RejectionLimits.at(UpstreamId("brittle")).PerSecond == 5);
+  BOOST_TEST((report.Members == reportWithLimits().Members));
+}
+
 // Hosts are upgraded one after the other. A new one must not refuse the
 // reports of those before.
 BOOST_AUTO_TEST_CASE(a_report_of_an_earlier_version_is_accepted) {
   auto fields =
       nlohmann::json::from_cbor(encodeFleetMessage(reportWithLimits()));
+  nlohmann::json &member = fields.at(10).at(0);
+  const auto decoded = [&] {
+    const auto bytes = nlohmann::json::to_cbor(fields);
+    return std::get<FleetReport>(
+        decodeFleetMessage(std::string(bytes.begin(), bytes.end())));
+  };
   fields.erase(fields.size() - 1);
-  const auto bytes = nlohmann::json::to_cbor(fields);
-  const auto message =
-      decodeFleetMessage(std::string(bytes.begin(), bytes.end()));
-  BOOST_TEST((std::get<FleetReport>(message).Reporter == HostId("h")));
-  BOOST_TEST(std::get<FleetReport>(message).RateLimits.empty());
+  BOOST_TEST(decoded().RejectionLimits.empty());
+  BOOST_TEST(decoded().RateLimits.size() == 2U);
+  fields.erase(fields.size() - 1);
+  member.erase(member.size() - 2);
+  member.erase(member.size() - 1);
+  const FleetReport report = decoded();
+  BOOST_TEST((report.Reporter == HostId("h")));
+  BOOST_TEST(report.RateLimits.empty());
+  BOOST_REQUIRE(report.Members.size() == 1U);
+  BOOST_TEST(report.Members.front().Capacity == 2);
+  BOOST_TEST(report.Members.front().RelayAddress.empty());
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -159,6 +159,22 @@
     BOOST_TEST((parseUpstreamReplyInfo(head).RateLimit == limit));
 }
 
+// A limit of rejections that is read wrongly lets an upstream fail, or keeps it
+// without calls.
+BOOST_AUTO_TEST_CASE(
+    a_rejection_limit_is_read_from_the_expected_upstream_only) {
+  const std::pair<HttpReplyHead, std::optional<double>> cases[] = {
+      {{200, {{"Server-Brittle", "5"}}, {}}, 5.0},
+      {{503, {{"Not-Executed", "1"}, {"server-brittle", "1"}}, {}}, 1.0},
+      {{500, {{"Server-Brittle", "0"}}, {}}, 0.0},
+      {{200, {}, {}}, std::nullopt},
+      {{200, {{"Server-Brittle", "-1"}}, {}}, std::nullopt},
+      {{200, {{"Server-Brittle", "yes"}}, {}}, std::nullopt},
+      {{421, {{"Server-Brittle", "5"}}, {}}, std::nullopt}};
+  for (const auto &[head, limit] : cases)
+    BOOST_TEST((parseUpstreamReplyInfo(head).RejectionLimit == limit));
+}
+
 // A malformed time would keep an upstream without calls for ever, or not at
 // all.
 BOOST_AUTO_TEST_CASE(a_requested_pause_is_read_from_an_unavailable_upstream) {
@@ -230,6 +246,7 @@
                                              {"server-load", "1,2,3"},
                                              {"Server-Limit", "2"},
                                              {"Server-Leaving", "1"},
+                                             {"Server-Brittle", "3"},
                                              {"Server", "b"},
                                              {"X-Server-Mood", "c"},
                                              {"server-mood", "low"}},
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -286,6 +286,9 @@
     verdict.DidNotRun = hasHeader(head.Headers, "X-Not-Run");
     if (hasHeader(head.Headers, "X-Limit"))
       verdict.RateLimit = std::stod(headerValue(head.Headers, "X-Limit"));
+    if (hasHeader(head.Headers, "X-Brittle"))
+      verdict.RejectionLimit =
+          std::stod(headerValue(head.Headers, "X-Brittle"));
     verdict.IsLeaving = hasHeader(head.Headers, "X-Leaving");
     if (hasHeader(head.Headers, "X-Pause"))
       verdict.Pause =
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -134,6 +134,49 @@
     BOOST_TEST(fixture.call("key").Status == 200);
 }
 
+// An upstream fails when it has to reject more than a few calls. While its slot
+// is taken, further calls must be refused here.
+BOOST_AUTO_TEST_CASE(calls_that_a_brittle_upstream_would_reject_are_refused) {
+  GatewayFixture fixture;
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+  std::shared_ptr<HttpExchange> open;
+  std::atomic<bool> isHeld{false};
+  std::atomic<int> arrived{0};
+  fixture.Upstream = [&](std::shared_ptr<HttpExchange> it) {
+    ++arrived;
+    if (isHeld) {
+      open = std::move(it);
+      return;
+    }
+    it->respond(200,
+                {{"X-Call", headerValue(it->request().Headers, "X-Call")},
+                 {"X-Brittle", "1"}},
+                "");
+  };
+  fixture.callUntil(200, "key");
+  isHeld = true;
+  const int before = arrived;
+  HttpReply held;
+  std::thread caller([&] { held = fixture.call("key"); });
+  while (arrived == before)
+    std::this_thread::sleep_for(milliseconds(5));
+  for (int n = 0; n < 3; ++n) {
+    const HttpReply refused = fixture.call("key");
+    BOOST_TEST(refused.Status == 503);
+    BOOST_TEST(hasHeader(refused.Headers, "Retry-After"));
+  }
+  BOOST_TEST(arrived == before + 1);
+  fixture.onUpstream([&] {
+    isHeld = false;
+    open->respond(
+        200, {{"X-Call", headerValue(open->request().Headers, "X-Call")}}, "");
+    open.reset();
+  });
+  caller.join();
+  BOOST_TEST(held.Status == 200);
+  fixture.callUntil(200, "key");
+}
+
 namespace {
 
 /// Rejects the call, asking for a pause of that many seconds.
