LibServing, sorrelbayd: Lead callers away from a minority of hosts only

- When all upstreams of a service go down, hosts notice it one after the other, and lookups named only those that had not yet: all callers were led to a few hosts, and kept the addresses for 2 to 6 s.
With all hosts but one cut off, that one got all callers.
- A service that was removed, or whose last upstream was, stayed unreachable for the rest of the process, and its hosts were left out of lookups.
It is forgotten now: cut_host/a_service_without_upstreams_makes_no_host_cut_off.

--- a/Libraries/LibServing/AddressLookup.h
+++ b/Libraries/LibServing/AddressLookup.h
@@ -15,9 +15,11 @@
 };
 
 /// The hosts that `self` names to callers: those that are ready, were seen
-/// recently and reach the upstreams of all services. A caller is better off
-/// with the address of a host that has to relay its calls, or of a silent one,
-/// than with none, so if there are no others, it is given those.
+/// recently and reach the upstreams of all services. Hosts that don't are left
+/// out unless they are the majority: then the upstreams may be at fault, and
+/// the other hosts could not take all callers. A caller is better off with the
+/// address of a silent host than with none, so if there are no others, it is
+/// given those.
 AddressLookup lookUpAddresses(const FleetMember &self, const FleetView &view,
                               Instant now);
 
--- a/Libraries/LibServing/UpstreamReachability.h
+++ b/Libraries/LibServing/UpstreamReachability.h
@@ -46,6 +46,9 @@
   /// Records that a call sent at `sentAt` waits no more.
   void noteWaitEnded(const ServiceId &service, Instant sentAt);
 
+  /// Forgets the service, because it has no upstreams.
+  void forget(const ServiceId &service) { ByService.erase(service); }
+
   bool isUnreachable(const ServiceId &service) const;
   /// Whether the service was unreachable at any time from `since` on.
   bool wasUnreachable(const ServiceId &service, Instant since) const;
--- a/Services/sorrelbayd/UpstreamMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamMonitor.cpp
@@ -26,15 +26,16 @@
   const Instant now = bootNow();
   State.Counts.countUpstreamConnect(service.text(), toText(result));
   const bool wasUnreachable = State.Paths.isUnreachable(service);
-  const int upstreams = State.Replicas.ready(service);
-  State.Paths.noteConnect(service, upstream, result == ConnectResult::Connected,
+  const bool isConnected = result == ConnectResult::Connected;
+  const int upstreams = isConnected ? 0 : State.Replicas.ready(service);
+  State.Paths.noteConnect(service, upstream, isConnected,
                           static_cast<std::size_t>(upstreams), now);
   const bool isUnreachable = State.Paths.isUnreachable(service);
   if (isUnreachable && !wasUnreachable)
     onLost(service);
   else if (wasUnreachable && !isUnreachable)
     onRegained(service);
-  else if (result != ConnectResult::Connected)
+  else if (!isConnected)
     probe(service, now);
 }
 
@@ -91,11 +92,19 @@
   });
 }
 
+/// A service whose upstreams are gone is not out of reach of this host alone.
+void UpstreamMonitor::forgetServicesWithoutUpstreams() {
+  for (const ServiceId &it : State.Paths.unreachable())
+    if (!State.Plan || !State.Plan->service(it) || upstreamsOf(it).empty())
+      State.Paths.forget(it);
+}
+
 /// Counts the failures that were held back, and probes where there is a doubt.
 void UpstreamMonitor::tick(Instant now) {
   for (const UnansweredSend &it : State.Failures.takeDue(now))
     State.RecordOutcome(it.Service, it.Version, it.Route,
                         UpstreamOutcome::Failed);
+  forgetServicesWithoutUpstreams();
   probe(now);
 }
 
--- a/Services/sorrelbayd/UpstreamMonitor.h
+++ b/Services/sorrelbayd/UpstreamMonitor.h
@@ -20,6 +20,7 @@
   void tick(Instant now);
 
 private:
+  void forgetServicesWithoutUpstreams();
   void probe(Instant now);
   void probe(const ServiceId &service, Instant now);
   std::map<UpstreamId, ZoneId> upstreamsOf(const ServiceId &service) const;
--- a/Tests/LibServing/UpstreamCutSimulation.cpp
+++ b/Tests/LibServing/UpstreamCutSimulation.cpp
@@ -237,6 +237,10 @@
     return;
   if (Plan.Measures.LeavesLookups) {
     caller.Addresses = lookUpAddresses(host.Member, *host.View, Now).Addresses;
+    if (2 * caller.Addresses.size() < Hosts.size() && !Plan.HasKills &&
+        Now > Start + StableWindow)
+      violate("LED: callers to " + std::to_string(caller.Addresses.size()) +
+              " hosts");
   } else {
     caller.Addresses.clear();
     for (const Host &it : Hosts)
--- a/Tests/LibServing/UpstreamCutSimulation.h
+++ b/Tests/LibServing/UpstreamCutSimulation.h
@@ -75,8 +75,8 @@
 /// in 50 of all first tries fail there. Besides: a cut is noticed within a
 /// second, no call that begins after its end fails, no failure of a cut host
 /// counts against a version, no call that may run only once runs twice, relayed
-/// calls are spread over the hosts, and none is relayed if no host reaches the
-/// upstreams.
+/// calls are spread over the hosts, none is relayed if no host reaches the
+/// upstreams, and lookups never lead all callers to a minority of the hosts.
 class UpstreamCutSimulation {
 public:
   explicit UpstreamCutSimulation(const UpstreamCutPlan &plan);
--- a/Tests/sorrelbayd/TestCutHost.cpp
+++ b/Tests/sorrelbayd/TestCutHost.cpp
@@ -114,6 +114,22 @@
   BOOST_TEST(holdsSoon(isNamed));
 }
 
+// A service that is gone stays out of reach for ever. Its hosts must not be
+// left out of lookups for it.
+BOOST_AUTO_TEST_CASE(a_service_without_upstreams_makes_no_host_cut_off) {
+  GatewayFixture fixture;
+  const auto cut = fixture.addHost("cut");
+  const auto isNamed = [&] {
+    return fixture.lookUp(*fixture.Served).find(cut->CallerAddress) !=
+           std::string::npos;
+  };
+  cut->Path.set(PathState::Resets);
+  BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
+  BOOST_REQUIRE(holdsSoon([&] { return !isNamed(); }));
+  fixture.Store.remove(ResourceKind::Replicas, "r1");
+  BOOST_TEST(holdsSoon(isNamed));
+}
+
 // A call that may run only once is relayed, and would be run by both hosts, or
 // with more time than its caller gives it.
 BOOST_AUTO_TEST_CASE(relayed_calls_run_once_within_their_time) {
