LibServing: Take new upstreams of a brittle service for brittle, too

Besides: the envelope of a relayed call carries a digest of method and path instead of the path, which doubled in hexadecimal digits would have exceeded the limit of a header for paths of 8 KB.

--- a/Libraries/LibPeer/RelayEnvelope.cpp
+++ b/Libraries/LibPeer/RelayEnvelope.cpp
@@ -18,7 +18,7 @@
 static constexpr char Separator = '.';
 static constexpr std::size_t SecretBytes = 32;
 /// Longer header fields are refused before they are decoded.
-static constexpr std::size_t MaxTextLength = 16UL * 1024;
+static constexpr std::size_t MaxTextLength = 8UL * 1024;
 
 template <typename Bytes> static std::string toHex(const Bytes &bytes) {
   static constexpr const char *Digits = "0123456789abcdef";
@@ -64,8 +64,7 @@
                        envelope.From.text(),
                        envelope.To.text(),
                        envelope.CallId,
-                       envelope.Method,
-                       envelope.Path,
+                       envelope.RequestDigest,
                        envelope.Service.text(),
                        envelope.WaitLimit.count(),
                        envelope.Attempts,
@@ -84,14 +83,13 @@
   out.From = HostId(fields.at(1).get<std::string>());
   out.To = HostId(fields.at(2).get<std::string>());
   fields.at(3).get_to(out.CallId);
-  fields.at(4).get_to(out.Method);
-  fields.at(5).get_to(out.Path);
-  out.Service = ServiceId(fields.at(6).get<std::string>());
-  out.WaitLimit = Duration(fields.at(7).get<std::int64_t>());
-  fields.at(8).get_to(out.Attempts);
-  fields.at(9).get_to(out.PlanVersion);
-  fields.at(10).get_to(out.ResumeAfter);
-  fields.at(11).get_to(out.IsDemandCounted);
+  fields.at(4).get_to(out.RequestDigest);
+  out.Service = ServiceId(fields.at(5).get<std::string>());
+  out.WaitLimit = Duration(fields.at(6).get<std::int64_t>());
+  fields.at(7).get_to(out.Attempts);
+  fields.at(8).get_to(out.PlanVersion);
+  fields.at(9).get_to(out.ResumeAfter);
+  fields.at(10).get_to(out.IsDemandCounted);
   return out;
 }
 
@@ -114,6 +112,15 @@
   }
 }
 
+std::string digestOfRequest(const std::string &method,
+                            const std::string &path) {
+  const std::string text = method + " " + path;
+  std::array<unsigned char, EVP_MAX_MD_SIZE> buf{};
+  unsigned int n = 0;
+  EVP_Digest(text.data(), text.size(), buf.data(), &n, EVP_sha256(), nullptr);
+  return toHex(std::string(buf.begin(), buf.begin() + n));
+}
+
 std::string makeRelaySecret() {
   std::array<unsigned char, SecretBytes> buf{};
   const bool isFilled = RAND_bytes(buf.data(), buf.size()) == 1;
--- a/Libraries/LibPeer/RelayEnvelope.h
+++ b/Libraries/LibPeer/RelayEnvelope.h
@@ -14,8 +14,8 @@
   HostId From;
   HostId To;
   std::string CallId;
-  std::string Method;
-  std::string Path;
+  /// What digestOfRequest returns for the call.
+  std::string RequestDigest;
   /// The service that was chosen for the call.
   ServiceId Service;
   /// The time that is left until the call's deadline.
@@ -40,6 +40,10 @@
 RelayEnvelope openRelayEnvelope(const std::string &text,
                                 const std::string &secret);
 
+/// A digest of the method and the path of a request, in hexadecimal digits. It
+/// ties an envelope to its request, whose path may be long.
+std::string digestOfRequest(const std::string &method, const std::string &path);
+
 /// A new random secret, in hexadecimal digits.
 std::string makeRelaySecret();
 
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -33,8 +33,10 @@
   const bool isKnownProcess =
       found != Entries.end() &&
       found->second.Record.StartedMs == record.StartedMs;
-  if (!isKnownProcess)
+  if (!isKnownProcess) {
     Statements.noteProcess(record.Id, record.StartedMs, startedAt, now);
+    assumeRejectionLimit(record, now);
+  }
   if (found != Entries.end()) {
     found->second.Record = record;
     found->second.ColdUntil = coldUntil;
@@ -60,6 +62,21 @@
   Entries.emplace(record.Id, entry);
 }
 
+/// A new process of a service whose upstreams name a rejection limit is taken
+/// to have the lowest of theirs. It has nothing to do yet, so that all hosts
+/// would send calls there before its first response.
+void ReplicaTable::assumeRejectionLimit(const ReplicaRecord &record,
+                                        Instant now) {
+  std::optional<double> lowest;
+  for (const auto &[id, entry] : Entries) {
+    const auto limit = Statements.rejectionLimit(id);
+    if (entry.Record.OfService == record.OfService && id != record.Id && limit)
+      lowest = std::min(lowest.value_or(*limit), *limit);
+  }
+  if (lowest)
+    Statements.notePeerRejectionLimit(record.Id, {lowest, now});
+}
+
 void ReplicaTable::remove(const UpstreamId &id) {
   const auto it = Entries.find(id);
   if (it == Entries.end())
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -329,6 +329,7 @@
   bool isCold(const Entry &entry, Instant now) const;
   bool hasColdCapacity(Entry &entry, Instant now);
   static UpstreamRoom roomFor(const Entry &entry);
+  void assumeRejectionLimit(const ReplicaRecord &record, Instant now);
   void updateHealth(Entry &entry, SendResult result, Instant now);
   double othersFailureShare(const Entry &entry) const;
 
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -118,6 +118,13 @@
   return ownStatements(&Statements::RejectionLimit, now);
 }
 
+std::optional<double>
+UpstreamStatements::rejectionLimit(const UpstreamId &id) const {
+  const auto it = ByUpstream.find(id);
+  return it == ByUpstream.end() ? std::nullopt
+                                : it->second.RejectionLimit.Statement.PerSecond;
+}
+
 void UpstreamStatements::setSendingHosts(SendingHosts hosts) {
   if (Senders == hosts)
     return;
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -64,6 +64,9 @@
   /// The same for a response to another host, as that host reports it.
   void notePeerRejectionLimit(const UpstreamId &id,
                               const RateLimitStatement &statement);
+  /// The rejections per second that the upstream bears; empty if it names no
+  /// limit.
+  std::optional<double> rejectionLimit(const UpstreamId &id) const;
   /// The newest of these statements that were made to this host.
   RateLimitStatements ownRejectionLimits(Instant now) const;
   /// Sets the hosts that divide the rejections which upstreams bear.
--- a/Services/sorrelbayd/CallRelay.cpp
+++ b/Services/sorrelbayd/CallRelay.cpp
@@ -73,8 +73,8 @@
                          const RelayEnvelope &envelope, Instant now) {
   if (envelope.To != state.Settings.Host)
     return "other_host";
-  if (envelope.CallId != call.Id || envelope.Method != call.Method ||
-      envelope.Path != call.Path)
+  if (envelope.CallId != call.Id ||
+      envelope.RequestDigest != digestOfRequest(call.Method, call.Path))
     return "other_call";
   if (!state.Plan || state.Plan->plan().Version < envelope.PlanVersion)
     return "older_plan";
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -388,8 +388,7 @@
   out.From = State.Settings.Host;
   out.To = peer;
   out.CallId = Call.Id;
-  out.Method = Call.Method;
-  out.Path = Call.Path;
+  out.RequestDigest = digestOfRequest(Call.Method, Call.Path);
   out.Service = Service;
   out.WaitLimit = RetryState->deadline() - now;
   out.Attempts = RetryState->attemptsLeft();
--- a/Tests/LibPeer/TestRelayEnvelope.cpp
+++ b/Tests/LibPeer/TestRelayEnvelope.cpp
@@ -11,8 +11,7 @@
   out.From = HostId("a");
   out.To = HostId("b");
   out.CallId = "call";
-  out.Method = "POST";
-  out.Path = "/x?y=1";
+  out.RequestDigest = digestOfRequest("POST", "/x?y=1");
   out.Service = ServiceId("desk");
   out.WaitLimit = milliseconds(1234);
   out.Attempts = 2;
@@ -34,8 +33,7 @@
   BOOST_TEST(got.From.text() == sent.From.text());
   BOOST_TEST(got.To.text() == sent.To.text());
   BOOST_TEST(got.CallId == sent.CallId);
-  BOOST_TEST(got.Method == sent.Method);
-  BOOST_TEST(got.Path == sent.Path);
+  BOOST_TEST(got.RequestDigest == sent.RequestDigest);
   BOOST_TEST(got.Service.text() == sent.Service.text());
   BOOST_TEST(got.WaitLimit.count() == sent.WaitLimit.count());
   BOOST_TEST(got.Attempts == sent.Attempts);
@@ -65,4 +63,11 @@
       PeerMessageRefused);
 }
 
+BOOST_AUTO_TEST_CASE(a_digest_is_of_one_request) {
+  BOOST_TEST(digestOfRequest("GET", "/a") == digestOfRequest("GET", "/a"));
+  BOOST_TEST(digestOfRequest("GET", "/a") != digestOfRequest("PUT", "/a"));
+  BOOST_TEST(digestOfRequest("GET", "/a") != digestOfRequest("GET", "/a?b"));
+  BOOST_TEST(digestOfRequest("GET", std::string(99999, 'a')).size() == 64U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/RejectionSimulation.cpp
+++ b/Tests/LibServing/RejectionSimulation.cpp
@@ -61,6 +61,8 @@
   if (!Plan.HasFaults || draw() > toSeconds(Tick) / 3)
     return;
   ++FaultCount;
+  if (draw() < 0.5)
+    return crash();
   Host &host = Hosts[static_cast<std::size_t>(
       draw() * static_cast<double>(Hosts.size()))];
   const Duration span = fromSeconds(0.3 + 3 * draw());
@@ -76,6 +78,26 @@
   host.ExcusedUntil = std::max(host.ExcusedUntil, Now + span + StableWindow);
 }
 
+/// An upstream crashes, or all of a zone do, and start again at the same time.
+void RejectionSimulation::crash() {
+  const Upstream &first = Upstreams[static_cast<std::size_t>(
+      draw() * static_cast<double>(Upstreams.size()))];
+  const bool isWholeZone = draw() < 0.5;
+  const Duration span = fromSeconds(0.5 + 2 * draw());
+  for (Upstream &it : Upstreams)
+    if (it.Record.Id == first.Record.Id ||
+        (isWholeZone && it.Record.InZone == first.Record.InZone))
+      stop(it, Now + span);
+}
+
+void RejectionSimulation::stop(Upstream &upstream, Instant startAt) {
+  upstream.IsDown = true;
+  upstream.StartAt = startAt;
+  upstream.Running = 0;
+  upstream.Waiting = 0;
+  upstream.Rejections.clear();
+}
+
 void RejectionSimulation::changeState() {
   if (Now >= NextBrittleAt) {
     ++BrittleTimes;
@@ -159,11 +181,7 @@
                 " upstreams that bear " +
                 std::to_string(static_cast<int>(BearableRejections)) + ", at " +
                 std::to_string(toMilliseconds(Now - Start)) + " ms";
-  upstream.IsDown = true;
-  upstream.StartAt = Now + fromSeconds(2 + 2 * draw());
-  upstream.Running = 0;
-  upstream.Waiting = 0;
-  upstream.Rejections.clear();
+  stop(upstream, Now + fromSeconds(2 + 2 * draw()));
 }
 
 void RejectionSimulation::reject(Call &call) {
--- a/Tests/LibServing/RejectionSimulation.h
+++ b/Tests/LibServing/RejectionSimulation.h
@@ -27,8 +27,8 @@
   int Zones = 4;
   /// Calls that callers send, as a share of what the upstreams can run.
   double Load = 1.2;
-  /// Processes are killed and started again, frozen, and disconnected from
-  /// other hosts.
+  /// Hosts are killed and started again, frozen, and disconnected from others;
+  /// upstreams crash.
   bool HasFaults = true;
   RejectionOmission Without = RejectionOmission::Nothing;
 };
@@ -94,6 +94,8 @@
 
   void startProcess(Host &host);
   void injectFault();
+  void crash();
+  static void stop(Upstream &upstream, Instant startAt);
   void changeState();
   bool isBrittle() const { return Now < BrittleUntil; }
   int waitingRoom() const;
--- a/Tests/sorrelbayd/TestCutHost.cpp
+++ b/Tests/sorrelbayd/TestCutHost.cpp
@@ -206,8 +206,7 @@
   envelope.From = HostId("cut");
   envelope.To = HostId("host");
   envelope.CallId = "forged";
-  envelope.Method = "POST";
-  envelope.Path = "/a/1";
+  envelope.RequestDigest = digestOfRequest("POST", "/a/1");
   envelope.Service = ServiceId("desk");
   envelope.WaitLimit = seconds(1);
   envelope.Attempts = 1;
