LibServing: Count unanswered sends only once their service has been reached

The host's connections had been reset, and it got so few calls afterwards that no connection was tried in the second for which the failure was held back.

Change: a call that breaks off without a response leads to a probe, and the failure counts once a connection to the service has been opened after it; after 10 s without one it is dropped.

The check counts from 1.5 s after a common start on.

--- a/Libraries/LibServing/DeferredFailures.cpp
+++ b/Libraries/LibServing/DeferredFailures.cpp
@@ -5,6 +5,8 @@
 
 /// The longest time in which a lost path is noticed.
 static constexpr Duration HoldTime = seconds(1);
+/// A failure is dropped if the service has not been reached for this long.
+static constexpr Duration LongestHoldTime = seconds(10);
 
 void DeferredFailures::add(const UnansweredSend &send, Instant now) {
   Held.push_back({send, now});
@@ -18,12 +20,18 @@
              Held.end());
 }
 
-std::vector<UnansweredSend> DeferredFailures::takeDue(Instant now) {
+std::vector<UnansweredSend>
+DeferredFailures::takeDue(const UpstreamReachability &paths, Instant now) {
   std::vector<UnansweredSend> out;
-  while (!Held.empty() && now - Held.front().At >= HoldTime) {
-    out.push_back(std::move(Held.front().Send));
-    Held.pop_front();
+  std::deque<Deferred> later;
+  for (Deferred &it : Held) {
+    const Duration age = now - it.At;
+    if (age >= HoldTime && paths.hasConnectedSince(it.Send.Service, it.At))
+      out.push_back(std::move(it.Send));
+    else if (age < LongestHoldTime)
+      later.push_back(std::move(it));
   }
+  Held = std::move(later);
   return out;
 }
 
--- a/Libraries/LibServing/DeferredFailures.h
+++ b/Libraries/LibServing/DeferredFailures.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
+#include "LibServing/UpstreamReachability.h"
 #include <deque>
 #include <vector>
 
@@ -14,9 +15,9 @@
   RouteId Route;
 };
 
-/// Sends that failed without a response, held back until it is known whether
-/// this host had lost its paths to the service. Otherwise a host that is cut
-/// off would find any version faulty. Not thread-safe.
+/// Sends that failed without a response, held back until this host has shown
+/// that it reaches the service. Otherwise a host that is cut off would find any
+/// version faulty. Not thread-safe.
 class DeferredFailures {
 public:
   void add(const UnansweredSend &send, Instant now);
@@ -24,7 +25,8 @@
   /// this host.
   void discard(const ServiceId &service);
   /// Removes and returns the failures that count by now.
-  std::vector<UnansweredSend> takeDue(Instant now);
+  std::vector<UnansweredSend> takeDue(const UpstreamReachability &paths,
+                                      Instant now);
 
 private:
   struct Deferred {
--- a/Libraries/LibServing/UpstreamReachability.cpp
+++ b/Libraries/LibServing/UpstreamReachability.cpp
@@ -16,6 +16,7 @@
   Paths &paths = ByService[service];
   paths.IsKnown = true;
   if (isConnected) {
+    paths.ConnectedAt = now;
     paths.FailedAt.clear();
     if (paths.IsUnreachable)
       paths.RecoveredAt = now;
@@ -38,6 +39,10 @@
   ByService[service].ReceivedAt = now;
 }
 
+void UpstreamReachability::noteBroken(const ServiceId &service, Instant now) {
+  ByService[service].BrokenAt = now;
+}
+
 void UpstreamReachability::noteWaitEnded(const ServiceId &service,
                                          Instant sentAt) {
   std::multiset<Instant> &waiting = ByService[service].WaitingSince;
@@ -58,6 +63,12 @@
          (it->second.IsUnreachable || it->second.RecoveredAt >= since);
 }
 
+bool UpstreamReachability::hasConnectedSince(const ServiceId &service,
+                                             Instant since) const {
+  const auto it = ByService.find(service);
+  return it != ByService.end() && it->second.ConnectedAt > since;
+}
+
 std::set<ServiceId> UpstreamReachability::unreachable() const {
   std::set<ServiceId> out;
   for (const auto &[service, paths] : ByService)
@@ -117,7 +128,7 @@
   if (now - paths.ProbedAt < Settings.ProbeInterval)
     return false;
   return !paths.IsKnown || paths.IsUnreachable || isSilent(paths, now) ||
-         hasFailure(paths, now);
+         hasFailure(paths, now) || paths.BrokenAt > paths.ConnectedAt;
 }
 
 std::vector<UpstreamId>
@@ -134,7 +145,7 @@
     wanted = 1;
   else if (paths.IsKnown && !isSilent(paths, now))
     // Calls that meet the same failure open further connections.
-    wanted = std::min(wanted, paths.FailedAt.size());
+    wanted = std::clamp<std::size_t>(paths.FailedAt.size(), 1, wanted);
   std::vector<UpstreamId> out;
   for (std::size_t n = 0; n < std::min(wanted, all.size()); ++n)
     out.push_back(all[(Settings.FirstProbe + paths.Probes++) % all.size()]);
--- a/Libraries/LibServing/UpstreamReachability.h
+++ b/Libraries/LibServing/UpstreamReachability.h
@@ -43,6 +43,9 @@
   void noteSent(const ServiceId &service, Instant now);
   /// Records that an upstream of the service sent something.
   void noteReceived(const ServiceId &service, Instant now);
+  /// Records that a call broke off without a response. The upstream may be at
+  /// fault, or the path to it.
+  void noteBroken(const ServiceId &service, Instant now);
   /// Records that a call sent at `sentAt` waits no more.
   void noteWaitEnded(const ServiceId &service, Instant sentAt);
 
@@ -52,6 +55,8 @@
   bool isUnreachable(const ServiceId &service) const;
   /// Whether the service was unreachable at any time from `since` on.
   bool wasUnreachable(const ServiceId &service, Instant since) const;
+  /// Whether a connection to the service was opened after `since`.
+  bool hasConnectedSince(const ServiceId &service, Instant since) const;
   /// All services that are unreachable.
   std::set<ServiceId> unreachable() const;
   /// The number of the service's upstreams to which connections failed since
@@ -78,6 +83,8 @@
     /// When the calls without a first byte were sent.
     std::multiset<Instant> WaitingSince;
     Instant ReceivedAt{};
+    Instant BrokenAt{};
+    Instant ConnectedAt{};
     Instant ProbedAt{};
     bool IsKnown = false;
     bool IsUnreachable = false;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -624,6 +624,8 @@
   if (CurrentSend.IsWaiting)
     State.Paths.noteWaitEnded(Service, CurrentSend.SentAt);
   CurrentSend.IsWaiting = false;
+  if (result == SendResult::Broken && CurrentSend.WasSending)
+    State.Paths.noteBroken(Service, bootNow());
   // Without a path to its upstreams, this host can't tell their faults.
   if (result == SendResult::Broken &&
       State.Paths.wasUnreachable(Service, CurrentSend.At))
--- a/Services/sorrelbayd/UpstreamMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamMonitor.cpp
@@ -101,7 +101,7 @@
 
 /// Counts the failures that were held back, and probes where there is a doubt.
 void UpstreamMonitor::tick(Instant now) {
-  for (const UnansweredSend &it : State.Failures.takeDue(now))
+  for (const UnansweredSend &it : State.Failures.takeDue(State.Paths, now))
     State.RecordOutcome(it.Service, it.Version, it.Route,
                         UpstreamOutcome::Failed);
   forgetServicesWithoutUpstreams();
--- a/Tests/LibServing/UpstreamCutSimulation.cpp
+++ b/Tests/LibServing/UpstreamCutSimulation.cpp
@@ -30,6 +30,9 @@
 constexpr int CallsThatShowACut = 8;
 /// No call fails that begins within this time after the end of a cut.
 constexpr Duration CheckedAfterCut = seconds(3);
+/// Hosts that start together know each other after this time. Before, they
+/// relay calls to the few that they know.
+constexpr Duration DiscoveryTime = milliseconds(1500);
 /// Relayed calls from which on their spread is checked.
 constexpr int ManyRelayedCalls = 200;
 constexpr double MostOfMeanLoad = 2;
@@ -360,7 +363,7 @@
   entry.Relays.noteEnded(peer, true, Now);
   ++RelayedCalls;
   for (Cut &it : Cuts)
-    if (Now >= it.From && Now < it.Until)
+    if (Now >= it.From && Now < it.Until && Now >= Start + DiscoveryTime)
       ++it.RelayedTo[call.Worker];
   call.FailedConnects = 0;
   call.Tried.clear();
@@ -484,6 +487,7 @@
 void UpstreamCutSimulation::failSend(Call &call) {
   Host &host = Hosts[call.Worker];
   endSend(call, SendResult::Broken);
+  host.Paths.noteBroken(call.Service, Now);
   const bool isEvidence = !Plan.Measures.DefersFailures ||
                           !host.Paths.wasUnreachable(call.Service, call.SentAt);
   if (isEvidence)
@@ -614,7 +618,7 @@
 /// Only cut hosts fail sends here, so none may count against a version.
 void UpstreamCutSimulation::countFailures(std::size_t host) {
   if (Plan.Extent != CutExtent::AllUpstreams &&
-      !Hosts[host].Failures.takeDue(Now).empty())
+      !Hosts[host].Failures.takeDue(Hosts[host].Paths, Now).empty())
     violate("JUDGED: a version, by failures of " +
             Hosts[host].Member.Host.text());
 }
