LibBase, LibPeer: Share hexadecimal text and message codes

The envelope of relayed calls had its own hexadecimal digits beside those of SigningKey, and its own HMAC, comparison and random bytes beside those of HelloProof. Both use LibBase/Hex and LibPeer/MessageCode now.

--- a/Libraries/LibOperator/SigningKey.cpp
+++ b/Libraries/LibOperator/SigningKey.cpp
@@ -1,4 +1,5 @@
 #include "LibOperator/SigningKey.h"
+#include "LibBase/Hex.h"
 #include <array>
 #include <cerrno>
 #include <cstdio>
@@ -36,31 +37,6 @@
   return reinterpret_cast<const unsigned char *>(text.data());
 }
 
-int digitValue(char c) {
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  return -1;
-}
-
-std::string toHex(const unsigned char *bytes, std::size_t count) {
-  static const char *const digits = "0123456789abcdef";
-  std::string out;
-  for (std::size_t n = 0; n < count; ++n) {
-    out += digits[bytes[n] >> 4];
-    out += digits[bytes[n] & 15];
-  }
-  return out;
-}
-
-std::string fromHex(const std::string &hex) {
-  std::string out;
-  for (std::size_t n = 0; n + 1 < hex.size(); n += 2)
-    out += static_cast<char>(digitValue(hex[n]) * 16 + digitValue(hex[n + 1]));
-  return out;
-}
-
 std::string errnoText() { return std::strerror(errno); }
 
 FilePointer openKeyFile(const std::string &path) {
@@ -86,10 +62,9 @@
 PublicKey PublicKey::parse(const std::string &hex) {
   if (hex.size() != 2 * PublicKeyBytes)
     throw KeyUnusable("a public key must have 64 hex digits");
-  for (const char it : hex)
-    if (digitValue(it) < 0)
-      throw KeyUnusable(
-          "a public key must have only the digits 0 to 9 and a to f");
+  if (!fromHex(hex))
+    throw KeyUnusable(
+        "a public key must have only the digits 0 to 9 and a to f");
   return PublicKey(hex);
 }
 
@@ -97,7 +72,7 @@
 
 bool PublicKey::verifies(const std::string &message,
                          const std::string &signature) const {
-  const std::string raw = fromHex(Hex);
+  const std::string raw = fromHex(Hex).value();
   const KeyPointer key(EVP_PKEY_new_raw_public_key(EVP_PKEY_ED25519, nullptr,
                                                    bytesOf(raw), raw.size()));
   const ContextPointer context(EVP_MD_CTX_new());
@@ -151,7 +126,7 @@
   std::size_t n = buf.size();
   if (EVP_PKEY_get_raw_public_key(KeyPair->Key.get(), buf.data(), &n) != 1)
     throw KeyUnusable("the public key can't be derived");
-  return PublicKey::parse(toHex(buf.data(), n));
+  return PublicKey::parse(toHex(std::string(buf.begin(), buf.begin() + n)));
 }
 
 std::string SigningKey::sign(const std::string &message) const {
--- a/Libraries/LibPeer/RelayEnvelope.cpp
+++ b/Libraries/LibPeer/RelayEnvelope.cpp
@@ -1,12 +1,10 @@
 #include "LibPeer/RelayEnvelope.h"
-#include "LibBase/Invariant.h"
+#include "LibBase/Hex.h"
+#include "LibPeer/MessageCode.h"
 #include "LibPeer/PeerFailures.h"
 #include <array>
 #include <nlohmann/json.hpp>
-#include <openssl/crypto.h>
 #include <openssl/evp.h>
-#include <openssl/hmac.h>
-#include <openssl/rand.h>
 
 namespace sorrelbay {
 
@@ -20,42 +18,8 @@
 /// Longer header fields are refused before they are decoded.
 static constexpr std::size_t MaxTextLength = 8UL * 1024;
 
-template <typename Bytes> static std::string toHex(const Bytes &bytes) {
-  static constexpr const char *Digits = "0123456789abcdef";
-  std::string out;
-  for (const auto it : bytes) {
-    const auto byte = static_cast<unsigned char>(it);
-    out += Digits[byte >> 4U];
-    out += Digits[byte & 15U];
-  }
-  return out;
-}
-
-static unsigned digitOf(char c) {
-  if (c >= '0' && c <= '9')
-    return static_cast<unsigned>(c - '0');
-  if (c >= 'a' && c <= 'f')
-    return static_cast<unsigned>(c - 'a') + 10;
-  throw PeerMessageRefused("relay envelope is not hexadecimal");
-}
-
-static std::string fromHex(const std::string &text) {
-  if (text.size() % 2 != 0)
-    throw PeerMessageRefused("relay envelope is cut off");
-  std::string out;
-  for (std::size_t n = 0; n < text.size(); n += 2)
-    out += static_cast<char>(digitOf(text[n]) << 4U | digitOf(text[n + 1]));
-  return out;
-}
-
 static std::string sealOf(const std::string &bytes, const std::string &secret) {
-  const std::string text = SealContext + bytes;
-  std::array<unsigned char, EVP_MAX_MD_SIZE> buf{};
-  unsigned int n = 0;
-  HMAC(EVP_sha256(), secret.data(), static_cast<int>(secret.size()),
-       reinterpret_cast<const unsigned char *>(text.data()), text.size(),
-       buf.data(), &n);
-  return toHex(std::string(buf.begin(), buf.begin() + n));
+  return toHex(messageCode(secret, SealContext + bytes));
 }
 
 std::string sealRelayEnvelope(const RelayEnvelope &envelope,
@@ -98,14 +62,13 @@
   const std::size_t at = text.find(Separator);
   if (secret.empty() || at == std::string::npos || text.size() > MaxTextLength)
     throw PeerMessageRefused("relay envelope is not sealed");
-  const std::string bytes = fromHex(text.substr(0, at));
-  const std::string expected = sealOf(bytes, secret);
-  const std::string seal = text.substr(at + 1);
-  if (seal.size() != expected.size() ||
-      CRYPTO_memcmp(seal.data(), expected.data(), seal.size()) != 0)
+  const auto bytes = fromHex(text.substr(0, at));
+  if (!bytes)
+    throw PeerMessageRefused("relay envelope is not hexadecimal");
+  if (!isSameCode(text.substr(at + 1), sealOf(*bytes, secret)))
     throw PeerMessageRefused("relay envelope has another seal");
   try {
-    return envelopeFrom(json::from_cbor(bytes));
+    return envelopeFrom(json::from_cbor(*bytes));
   } catch (const json::exception &error) {
     throw PeerMessageRefused(std::string("relay envelope can't be decoded: ") +
                              error.what());
@@ -121,11 +84,6 @@
   return toHex(std::string(buf.begin(), buf.begin() + n));
 }
 
-std::string makeRelaySecret() {
-  std::array<unsigned char, SecretBytes> buf{};
-  const bool isFilled = RAND_bytes(buf.data(), buf.size()) == 1;
-  verifyInvariant(isFilled, "relay-secret-is-random", "RAND_bytes failed");
-  return toHex(buf);
-}
+std::string makeRelaySecret() { return toHex(randomBytes(SecretBytes)); }
 
 } // namespace sorrelbay
