--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -5,10 +5,6 @@
 
 namespace sorrelbay {
 
-/// Sends before which an upstream's failure share is not relied on.
-static constexpr double MinSendsSeen = 3;
-/// Upper bound of the number of sends that a failure share covers.
-static constexpr double MaxSendsSeen = 20;
 /// Additional cost of an upstream in another zone, in open calls.
 static constexpr double OtherZonePenalty = 0.5;
 /// With more hosts than this, hosts receive each other's reports indirectly.
@@ -41,10 +37,7 @@
     found->second.Record = record;
     found->second.ColdUntil = coldUntil;
     if (!isKnownProcess) {
-      // A new incarnation does not inherit the failures of the one before.
-      found->second.FailureShare = 0;
-      found->second.SendsSeen = 0;
-      found->second.EjectedUntil = {};
+      found->second.Health.beginProcess();
     }
     return;
   }
@@ -286,8 +279,7 @@
     if (!fits(entry, request) || !hasColdCapacity(entry, now) ||
         !Statements.allowCall(id, roomFor(entry), now))
       continue;
-    const bool isHealthy = now >= entry.EjectedUntil && !entry.IsBeingProbed;
-    (isHealthy ? eligible : unhealthy).push_back(&entry);
+    (entry.Health.isHealthy(now) ? eligible : unhealthy).push_back(&entry);
   }
   return eligible.empty() ? unhealthy : eligible;
 }
@@ -456,11 +448,8 @@
   const auto it = Entries.find(id);
   if (it == Entries.end())
     return;
-  // The first call after an ejection is a probe: until it has ended, the
-  // upstream gets no other call if there are healthy ones.
   Entry &entry = it->second;
-  if (entry.LastEjection > Duration::zero() && entry.SendsSeen == 0)
-    entry.IsBeingProbed = true;
+  entry.Health.noteSent();
   if (isCold(entry, now))
     entry.ColdLimiter.note(now);
   Statements.noteSent(id, roomFor(entry), now);
@@ -489,7 +478,8 @@
   entry.Own.PromptTokens = std::max<std::int64_t>(0, entry.Own.PromptTokens);
   if (result == SendResult::Rejected)
     Statements.noteRejected(id, now);
-  updateHealth(entry, result, now);
+  entry.Health.noteResult(result, othersFailureShare(entry), Settings.Health,
+                          now);
 }
 
 double ReplicaTable::othersFailureShare(const Entry &entry) const {
@@ -498,53 +488,16 @@
   for (const auto &[id, it] : Entries) {
     if (&it == &entry || it.Record.OfService != entry.Record.OfService)
       continue;
-    sum += it.FailureShare;
+    sum += it.Health.failureShare();
     ++n;
   }
   return n == 0 ? 1 : sum / n;
 }
 
-void ReplicaTable::updateHealth(Entry &entry, SendResult result, Instant now) {
-  if (result == SendResult::Inconclusive) {
-    entry.IsBeingProbed = false;
-    return;
-  }
-  const bool isBad =
-      result == SendResult::Failed || result == SendResult::Broken;
-  const double decay = result == SendResult::Broken
-                           ? Settings.FailureShareDecay * 0.8
-                           : Settings.FailureShareDecay;
-  entry.FailureShare =
-      decay * entry.FailureShare + (1 - decay) * (isBad ? 1 : 0);
-  entry.SendsSeen = std::min(MaxSendsSeen, entry.SendsSeen + 1);
-  if (entry.IsBeingProbed) {
-    entry.IsBeingProbed = false;
-    if (!isBad)
-      entry.LastEjection = Duration::zero();
-    else
-      entry.SendsSeen = MinSendsSeen;
-  }
-  const double limit = othersFailureShare(entry) + Settings.OutlierMargin;
-  if (!isBad || entry.SendsSeen < MinSendsSeen || entry.FailureShare < limit)
-    return;
-  const Duration next =
-      std::min(Settings.LongestEjection, entry.LastEjection * 2);
-  entry.LastEjection = std::max(Settings.FirstEjection, next);
-  entry.EjectedUntil = now + entry.LastEjection;
-  entry.FailureShare = limit;
-  entry.SendsSeen = 0;
-}
-
 void ReplicaTable::resetHealth(const ServiceId &service) {
-  for (auto &[id, entry] : Entries) {
-    if (entry.Record.OfService != service)
-      continue;
-    entry.FailureShare = 0;
-    entry.SendsSeen = 0;
-    entry.EjectedUntil = {};
-    entry.LastEjection = {};
-    entry.IsBeingProbed = false;
-  }
+  for (auto &[id, entry] : Entries)
+    if (entry.Record.OfService == service)
+      entry.Health = {};
 }
 
 void ReplicaTable::notePeer(const SourceId &peer,
@@ -593,7 +546,7 @@
 
 bool ReplicaTable::isEjected(const UpstreamId &id, Instant now) const {
   const auto it = Entries.find(id);
-  return it != Entries.end() && now < it->second.EjectedUntil;
+  return it != Entries.end() && it->second.Health.isEjected(now);
 }
 
 ReplicaTable::ServiceWork ReplicaTable::serviceWork(const ServiceId &service,
@@ -601,7 +554,7 @@
   ServiceWork out;
   for (const auto &[id, entry] : Entries) {
     if (entry.Record.OfService != service || isLeaving(entry) ||
-        now < entry.EjectedUntil || isEvacuated(entry.Record.InZone))
+        entry.Health.isEjected(now) || isEvacuated(entry.Record.InZone))
       continue;
     out.Calls += entry.Own.Calls + entry.Peers.Calls;
     out.PromptTokens += entry.Own.PromptTokens + entry.Peers.PromptTokens;
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -7,6 +7,7 @@
 #include "LibServing/ColdShare.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ServingCall.h"
+#include "LibServing/UpstreamHealth.h"
 #include "LibServing/UpstreamStatements.h"
 #include <cstdint>
 #include <map>
@@ -115,22 +116,6 @@
   Duration Wait{};
 };
 
-/// How a send ended, as evidence of the upstream's health.
-enum class SendResult {
-  Answered,
-  /// The upstream responded with a server error.
-  Failed,
-  /// The upstream reported that it is full or leaving, and did not run the
-  /// call.
-  Rejected,
-  /// No connection, a broken connection, a malformed response, or no response
-  /// in time.
-  Broken,
-  /// No evidence: the caller disconnected, or the deadline passed for another
-  /// reason.
-  Inconclusive,
-};
-
 struct ReplicaTableSettings {
   /// Cost of one open call besides its prompt, in milliseconds: it makes each
   /// step of the engine longer.
@@ -144,16 +129,7 @@
   double CostTolerance = 12;
   /// The tolerance's relative part, as a share of the lowest cost.
   double CostToleranceShare = 0.15;
-  /// Weight that the past failure share keeps with each new send, 0 to 1.
-  double FailureShareDecay = 0.85;
-  /// An upstream is ejected if its failure share exceeds the mean of the others
-  /// by at least this.
-  double OutlierMargin = 0.25;
-  /// Duration of the first ejection; each one in a row is twice as long as the
-  /// one before.
-  Duration FirstEjection = milliseconds(1500);
-  /// Maximum duration of an ejection.
-  Duration LongestEjection = seconds(12);
+  UpstreamHealthSettings Health;
 };
 
 /// The upstreams known to this host, their work in progress, and their health.
@@ -275,13 +251,7 @@
     ReplicaRecord Record;
     OutstandingWork Own;
     OutstandingWork Peers;
-    double FailureShare = 0;
-    /// The number of sends that FailureShare covers, up to a small maximum.
-    double SendsSeen = 0;
-    Instant EjectedUntil{};
-    Duration LastEjection{};
-    /// A call was sent as a probe after an ejection and has not ended.
-    bool IsBeingProbed = false;
+    UpstreamHealth Health;
     Instant ColdUntil{};
     /// The upstream counts as cold until a view of the store that is newer than
     /// this is confirmed; zero if it does not.
@@ -330,7 +300,6 @@
   bool hasColdCapacity(Entry &entry, Instant now);
   static UpstreamRoom roomFor(const Entry &entry);
   void assumeRejectionLimit(const ReplicaRecord &record, Instant now);
-  void updateHealth(Entry &entry, SendResult result, Instant now);
   double othersFailureShare(const Entry &entry) const;
 
   ReplicaTableSettings Settings;
