LibServing: Name the statement of a limit after what it is

RateLimitStatement stands for rejection limits, too, since these are reported like rate limits: LimitStatement. Besides, four comments use plain words for what a host knows, and one no longer describes how a service came to be unreachable.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -83,7 +83,7 @@
 constexpr std::size_t RateLimitsField = 19;
 constexpr std::size_t RejectionLimitsField = 20;
 
-json rateLimitsToJson(const RateLimitStatements &limits) {
+json rateLimitsToJson(const LimitStatements &limits) {
   json out = json::array();
   for (const auto &[id, it] : limits)
     out.push_back({id.text(), it.PerSecond ? json(*it.PerSecond) : json(),
@@ -91,11 +91,10 @@
   return out;
 }
 
-RateLimitStatements rateLimitsFromJson(const json &from) {
-  RateLimitStatements out;
+LimitStatements rateLimitsFromJson(const json &from) {
+  LimitStatements out;
   for (const json &it : from) {
-    RateLimitStatement &statement =
-        out[UpstreamId(it.at(0).get<std::string>())];
+    LimitStatement &statement = out[UpstreamId(it.at(0).get<std::string>())];
     if (!it.at(1).is_null())
       statement.PerSecond = it.at(1).get<double>();
     statement.At = Instant(Duration(it.at(2).get<std::int64_t>()));
--- a/Libraries/LibServing/DeferredFailures.h
+++ b/Libraries/LibServing/DeferredFailures.h
@@ -21,8 +21,7 @@
 class DeferredFailures {
 public:
   void add(const UnansweredSend &send, Instant now);
-  /// Drops the failures of a service that turned out to be unreachable from
-  /// this host.
+  /// Drops the failures of a service that is unreachable from this host.
   void discard(const ServiceId &service);
   /// Removes and returns the failures that count by now.
   std::vector<UnansweredSend> takeDue(const UpstreamReachability &paths,
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -103,9 +103,9 @@
   /// accept, made to the hosts that the report covers. Their times are those of
   /// the reporter's boot clock until a FleetView has received the report, and
   /// then those of its host's.
-  RateLimitStatements RateLimits;
+  LimitStatements RateLimits;
   /// The same about the rejections a second that they bear.
-  RateLimitStatements RejectionLimits;
+  LimitStatements RejectionLimits;
   /// The hosts' records of rollouts, as encoded by RolloutCodec; empty if there
   /// are none.
   std::string Moves;
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -103,7 +103,7 @@
   storedReport.At = now;
   // The time in transit is not known; it makes statements look newer.
   const Duration clockOffset = now - Instant(Duration(report.SentAt));
-  for (RateLimitStatements *statements :
+  for (LimitStatements *statements :
        {&storedReport.Report.RateLimits, &storedReport.Report.RejectionLimits})
     for (auto &[id, it] : *statements)
       it.At += clockOffset;
--- a/Libraries/LibServing/UpstreamRateLimit.cpp
+++ b/Libraries/LibServing/UpstreamRateLimit.cpp
@@ -15,8 +15,7 @@
 /// The wait of a host without a share, whose caller may find another host.
 static constexpr Duration NoShareWait = seconds(1);
 
-void mergeNewest(RateLimitStatements &known,
-                 const RateLimitStatements &others) {
+void mergeNewest(LimitStatements &known, const LimitStatements &others) {
   for (const auto &[id, statement] : others) {
     const auto [it, isNew] = known.try_emplace(id, statement);
     if (!isNew && it->second.At < statement.At)
--- a/Libraries/LibServing/UpstreamRateLimit.h
+++ b/Libraries/LibServing/UpstreamRateLimit.h
@@ -9,10 +9,11 @@
 
 namespace sorrelbay {
 
-/// What is known about the rate of calls that an upstream accepts.
-struct RateLimitStatement {
-  /// Calls per second from all hosts together; empty if the upstream does not
-  /// limit them any more.
+/// What is known about a limit that an upstream states: the rate of calls that
+/// it accepts, or of rejections that it bears.
+struct LimitStatement {
+  /// Calls per second from all hosts together; empty if the upstream states no
+  /// limit any more.
   std::optional<double> PerSecond;
   /// The time of the statement, on the boot clock of the host that holds it: of
   /// the response that named a limit, or of the send whose response named none.
@@ -20,10 +21,10 @@
   Instant At{};
 };
 
-using RateLimitStatements = std::map<UpstreamId, RateLimitStatement>;
+using LimitStatements = std::map<UpstreamId, LimitStatement>;
 
 /// Adds the statements that are newer than those known.
-void mergeNewest(RateLimitStatements &known, const RateLimitStatements &others);
+void mergeNewest(LimitStatements &known, const LimitStatements &others);
 
 /// The calls per second that the host `self` may send to an upstream that
 /// accepts `perSecond` calls from all hosts together. A few more hosts than the
@@ -57,7 +58,7 @@
 
 /// What a host knows about one upstream's rate limit, and its own use of it.
 struct UpstreamRateLimit {
-  RateLimitStatement Statement;
+  LimitStatement Statement;
   /// The statement was made to this host, not to another.
   bool IsOwn = false;
   RateShareLimiter Limiter;
--- a/Libraries/LibServing/UpstreamRejectionLimit.cpp
+++ b/Libraries/LibServing/UpstreamRejectionLimit.cpp
@@ -14,7 +14,7 @@
 static constexpr Duration Window = milliseconds(1200);
 /// An upstream without room rejects a call within this time.
 static constexpr Duration RejectionTime = milliseconds(150);
-/// The number of hosts that a host assumes if it can't tell.
+/// The number of hosts that a host assumes if it does not know them.
 static constexpr int AssumedHosts = 16;
 /// Slots that other hosts seem not to use are used up to this part of all.
 static constexpr double FreeSlots = 0.6;
--- a/Libraries/LibServing/UpstreamRejectionLimit.h
+++ b/Libraries/LibServing/UpstreamRejectionLimit.h
@@ -10,8 +10,8 @@
   HostId Self;
   /// All of them, including this one, in order.
   std::vector<HostId> All;
-  /// This host knows that there are others but has heard of none, so that it
-  /// can't tell what they send.
+  /// There are other hosts, and this one has received reports of none, so that
+  /// what they send is not known.
   bool AreOthersUnknown = false;
 
   friend bool operator==(const SendingHosts &a, const SendingHosts &b) {
@@ -79,7 +79,7 @@
 /// What a host knows about the rejections that an upstream bears, and its own
 /// part in them.
 struct UpstreamRejectionLimit {
-  RateLimitStatement Statement;
+  LimitStatement Statement;
   /// The statement was made to this host, not to another.
   bool IsOwn = false;
   RejectionLimiter Limiter;
--- a/Libraries/LibServing/UpstreamStatements.cpp
+++ b/Libraries/LibServing/UpstreamStatements.cpp
@@ -55,22 +55,22 @@
 }
 
 bool UpstreamStatements::noteRateLimit(const UpstreamId &id,
-                                       const RateLimitStatement &statement) {
+                                       const LimitStatement &statement) {
   return accept(id, &Statements::RateLimit, statement, true);
 }
 
-void UpstreamStatements::notePeerRateLimit(
-    const UpstreamId &id, const RateLimitStatement &statement) {
+void UpstreamStatements::notePeerRateLimit(const UpstreamId &id,
+                                           const LimitStatement &statement) {
   accept(id, &Statements::RateLimit, statement, false);
 }
 
-bool UpstreamStatements::noteRejectionLimit(
-    const UpstreamId &id, const RateLimitStatement &statement) {
+bool UpstreamStatements::noteRejectionLimit(const UpstreamId &id,
+                                            const LimitStatement &statement) {
   return accept(id, &Statements::RejectionLimit, statement, true);
 }
 
 void UpstreamStatements::notePeerRejectionLimit(
-    const UpstreamId &id, const RateLimitStatement &statement) {
+    const UpstreamId &id, const LimitStatement &statement) {
   accept(id, &Statements::RejectionLimit, statement, false);
 }
 
@@ -78,8 +78,7 @@
 /// limit has changed.
 template <typename Limit>
 bool UpstreamStatements::accept(const UpstreamId &id, Limit Statements::*limit,
-                                const RateLimitStatement &statement,
-                                bool isOwn) {
+                                const LimitStatement &statement, bool isOwn) {
   const auto known = ByUpstream.find(id);
   const bool isEndOfNone =
       !statement.PerSecond && (known == ByUpstream.end() ||
@@ -98,11 +97,11 @@
 }
 
 template <typename Limit>
-RateLimitStatements UpstreamStatements::ownStatements(Limit Statements::*limit,
-                                                      Instant now) const {
-  RateLimitStatements out;
+LimitStatements UpstreamStatements::ownStatements(Limit Statements::*limit,
+                                                  Instant now) const {
+  LimitStatements out;
   for (const auto &[id, it] : ByUpstream) {
-    const RateLimitStatement &statement = (it.*limit).Statement;
+    const LimitStatement &statement = (it.*limit).Statement;
     if ((it.*limit).IsOwn &&
         (statement.PerSecond || now - statement.At < RateLimitEndReportTime))
       out.emplace(id, statement);
@@ -110,11 +109,11 @@
   return out;
 }
 
-RateLimitStatements UpstreamStatements::ownRateLimits(Instant now) const {
+LimitStatements UpstreamStatements::ownRateLimits(Instant now) const {
   return ownStatements(&Statements::RateLimit, now);
 }
 
-RateLimitStatements UpstreamStatements::ownRejectionLimits(Instant now) const {
+LimitStatements UpstreamStatements::ownRejectionLimits(Instant now) const {
   return ownStatements(&Statements::RejectionLimit, now);
 }
 
--- a/Libraries/LibServing/UpstreamStatements.h
+++ b/Libraries/LibServing/UpstreamStatements.h
@@ -38,14 +38,13 @@
 
   /// Records what a response to this host stated about the rate of calls that
   /// the upstream accepts. Returns whether the known limit has changed.
-  bool noteRateLimit(const UpstreamId &id, const RateLimitStatement &statement);
+  bool noteRateLimit(const UpstreamId &id, const LimitStatement &statement);
   /// The same for a response to another host, as that host reports it.
-  void notePeerRateLimit(const UpstreamId &id,
-                         const RateLimitStatement &statement);
+  void notePeerRateLimit(const UpstreamId &id, const LimitStatement &statement);
   /// The newest statements, as far as they were made to this host: limits, and
   /// recent ends of limits. Those of other hosts are left out, or hosts would
   /// pass them back and forth, each time with a later time.
-  RateLimitStatements ownRateLimits(Instant now) const;
+  LimitStatements ownRateLimits(Instant now) const;
   /// Sets the hosts that divide the upstreams' rate limits: those that serve
   /// calls now, including this one if it does.
   void setServingHosts(const HostId &self, std::vector<HostId> hosts);
@@ -60,15 +59,15 @@
   /// that the upstream bears: if it has to reject more calls for lack of room,
   /// it fails. Returns whether what is known has changed.
   bool noteRejectionLimit(const UpstreamId &id,
-                          const RateLimitStatement &statement);
+                          const LimitStatement &statement);
   /// The same for a response to another host, as that host reports it.
   void notePeerRejectionLimit(const UpstreamId &id,
-                              const RateLimitStatement &statement);
+                              const LimitStatement &statement);
   /// The rejections per second that the upstream bears; empty if it names no
   /// limit.
   std::optional<double> rejectionLimit(const UpstreamId &id) const;
   /// The newest of these statements that were made to this host.
-  RateLimitStatements ownRejectionLimits(Instant now) const;
+  LimitStatements ownRejectionLimits(Instant now) const;
   /// Sets the hosts that divide the rejections which upstreams bear.
   void setSendingHosts(SendingHosts hosts);
   /// The time until this host may send the next call within its share of the
@@ -139,10 +138,9 @@
   UpstreamRateLimit *namedRateLimit(const UpstreamId &id);
   template <typename Limit>
   bool accept(const UpstreamId &id, Limit Statements::*limit,
-              const RateLimitStatement &statement, bool isOwn);
+              const LimitStatement &statement, bool isOwn);
   template <typename Limit>
-  RateLimitStatements ownStatements(Limit Statements::*limit,
-                                    Instant now) const;
+  LimitStatements ownStatements(Limit Statements::*limit, Instant now) const;
   UpstreamRejectionLimit *namedRejectionLimit(const UpstreamId &id);
   RejectionShare shareOfRejections(const UpstreamId &id,
                                    UpstreamRejectionLimit &limit,
--- a/Services/sorrelbayd/ResponseStatements.cpp
+++ b/Services/sorrelbayd/ResponseStatements.cpp
@@ -35,13 +35,13 @@
 /// What the response states about a limit; empty if nothing. Only a successful
 /// response without a limit ends one; it describes the upstream at some time
 /// after the call was sent.
-std::optional<RateLimitStatement> ResponseStatements::limitStatement(
+std::optional<LimitStatement> ResponseStatements::limitStatement(
     StatementKind kind, const std::optional<double> &perSecond) const {
   if (!perSecond && !Source.IsSuccess)
     return std::nullopt;
   if (perSecond)
     State.Counts.countUpstreamStatement(toText(kind), Applied);
-  return RateLimitStatement{perSecond, perSecond ? bootNow() : Source.ChosenAt};
+  return LimitStatement{perSecond, perSecond ? bootNow() : Source.ChosenAt};
 }
 
 void ResponseStatements::applyRejectionLimit(
--- a/Services/sorrelbayd/ResponseStatements.h
+++ b/Services/sorrelbayd/ResponseStatements.h
@@ -31,7 +31,7 @@
 private:
   void applyRateLimit(const std::optional<double> &perSecond);
   void applyRejectionLimit(const std::optional<double> &perSecond);
-  std::optional<RateLimitStatement>
+  std::optional<LimitStatement>
   limitStatement(StatementKind kind,
                  const std::optional<double> &perSecond) const;
   void applyPause(Duration pause);
--- a/Tests/LibPeer/TestFleetReportCodec.cpp
+++ b/Tests/LibPeer/TestFleetReportCodec.cpp
@@ -31,7 +31,7 @@
 BOOST_AUTO_TEST_CASE(rate_limits_and_their_ends_are_transferred) {
   const auto message =
       decodeFleetMessage(encodeFleetMessage(reportWithLimits()));
-  const RateLimitStatements limits = std::get<FleetReport>(message).RateLimits;
+  const LimitStatements limits = std::get<FleetReport>(message).RateLimits;
   BOOST_REQUIRE(limits.size() == 2U);
   BOOST_TEST(*limits.at(UpstreamId("limited")).PerSecond == 2.2);
   BOOST_TEST((limits.at(UpstreamId("limited")).At == Instant(Duration(4000))));
--- a/Tests/LibServing/TestRejectionLimits.cpp
+++ b/Tests/LibServing/TestRejectionLimits.cpp
@@ -93,8 +93,8 @@
       }
 }
 
-// A host that knows that there are others and has heard of none must not take
-// the whole.
+// A host that knows that there are others and has no reports of them must not
+// take the whole.
 BOOST_AUTO_TEST_CASE(a_host_that_knows_no_peers_is_careful) {
   UpstreamStatements alone = statementsFor({Self, {Self}, false});
   UpstreamStatements careful = statementsFor({Self, {Self}, true});
