Tests: Share the reports of simulated fleets

Four simulations sent and received reports by nearly the same lines, two of them new: SimulatedHost does both now, and indexOfHost finds a host. The sums carry usage and levels converge in all of them, which only FleetSimulation checks.

--- a/Tests/LibServing/FleetSimulation.cpp
+++ b/Tests/LibServing/FleetSimulation.cpp
@@ -133,12 +133,9 @@
                                      const std::vector<HostId> &to,
                                      const FleetReport &report) {
   for (const HostId &it : to) {
-    const auto found =
-        std::find_if(Hosts.begin(), Hosts.end(),
-                     [&](const Host &host) { return host.Member.Host == it; });
-    if (found == Hosts.end() || !canReach(Hosts[from], *found))
+    const std::size_t index = indexOfHost(Hosts, it);
+    if (index == Hosts.size() || !canReach(Hosts[from], Hosts[index]))
       continue;
-    const auto index = static_cast<std::size_t>(found - Hosts.begin());
     InFlightMessages.push_back(
         {Now + fromSeconds(0.001 + 0.03 * draw()), index, report});
   }
@@ -151,32 +148,19 @@
   host.Member.HoldsDuties = host.Lease->isHeld(Now);
   host.Member.LeaseRevision =
       host.Member.HoldsDuties ? host.Lease->fencing() : 0;
-  host.View->removeSilent(Now);
-  host.ReportMerger->recount(host.Member, Now);
-  host.ReportMerger->converge(Now);
-  const FleetReport own = host.nextReport(Now);
-  enqueueMessage(index, host.View->reportPeers(host.Member, Now), own);
-  if (!host.sendsSums(Now))
-    return;
-  FleetReport zone = host.View->zoneReport(own, Now);
-  FleetReport others = host.View->othersReport(own, Now);
-  host.ReportMerger->fillUsage(zone);
-  host.ReportMerger->fillUsage(others);
-  enqueueMessage(index, host.View->otherAggregators(Now), zone);
-  enqueueMessage(index, host.View->groupPeers(), others);
-  enqueueMessage(index, host.View->groupPeers(),
-                 host.View->ownZoneReport(zone));
+  host.sendReports(
+      Now, [&](const std::vector<HostId> &to, const FleetReport &report) {
+        enqueueMessage(index, to, report);
+      });
 }
 
 void FleetSimulation::deliver() {
   for (const SimulatedMessage &it :
        takeDueMessages(InFlightMessages, Hosts, Now)) {
-    Host &host = Hosts[it.To];
     FleetReport report = it.Report;
     if (Plan.Without == FleetOmission::PeerUsageReports)
       report.Used.clear();
-    if (!host.IsDown && host.View->receive(report, Now))
-      host.ReportMerger->take(report, host.Member, Now);
+    Hosts[it.To].receive(report, Now);
   }
 }
 
--- a/Tests/LibServing/RateLimitSimulation.cpp
+++ b/Tests/LibServing/RateLimitSimulation.cpp
@@ -200,42 +200,27 @@
   if (Now < Hosts[from].CutUntil || Plan.Without == RateLimitOmission::Division)
     return;
   for (const HostId &it : to) {
-    const auto found =
-        std::find_if(Hosts.begin(), Hosts.end(),
-                     [&](const Host &host) { return host.Member.Host == it; });
-    if (found == Hosts.end() || Now < found->CutUntil)
+    const std::size_t index = indexOfHost(Hosts, it);
+    if (index == Hosts.size() || Now < Hosts[index].CutUntil)
       continue;
     // Now and then a report is late.
     const double late = draw() < 0.05 ? 0.5 * draw() : 0;
-    InFlightMessages.push_back({Now + fromSeconds(0.001 + 0.03 * draw() + late),
-                                static_cast<std::size_t>(found - Hosts.begin()),
-                                report});
+    InFlightMessages.push_back(
+        {Now + fromSeconds(0.001 + 0.03 * draw() + late), index, report});
   }
 }
 
-void RateLimitSimulation::sendReports(Host &host) {
-  const auto index = static_cast<std::size_t>(&host - Hosts.data());
-  host.View->removeSilent(Now);
-  host.ReportMerger->recount(host.Member, Now);
-  const FleetReport own = host.nextReport(Now);
-  enqueueMessage(index, host.View->reportPeers(host.Member, Now), own);
-  if (!host.sendsSums(Now))
-    return;
-  const FleetReport zone = host.View->zoneReport(own, Now);
-  enqueueMessage(index, host.View->otherAggregators(Now), zone);
-  enqueueMessage(index, host.View->groupPeers(),
-                 host.View->othersReport(own, Now));
-  enqueueMessage(index, host.View->groupPeers(),
-                 host.View->ownZoneReport(zone));
+void RateLimitSimulation::sendReports(std::size_t from) {
+  Hosts[from].sendReports(
+      Now, [&](const std::vector<HostId> &to, const FleetReport &report) {
+        enqueueMessage(from, to, report);
+      });
 }
 
 void RateLimitSimulation::deliver() {
   for (const SimulatedMessage &it :
-       takeDueMessages(InFlightMessages, Hosts, Now)) {
-    Host &host = Hosts[it.To];
-    if (!host.IsDown && host.View->receive(it.Report, Now))
-      host.ReportMerger->take(it.Report, host.Member, Now);
-  }
+       takeDueMessages(InFlightMessages, Hosts, Now))
+    Hosts[it.To].receive(it.Report, Now);
 }
 
 void RateLimitSimulation::checkLimits() {
@@ -294,7 +279,7 @@
       const Duration phase = Tick * ((n * 7) % (ReportEvery / Tick));
       if (Hosts[n].isResponsive(Now) &&
           (Now - Start + phase) % ReportEvery == Duration::zero())
-        sendReports(Hosts[n]);
+        sendReports(n);
     }
     checkLimits();
   }
--- a/Tests/LibServing/RateLimitSimulation.h
+++ b/Tests/LibServing/RateLimitSimulation.h
@@ -95,7 +95,7 @@
   void moveCalls();
   void arrive(Call &call);
   void answer(const Call &call);
-  void sendReports(Host &host);
+  void sendReports(std::size_t from);
   void enqueueMessage(std::size_t from, const std::vector<HostId> &to,
                       const FleetReport &report);
   void deliver();
--- a/Tests/LibServing/RejectionSimulation.cpp
+++ b/Tests/LibServing/RejectionSimulation.cpp
@@ -270,43 +270,26 @@
 
 void RejectionSimulation::sendReports(std::size_t from) {
   Host &host = Hosts[from];
-  const auto enqueue = [&](const std::vector<HostId> &to,
-                           const FleetReport &report) {
-    if (Now < host.CutUntil)
-      return;
+  host.sendReports(Now, [&](const std::vector<HostId> &to,
+                            const FleetReport &report) {
     for (const HostId &it : to) {
-      const auto found =
-          std::find_if(Hosts.begin(), Hosts.end(), [&](const Host &known) {
-            return known.Member.Host == it;
-          });
-      if (found != Hosts.end() && Now >= found->CutUntil)
+      const std::size_t index = indexOfHost(Hosts, it);
+      const bool isReachable = index < Hosts.size() && Now >= host.CutUntil &&
+                               Now >= Hosts[index].CutUntil;
+      if (isReachable)
         InFlightMessages.push_back(
-            {Now + fromSeconds(0.001 + 0.03 * draw()),
-             static_cast<std::size_t>(found - Hosts.begin()), report});
+            {Now + fromSeconds(0.001 + 0.03 * draw()), index, report});
     }
-  };
-  host.View->removeSilent(Now);
-  host.ReportMerger->recount(host.Member, Now);
+  });
   if (Plan.Without == RejectionOmission::Division)
     host.Replicas->statements().setSendingHosts(
         {host.Member.Host, {host.Member.Host}, false});
-  const FleetReport own = host.nextReport(Now);
-  enqueue(host.View->reportPeers(host.Member, Now), own);
-  if (!host.sendsSums(Now))
-    return;
-  const FleetReport zone = host.View->zoneReport(own, Now);
-  enqueue(host.View->otherAggregators(Now), zone);
-  enqueue(host.View->groupPeers(), host.View->othersReport(own, Now));
-  enqueue(host.View->groupPeers(), host.View->ownZoneReport(zone));
 }
 
 void RejectionSimulation::deliver() {
   for (const SimulatedMessage &it :
-       takeDueMessages(InFlightMessages, Hosts, Now)) {
-    Host &host = Hosts[it.To];
-    if (!host.IsDown && host.View->receive(it.Report, Now))
-      host.ReportMerger->take(it.Report, host.Member, Now);
-  }
+       takeDueMessages(InFlightMessages, Hosts, Now))
+    Hosts[it.To].receive(it.Report, Now);
 }
 
 std::string RejectionSimulation::simulate(int length) {
--- a/Tests/LibServing/SimulatedHost.cpp
+++ b/Tests/LibServing/SimulatedHost.cpp
@@ -38,8 +38,26 @@
   return own;
 }
 
-bool SimulatedHost::sendsSums(Instant now) const {
-  return View->isAggregatedByZone() && View->aggregates(Member, now);
+void SimulatedHost::sendReports(Instant now, const SendReport &send) {
+  View->removeSilent(now);
+  ReportMerger->recount(Member, now);
+  ReportMerger->converge(now);
+  const FleetReport own = nextReport(now);
+  send(View->reportPeers(Member, now), own);
+  if (!View->isAggregatedByZone() || !View->aggregates(Member, now))
+    return;
+  FleetReport zone = View->zoneReport(own, now);
+  FleetReport others = View->othersReport(own, now);
+  ReportMerger->fillUsage(zone);
+  ReportMerger->fillUsage(others);
+  send(View->otherAggregators(now), zone);
+  send(View->groupPeers(), others);
+  send(View->groupPeers(), View->ownZoneReport(zone));
+}
+
+void SimulatedHost::receive(const FleetReport &report, Instant now) {
+  if (!IsDown && View->receive(report, now))
+    ReportMerger->take(report, Member, now);
 }
 
 FleetMember simulatedMember(int number, int zones) {
--- a/Tests/LibServing/SimulatedHost.h
+++ b/Tests/LibServing/SimulatedHost.h
@@ -2,6 +2,7 @@
 
 #include "LibServing/FleetReportMerger.h"
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <vector>
@@ -34,14 +35,28 @@
   bool isResponsive(Instant now) const { return !IsDown && now >= FrozenUntil; }
   /// The next report about this host, which its view has noted.
   FleetReport nextReport(Instant now);
-  /// Whether the host sends the sums over its zone and over the others.
-  bool sendsSums(Instant now) const;
+  /// Sends the host's report, and the sums over its zone and the others if it
+  /// aggregates, by the hook.
+  using SendReport =
+      std::function<void(const std::vector<HostId> &to, const FleetReport &)>;
+  void sendReports(Instant now, const SendReport &send);
+  /// Processes a report that arrives at the host.
+  void receive(const FleetReport &report, Instant now);
 };
 
 /// The fleet's host of that number. Each fifth one has two cores, the others
 /// have one.
 FleetMember simulatedMember(int number, int zones);
 
+/// The index of the host of that name; the number of hosts if there is none.
+template <typename Host>
+std::size_t indexOfHost(const std::vector<Host> &hosts, const HostId &name) {
+  std::size_t n = 0;
+  while (n < hosts.size() && hosts[n].Member.Host != name)
+    ++n;
+  return n;
+}
+
 /// A report under way to a host.
 struct SimulatedMessage {
   Instant At{};
--- a/Tests/LibServing/UpstreamCutSimulation.cpp
+++ b/Tests/LibServing/UpstreamCutSimulation.cpp
@@ -177,14 +177,6 @@
   }
 }
 
-std::size_t UpstreamCutSimulation::indexOf(const HostId &host) const {
-  const auto it =
-      std::find_if(Hosts.begin(), Hosts.end(), [&](const Host &known) {
-        return known.Member.Host == host;
-      });
-  return static_cast<std::size_t>(it - Hosts.begin());
-}
-
 /// Updates what the host reports about itself; reports a change at once.
 void UpstreamCutSimulation::updateMember(Host &host) {
   const std::set<ServiceId> unreachable = host.Paths.unreachable();
@@ -200,36 +192,22 @@
     host.Replicas->resetHealth(service);
   }
   host.Member.UnreachableServices = unreachable;
-  sendReports(indexOf(host.Member.Host));
+  sendReports(indexOfHost(Hosts, host.Member.Host));
 }
 
 void UpstreamCutSimulation::sendReports(std::size_t from) {
-  Host &host = Hosts[from];
-  const auto enqueue = [&](const std::vector<HostId> &to,
-                           const FleetReport &report) {
-    for (const HostId &it : to)
-      InFlightMessages.push_back(
-          {Now + fromSeconds(0.001 + 0.03 * draw()), indexOf(it), report});
-  };
-  host.View->removeSilent(Now);
-  host.ReportMerger->recount(host.Member, Now);
-  const FleetReport own = host.nextReport(Now);
-  enqueue(host.View->reportPeers(host.Member, Now), own);
-  if (!host.sendsSums(Now))
-    return;
-  const FleetReport zone = host.View->zoneReport(own, Now);
-  enqueue(host.View->otherAggregators(Now), zone);
-  enqueue(host.View->groupPeers(), host.View->othersReport(own, Now));
-  enqueue(host.View->groupPeers(), host.View->ownZoneReport(zone));
+  Hosts[from].sendReports(
+      Now, [&](const std::vector<HostId> &to, const FleetReport &report) {
+        for (const HostId &it : to)
+          InFlightMessages.push_back({Now + fromSeconds(0.001 + 0.03 * draw()),
+                                      indexOfHost(Hosts, it), report});
+      });
 }
 
 void UpstreamCutSimulation::deliver() {
   for (const SimulatedMessage &it :
-       takeDueMessages(InFlightMessages, Hosts, Now)) {
-    Host &host = Hosts[it.To];
-    if (!host.IsDown && host.View->receive(it.Report, Now))
-      host.ReportMerger->take(it.Report, host.Member, Now);
-  }
+       takeDueMessages(InFlightMessages, Hosts, Now))
+    Hosts[it.To].receive(it.Report, Now);
 }
 
 void UpstreamCutSimulation::lookUp(Caller &caller) {
@@ -260,7 +238,7 @@
   std::vector<std::size_t> usable;
   for (const std::string &it : caller.Addresses)
     if (caller.Failed.count(it) == 0)
-      usable.push_back(indexOf(HostId(it)));
+      usable.push_back(indexOfHost(Hosts, HostId(it)));
   while (!usable.empty()) {
     const auto n =
         static_cast<std::size_t>(draw() * static_cast<double>(usable.size()));
@@ -343,7 +321,7 @@
   entry.Relays.noteSent(peer->Host);
   call.TriedPeers.push_back(peer->Host);
   call.State = CallState::Relaying;
-  call.Worker = indexOf(peer->Host);
+  call.Worker = indexOfHost(Hosts, peer->Host);
   call.WorkerProcess = Hosts[call.Worker].Incarnation;
   call.NextAt = Now + (Hosts[call.Worker].IsDown ? ConnectTimeout
                                                  : Duration(milliseconds(3)));
--- a/Tests/LibServing/UpstreamCutSimulation.h
+++ b/Tests/LibServing/UpstreamCutSimulation.h
@@ -163,7 +163,6 @@
   void resetConnections();
   FleetMember member(const Host &host) const;
   void updateMember(Host &host);
-  std::size_t indexOf(const HostId &host) const;
   void sendReports(std::size_t from);
   void deliver();
   void lookUp(Caller &caller);
--- a/Tests/sorrelbayd/TestCutHost.cpp
+++ b/Tests/sorrelbayd/TestCutHost.cpp
@@ -57,6 +57,13 @@
   return false;
 }
 
+/// Whether address lookups at the first host name the address.
+bool isNamedToCallers(const GatewayFixture &fixture,
+                      const std::string &address) {
+  return GatewayFixture::lookUp(*fixture.Served).find(address) !=
+         std::string::npos;
+}
+
 /// Responds after WorkTime.
 void respondLater(const std::shared_ptr<HttpExchange> &it,
                   boost::asio::io_context &loop) {
@@ -103,8 +110,7 @@
   GatewayFixture fixture;
   const auto cut = fixture.addHost("cut");
   const auto isNamed = [&] {
-    return fixture.lookUp(*fixture.Served).find(cut->CallerAddress) !=
-           std::string::npos;
+    return isNamedToCallers(fixture, cut->CallerAddress);
   };
   cut->Path.set(PathState::Resets);
   BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
@@ -120,8 +126,7 @@
   GatewayFixture fixture;
   const auto cut = fixture.addHost("cut");
   const auto isNamed = [&] {
-    return fixture.lookUp(*fixture.Served).find(cut->CallerAddress) !=
-           std::string::npos;
+    return isNamedToCallers(fixture, cut->CallerAddress);
   };
   cut->Path.set(PathState::Resets);
   BOOST_REQUIRE(isServedSoon(fixture, cut->CallerAddress));
