sorrelbayd: Take a call's intake, charge, log and relays out of GatewayCall

Finding route and team and refusing while the host stops are functions of CallIntake, TeamCharge charges the team and gives back, CallLog writes the line and counts, CallRelay chooses the hosts that one call is relayed to.

--- /dev/null
+++ b/Services/sorrelbayd/CallLog.cpp
@@ -0,0 +1,75 @@
+#include "CallLog.h"
+#include "LibBase/LogLine.h"
+
+namespace sorrelbay {
+
+static void countCall(GatewayState &state, const CallRecord &record) {
+  const char *result = *record.Cause == 0 ? record.Outcome : record.Cause;
+  if (!record.RelayedFrom.empty())
+    return state.Counts.countRelayedCall("received", result);
+  const std::string route = record.Route ? record.Route->Name.text() : "";
+  state.Counts.countCall(route, result);
+  if (record.FirstByteAt == Instant{})
+    return;
+  state.Counts.observeFirstToken(route, record.FirstByteAt - record.ReceivedAt);
+  if (record.Expected.FirstToken > Duration::zero())
+    state.Counts.observeExpectedFirstToken(route, record.Expected.FirstToken);
+}
+
+static void addTeam(LogLine &line, GatewayState &state,
+                    const CallRecord &record) {
+  static constexpr int TooManyRequests = 429;
+  const ServingTeam &team = *record.Team;
+  line.field("team", team.Name.text()).field("units", record.Units);
+  if (record.Status == TooManyRequests)
+    line.field("level", state.RateLimiters[team.Name].level())
+        .field("rate", team.Rate)
+        .field("burst", team.Burst);
+}
+
+static void addSends(LogLine &line, const CallRecord &record) {
+  if (record.Sends)
+    line.field("sends", static_cast<std::int64_t>(*record.Sends))
+        .field("failed_connects",
+               static_cast<std::int64_t>(record.FailedConnects));
+  if (!record.Upstream.empty())
+    line.field("upstream", record.Upstream.text());
+  if (!record.RelayedTo.empty())
+    line.field("relayed_to", record.RelayedTo.text());
+  if (!record.RelayedFrom.empty())
+    line.field("relayed_from", record.RelayedFrom.text());
+  const ReplicaChoice &expected = record.Expected;
+  if (expected.FirstToken > Duration::zero())
+    line.field("expected_wait_ms", toMilliseconds(expected.Wait))
+        .field("expected_first_byte_ms", toMilliseconds(expected.FirstToken))
+        .field("tokens_to_read", expected.TokensToPrefill)
+        .field("tokens_ahead", expected.TokensAhead);
+}
+
+void recordCall(GatewayState &state, const CallRecord &record, Instant now) {
+  countCall(state, record);
+  const bool isGood = record.Status / 100 == 2 && *record.Cause == 0;
+  LogRateLimiter &budget =
+      isGood ? state.SuccessLogBudget : state.FailureLogBudget;
+  if (!budget.take(now))
+    return;
+  LogLine line(isGood ? Severity::Info : Severity::Warning, "call");
+  line.field("id", record.Id)
+      .field("outcome", record.Outcome)
+      .field("status", static_cast<std::int64_t>(record.Status))
+      .field("cause", record.Cause)
+      .field("ms", toMilliseconds(now - record.ReceivedAt));
+  if (record.Route)
+    line.field("route", record.Route->Name.text());
+  if (record.Team)
+    addTeam(line, state, record);
+  addSends(line, record);
+  if (record.FirstByteAt != Instant{})
+    line.field("first_byte_ms",
+               toMilliseconds(record.FirstByteAt - record.ReceivedAt));
+  if (record.Plan)
+    line.field("plan", static_cast<std::int64_t>(record.Plan->plan().Version))
+        .field("plan_age_ms", toMilliseconds(state.planAge(now)));
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Services/sorrelbayd/CallLog.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "GatewayState.h"
+#include <optional>
+#include <string>
+
+namespace sorrelbay {
+
+/// A call that has ended, as far as logs and metrics show it.
+struct CallRecord {
+  std::string Id;
+  const char *Outcome = "";
+  int Status = 0;
+  /// Why it was not answered by an upstream; empty if it was.
+  const char *Cause = "";
+  Instant ReceivedAt{};
+  /// Zero if the call got no byte of a response.
+  Instant FirstByteAt{};
+  const ServingRoute *Route = nullptr;
+  const ServingTeam *Team = nullptr;
+  std::int64_t Units = 0;
+  /// Empty if the call was refused before anything was decided.
+  std::optional<int> Sends;
+  int FailedConnects = 0;
+  UpstreamId Upstream;
+  /// The delays that were expected at the upstream.
+  ReplicaChoice Expected;
+  /// The host that the call was relayed to, or from; empty if it was not.
+  HostId RelayedTo;
+  HostId RelayedFrom;
+  const PlanIndex *Plan = nullptr;
+};
+
+/// Counts the call in the metrics and logs it, within the limits of log lines a
+/// second. A relayed call is counted among the calls by the host that its
+/// caller sent it to.
+void recordCall(GatewayState &state, const CallRecord &record, Instant now);
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/CallRelay.cpp
+++ b/Services/sorrelbayd/CallRelay.cpp
@@ -9,6 +9,26 @@
 static const std::string Refused = "refused ";
 static const std::string Answered = "answered ";
 
+/// Most hosts that a call is relayed to.
+static constexpr std::size_t MaxRelays = 3;
+
+std::optional<RelayPeer> CallRelay::next(const ServiceId &service,
+                                         Instant now) {
+  if (State.RelaySecret.empty() || Tried.size() >= MaxRelays)
+    return std::nullopt;
+  const auto peer =
+      State.Relays.choose(service, State.Fleet, Tried, State.Random(), now);
+  if (!peer)
+    return std::nullopt;
+  Tried.push_back(peer->Host);
+  State.Relays.noteSent(peer->Host);
+  return peer;
+}
+
+void CallRelay::noteEnded(bool isReached, Instant now) {
+  State.Relays.noteEnded(Tried.back(), isReached, now);
+}
+
 HttpHeader relayResultHeader(const RelayResult &result) {
   switch (result.Outcome) {
   case RelayOutcome::Declined:
--- a/Services/sorrelbayd/CallRelay.h
+++ b/Services/sorrelbayd/CallRelay.h
@@ -2,7 +2,9 @@
 
 #include "GatewayState.h"
 #include "LibPeer/RelayEnvelope.h"
+#include <optional>
 #include <string>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -27,6 +29,22 @@
   UpstreamId Upstream;
 };
 
+/// Chooses the hosts that one call is relayed to, one after the other until one
+/// takes it.
+class CallRelay {
+public:
+  explicit CallRelay(GatewayState &state) : State(state) {}
+
+  /// The next host that reaches the service; empty if there is none, or the
+  /// call has been relayed to enough. The call is open there until noteEnded.
+  std::optional<RelayPeer> next(const ServiceId &service, Instant now);
+  void noteEnded(bool isReached, Instant now);
+
+private:
+  GatewayState &State;
+  std::vector<HostId> Tried;
+};
+
 /// The header field that carries the result.
 HttpHeader relayResultHeader(const RelayResult &result);
 /// Reads the result out of the header of a response.
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -1,11 +1,10 @@
 #include "GatewayCall.h"
+#include "CallLog.h"
 #include "LibBase/BootClock.h"
 #include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
 #include "LibHttp/TimerExpiry.h"
 #include "LibPeer/PeerFailures.h"
-#include "LibServing/Allotment.h"
-#include "LibServing/StopPolicy.h"
 #include "ResponseStatements.h"
 #include <algorithm>
 
@@ -13,10 +12,7 @@
 
 namespace {
 
-constexpr int Unauthorized = 401;
 constexpr int Forbidden = 403;
-constexpr int NotFound = 404;
-constexpr int TooManyRequests = 429;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
 constexpr int GatewayTimeout = 504;
@@ -29,8 +25,6 @@
 constexpr int MaxFailedConnects = 3;
 /// A call to which that many connections failed is relayed if possible.
 constexpr int ConnectsBeforeRelay = 2;
-/// Most hosts that a call is relayed to, one after the other.
-constexpr std::size_t MaxRelays = 3;
 /// A call that may run only once uses a pooled connection only if it was in use
 /// this recently: a connection that the upstream has just closed would lose the
 /// call.
@@ -54,8 +48,6 @@
 /// Prompts whose prefill takes at least this long are reported to peers at
 /// once, so that they do not send other calls to the same engine.
 constexpr Duration LargePrompt = milliseconds(100);
-/// Margin before the end of the key removal bound.
-constexpr Duration KeyRemovalMargin = milliseconds(100);
 
 const char *causeOf(UnavailabilityCause cause) {
   switch (cause) {
@@ -82,35 +74,29 @@
                          std::shared_ptr<HttpExchange> exchange)
     : State(state), Exchange(std::move(exchange)),
       Call(state.Hooks.ReadCall(Exchange->request())), ReceivedAt(bootNow()),
-      Plan(state.Plan), Timer(state.Loop) {}
+      Plan(state.Plan), Relay(state), Timer(state.Loop) {}
 
 void GatewayCall::start() {
-  if (!Plan)
-    return refuse(Unavailable, "no_plan_yet",
-                  jitteredRetryAfter(milliseconds(300)));
-  if (!State.knowsUpstreams())
-    return refuse(Unavailable, "upstreams_unknown",
-                  jitteredRetryAfter(milliseconds(300)));
-  if (!findRoute() || !findTeam())
-    return;
+  if (const auto refusal =
+          identifyCall(State, {Call, Plan.get(), ReceivedAt}, Identity))
+    return refuse(*refusal);
+  const ServingRoute &route = *Identity.Route;
   const Duration waitLimit = std::min(
       Call.WaitLimit.value_or(DefaultWaitLimit),
-      Route->Timeout > Duration::zero() ? Route->Timeout : DefaultWaitLimit);
-  const int attempts = std::max(1, Route->MaxAttempts);
+      route.Timeout > Duration::zero() ? route.Timeout : DefaultWaitLimit);
+  const int attempts = std::max(1, route.MaxAttempts);
   if (Relayed)
-    RetryState.emplace(Route->Kind, std::min(attempts, Relayed->Attempts),
+    RetryState.emplace(route.Kind, std::min(attempts, Relayed->Attempts),
                        ReceivedAt + std::min(waitLimit, Relayed->WaitLimit));
   else
-    RetryState.emplace(Route->Kind, attempts, ReceivedAt + waitLimit);
+    RetryState.emplace(route.Kind, attempts, ReceivedAt + waitLimit);
   if (!chooseRouteService())
     return;
-  Upstreams.emplace(State, PlacedCall{Call, *Plan, *Route, Team, Service,
-                                      Relayed && Relayed->IsDemandCounted});
+  Upstreams.emplace(State,
+                    PlacedCall{Call, *Plan, route, Identity.Team, Service,
+                               Relayed && Relayed->IsDemandCounted});
   ExpectedCost.Tokens = Call.PromptTokens.value_or(0) + Call.MaxOutputTokens;
-  const auto retryBudget = State.RetryBudgets.find(Service);
-  if (!Relayed && retryBudget != State.RetryBudgets.end())
-    retryBudget->second.noteCall();
-  if (!Relayed && (!chargeUnits() || !admit()))
+  if (!Relayed && !admit())
     return;
   Exchange->onClientDisconnected(
       [self = shared_from_this()] { self->onCallerDisconnected(); });
@@ -118,6 +104,22 @@
   trySend();
 }
 
+/// Counts and charges a call of a caller. Returns false if it is refused.
+bool GatewayCall::admit() {
+  const auto retryBudget = State.RetryBudgets.find(Service);
+  if (retryBudget != State.RetryBudgets.end())
+    retryBudget->second.noteCall();
+  std::optional<CallRefusal> refusal;
+  if (Identity.Team)
+    refusal = Charge.charge(State, *Identity.Team, Call, ReceivedAt);
+  if (!refusal)
+    refusal = refusalWhileStopping(State, ReceivedAt,
+                                   RetryState->deadline() - ReceivedAt);
+  if (refusal)
+    refuse(*refusal);
+  return !refusal;
+}
+
 void GatewayCall::serveRelayed(GatewayState &state,
                                std::shared_ptr<HttpExchange> exchange) {
   std::make_shared<GatewayCall>(state, std::move(exchange))->startRelayed();
@@ -168,7 +170,7 @@
     return true;
   }
   const WeightedService *service =
-      chooseService(*Route, State.randomFraction());
+      chooseService(*Identity.Route, State.randomFraction());
   if (!service) {
     refuse(Unavailable, "route_without_service", std::nullopt);
     return false;
@@ -177,85 +179,16 @@
   return true;
 }
 
-bool GatewayCall::findRoute() {
-  Route = Plan->routeOf(Call.HostName, Call.Path);
-  if (Route)
-    return true;
-  if (State.planAge(ReceivedAt) > State.LongestPlanAge)
-    refuse(Unavailable, "no_route_and_plan_stale",
-           jitteredRetryAfter(milliseconds(300)));
-  else
-    refuse(NotFound, "no_route", std::nullopt);
-  return false;
-}
-
-bool GatewayCall::findTeam() {
-  if (!Plan->needsKeys() || Route->IsPublic)
-    return true;
-  const Duration age = State.planAge(ReceivedAt);
-  const GatewayBounds &bounds = State.Settings.Bounds;
-  // The key may have been removed since the plan was confirmed; a host that is
-  // cut off from the store would go on accepting it indefinitely.
-  if (bounds.KeysFailClosed && age > bounds.KeyRemoval - KeyRemovalMargin) {
-    refuse(Unavailable, "keys_stale", jitteredRetryAfter(milliseconds(300)));
-    return false;
-  }
-  Team = Plan->teamOf(Call.Key);
-  if (Team)
-    return true;
-  if (age > State.LongestPlanAge)
-    refuse(Unavailable, "no_key_and_plan_stale",
-           jitteredRetryAfter(milliseconds(300)));
-  else
-    refuse(Unauthorized, "no_such_key", std::nullopt);
-  return false;
-}
-
-bool GatewayCall::chargeUnits() {
-  if (!Team)
-    return true;
-  Units = 1;
-  if (Team->CountsTokens)
-    Units = Call.PromptTokens ? *Call.PromptTokens + Call.MaxOutputTokens
-                              : Team->FallbackTokens;
-  TeamRateLimiter &rateLimiter = State.RateLimiters[Team->Name];
-  const GatewayBounds &bounds = State.Settings.Bounds;
-  const Allotment allotment =
-      allotmentFor(*Team, State.Fleet.isAggregatedByZone(),
-                   {bounds.AllotmentSlack, bounds.AllotmentWindow});
-  HasChargedUnits =
-      rateLimiter.take(Units, allotment.Rate, allotment.Burst, ReceivedAt);
-  if (HasChargedUnits)
-    return true;
-  refuse(TooManyRequests, "beyond_allotment",
-         jitteredRetryAfter(std::max<Duration>(milliseconds(100),
-                                               rateLimiter.wait(Team->Rate))));
-  return false;
-}
-
-bool GatewayCall::admit() {
-  if (!State.StoppingSince)
-    return true;
-  const Duration waitLimit = RetryState->deadline() - ReceivedAt;
-  if (acceptsCallWhileStopping(ReceivedAt - *State.StoppingSince,
-                               State.Settings.Bounds.Grace, waitLimit))
-    return true;
-  // Another host accepts the call at once; address lookups no longer return
-  // this host.
-  refuse(Unavailable, "stopping", milliseconds(1));
-  return false;
-}
-
 void GatewayCall::armTimer() {
   Instant at = RetryState->deadline();
-  const bool canSwitchUpstream = IsOpen && !isRelaying() &&
-                                 !CurrentSend.HasFirstByte &&
-                                 Route->Kind == Repeatability::Idempotent &&
-                                 RetryState->sends() < Route->MaxAttempts &&
-                                 Route->LatencyTarget > Duration::zero();
+  const bool canSwitchUpstream =
+      IsOpen && !isRelaying() && !CurrentSend.HasFirstByte &&
+      Identity.Route->Kind == Repeatability::Idempotent &&
+      RetryState->sends() < Identity.Route->MaxAttempts &&
+      Identity.Route->LatencyTarget > Duration::zero();
   if (canSwitchUpstream)
-    at = std::min(at,
-                  CurrentSend.At + Route->LatencyTarget * SilenceTimeoutFactor);
+    at = std::min(at, CurrentSend.At +
+                          Identity.Route->LatencyTarget * SilenceTimeoutFactor);
   Timer.expires_after(std::max<Duration>(at - bootNow(), Duration::zero()));
   Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->IsDone && hasExpired(self->Timer))
@@ -296,7 +229,7 @@
 /// Deducts one retry of this call from the retry budget. Returns false if none
 /// is left, the route's attempts are used up, or no upstream takes the call.
 bool GatewayCall::takeRetryFromBudget() {
-  if (RetryState->sends() >= Route->MaxAttempts ||
+  if (RetryState->sends() >= Identity.Route->MaxAttempts ||
       Upstreams->unavailability(bootNow()).Wait > Duration::zero())
     return false;
   auto it = State.RetryBudgets.find(Service);
@@ -328,8 +261,8 @@
   attempt.Replica = chosen->Id;
   attempt.Address = replica->Address;
   attempt.WaitLimit = RetryState->deadline() - now;
-  if (Team)
-    attempt.Team = Team->Name;
+  if (Identity.Team)
+    attempt.Team = Identity.Team->Name;
   attempt.Priority = Upstreams->priority();
   attempt.ResumeAfter = Events.lastId();
   CurrentSend.Replica = chosen->Id;
@@ -341,12 +274,11 @@
   State.Replicas.notePrompt(chosen->Id, Call.Prompt, now);
   if (Upstreams->prefillTime(chosen->TokensToPrefill) >= LargePrompt)
     State.NotifyPeers();
-  const bool mayRunOnlyOnce = Route->Kind == Repeatability::NonIdempotent;
   Handle = State.Client.send(
       replica->Address,
       State.Hooks.UpstreamCall(
           UpstreamRequest ? *UpstreamRequest : Exchange->request(), attempt),
-      upstreamHooks(), mayRunOnlyOnce ? OnceOnlyFreshness : DefaultFreshness);
+      upstreamHooks(), freshness());
   armTimer();
 }
 
@@ -360,28 +292,31 @@
 /// Relays the call to a host that reaches the service. Returns false if there
 /// is none.
 bool GatewayCall::tryRelay(Instant now) {
-  if (Relayed || State.RelaySecret.empty() || TriedPeers.size() >= MaxRelays)
+  if (Relayed)
     return false;
-  const auto peer = State.Relays.choose(Service, State.Fleet, TriedPeers,
-                                        State.Random(), now);
+  const auto peer = Relay.next(Service, now);
   if (!peer)
     return false;
-  TriedPeers.push_back(peer->Host);
-  State.Relays.noteSent(peer->Host);
   CurrentSend = {};
   CurrentSend.Peer = peer->Host;
   CurrentSend.At = now;
   IsOpen = true;
-  const bool mayRunOnlyOnce = Route->Kind == Repeatability::NonIdempotent;
-  Handle = State.Client.send(
-      peer->Address,
-      makeRelayCall(Exchange->request(), relayEnvelope(peer->Host, now),
-                    State.RelaySecret),
-      upstreamHooks(), mayRunOnlyOnce ? OnceOnlyFreshness : DefaultFreshness);
+  Handle = State.Client.send(peer->Address,
+                             makeRelayCall(Exchange->request(),
+                                           relayEnvelope(peer->Host, now),
+                                           State.RelaySecret),
+                             upstreamHooks(), freshness());
   armTimer();
   return true;
 }
 
+/// The longest time that a pooled connection for the call may have been idle.
+Duration GatewayCall::freshness() const {
+  return Identity.Route->Kind == Repeatability::NonIdempotent
+             ? OnceOnlyFreshness
+             : DefaultFreshness;
+}
+
 RelayEnvelope GatewayCall::relayEnvelope(const HostId &peer,
                                          Instant now) const {
   RelayEnvelope out;
@@ -491,22 +426,22 @@
 /// An upstream that responded through another host asked that host for a pause,
 /// not this one.
 void GatewayCall::onRelayHead() {
-  CurrentSend.Relay = parseRelayResult(CurrentSend.Head.Headers);
+  CurrentSend.PeerResult = parseRelayResult(CurrentSend.Head.Headers);
   CurrentSend.Head.Headers = withoutRelayResult(CurrentSend.Head.Headers);
   CurrentSend.ReplyInfo.DidNotRun = false;
-  switch (CurrentSend.Relay.Outcome) {
+  switch (CurrentSend.PeerResult.Outcome) {
   case RelayOutcome::Unknown:
     Handle->cancel();
     return onFailure(HttpFailure::Broken);
   case RelayOutcome::Declined:
   case RelayOutcome::Refused:
     CurrentSend.IsDiscarded =
-        HasBegun || CurrentSend.Relay.Outcome == RelayOutcome::Declined;
+        HasBegun || CurrentSend.PeerResult.Outcome == RelayOutcome::Declined;
     return;
   case RelayOutcome::Answered:
     break;
   }
-  CurrentSend.Replica = CurrentSend.Relay.Upstream;
+  CurrentSend.Replica = CurrentSend.PeerResult.Upstream;
   CurrentSend.IsDiscarded = HasBegun && !isSuccess();
   UpstreamReplyInfo statements = CurrentSend.ReplyInfo;
   statements.Pause.reset();
@@ -523,11 +458,12 @@
 }
 
 void GatewayCall::noteCallStarted() {
-  if (IsCounted || !Team || isRelaying())
+  if (IsCounted || !Identity.Team || isRelaying())
     return;
   IsCounted = true;
   State.Usage.noteCallStarted(
-      Team->Name, State.Time.at(Route->IsStream ? bootNow() : CurrentSend.At));
+      Identity.Team->Name,
+      State.Time.at(Identity.Route->IsStream ? bootNow() : CurrentSend.At));
 }
 
 /// The upstream has sent something.
@@ -549,8 +485,8 @@
   if (isRelaying())
     return armTimer();
   State.Replicas.noteFirstByte(CurrentSend.Replica, ExpectedCost);
-  const bool isPrefillDone =
-      Route->IsStream && isSuccess() && !CurrentSend.ReplyInfo.DidNotRun;
+  const bool isPrefillDone = Identity.Route->IsStream && isSuccess() &&
+                             !CurrentSend.ReplyInfo.DidNotRun;
   if (isPrefillDone && Call.PromptTokens && !State.wasStalled(now)) {
     const ReplicaChoice &expected = CurrentSend.Expected;
     State.Replicas.noteFirstToken(
@@ -570,7 +506,7 @@
   }
   if (CurrentSend.IsDiscarded)
     return;
-  if (Route->IsStream && isSuccess())
+  if (Identity.Route->IsStream && isSuccess())
     return relayStream(bytes);
   Body.append(bytes);
   if (Body.size() <= MaxBufferedResponse)
@@ -604,7 +540,7 @@
 void GatewayCall::relayStream(std::string_view bytes) {
   if (!HasBegun)
     beginResponse();
-  if (Route->IsResumable)
+  if (Identity.Route->IsResumable)
     Exchange->write(Events.feed(bytes));
   else
     Exchange->write(bytes);
@@ -619,14 +555,14 @@
   if (isRelaying()) {
     const bool isReached =
         CurrentSend.WasSending || result != SendResult::Broken;
-    return State.Relays.noteEnded(CurrentSend.Peer, isReached, bootNow());
+    return Relay.noteEnded(isReached, bootNow());
   }
   if (CurrentSend.IsWaiting)
     State.Paths.noteWaitEnded(Service, CurrentSend.SentAt);
   CurrentSend.IsWaiting = false;
   if (result == SendResult::Broken && CurrentSend.WasSending)
     State.Paths.noteBroken(Service, bootNow());
-  // Without a path to its upstreams, this host can't tell their faults.
+  // Without a path to its upstreams, this host has no evidence against them.
   if (result == SendResult::Broken &&
       State.Paths.wasUnreachable(Service, CurrentSend.At))
     result = SendResult::Inconclusive;
@@ -642,21 +578,22 @@
       !CurrentSend.WasSending)
     return;
   if (result == SendResult::Broken)
-    return State.Failures.add({Service, CurrentSend.OfVersion, Route->Name},
-                              bootNow());
+    return State.Failures.add(
+        {Service, CurrentSend.OfVersion, Identity.Route->Name}, bootNow());
   UpstreamOutcome outcome = UpstreamOutcome::Failed;
   if (result == SendResult::Answered) {
-    const bool isLate =
-        Route->LatencyTarget > Duration::zero() &&
-        CurrentSend.FirstByteAt - CurrentSend.At > Route->LatencyTarget;
+    const bool isLate = Identity.Route->LatencyTarget > Duration::zero() &&
+                        CurrentSend.FirstByteAt - CurrentSend.At >
+                            Identity.Route->LatencyTarget;
     outcome = isLate ? UpstreamOutcome::Late : UpstreamOutcome::Good;
   }
-  State.RecordOutcome(Service, CurrentSend.OfVersion, Route->Name, outcome);
+  State.RecordOutcome(Service, CurrentSend.OfVersion, Identity.Route->Name,
+                      outcome);
 }
 
 /// The host that the call was relayed to has responded.
 void GatewayCall::onRelayEnd() {
-  const RelayResult &relay = CurrentSend.Relay;
+  const RelayResult &relay = CurrentSend.PeerResult;
   State.Counts.countRelayedCall("sent", relay.Outcome == RelayOutcome::Answered
                                             ? "answered"
                                             : relay.Cause);
@@ -679,9 +616,9 @@
   const int status = CurrentSend.Head.Status;
   IsDone = true;
   Timer.cancel();
-  if (HasChargedUnits && (status == Unavailable || status == TooManyRequests))
-    State.RateLimiters[Team->Name].giveBack(Units);
-  log("refused", status, CurrentSend.Relay.Cause.c_str());
+  if (status == Unavailable)
+    Charge.giveBack(State);
+  log("refused", status, CurrentSend.PeerResult.Cause.c_str());
   Exchange->respond(status,
                     State.Hooks.ResponseHeaders(CurrentSend.Head.Headers),
                     std::move(Body));
@@ -712,7 +649,7 @@
   if (!isSuccess()) {
     endSend(SendResult::Failed);
     const bool canRetry = CurrentSend.Head.Status >= 500 && !HasBegun &&
-                          Route->Kind == Repeatability::Idempotent;
+                          Identity.Route->Kind == Repeatability::Idempotent;
     if (canRetry) {
       const std::string body = std::move(Body);
       Body.clear();
@@ -740,7 +677,7 @@
                       std::move(Body));
     return;
   }
-  if (Route->IsResumable)
+  if (Identity.Route->IsResumable)
     Exchange->write(Events.takePartialEvent());
   Exchange->write(Body);
   Exchange->end();
@@ -787,7 +724,7 @@
 /// the last complete event and within the same response, so that its caller
 /// sees a pause instead of a cut. Returns false if it must not be continued.
 bool GatewayCall::resume() {
-  if (!Route->IsResumable || !RetryState->canResume(bootNow()) ||
+  if (!Identity.Route->IsResumable || !RetryState->canResume(bootNow()) ||
       !takeRetryFromBudget())
     return false;
   Events.takePartialEvent();
@@ -863,12 +800,19 @@
                   shortestDelay + fromSeconds(spread * State.randomFraction()));
 }
 
+void GatewayCall::refuse(const CallRefusal &refusal) {
+  std::optional<Duration> retryAfter = refusal.RetryDelay;
+  if (retryAfter && refusal.IsSpread)
+    retryAfter = jitteredRetryAfter(*retryAfter);
+  refuse(refusal.Status, refusal.Cause, retryAfter);
+}
+
 void GatewayCall::refuse(int status, const char *cause,
                          std::optional<Duration> retryAfter) {
   IsDone = true;
   Timer.cancel();
-  if (HasChargedUnits && (status == Unavailable || status == TooManyRequests))
-    State.RateLimiters[Team->Name].giveBack(Units);
+  if (status == Unavailable)
+    Charge.giveBack(State);
   log("refused", status, cause);
   HttpHeaders headers = State.Hooks.LocalResponseHeaders(Call, retryAfter);
   if (Relayed)
@@ -876,63 +820,27 @@
   Exchange->respond(status, headers, "");
 }
 
-/// Counts the call in the metrics. A relayed call counts at the host that the
-/// caller sent it to.
-void GatewayCall::count(const char *result) {
-  if (Relayed)
-    return State.Counts.countRelayedCall("received", result);
-  const std::string route = Route ? Route->Name.text() : "";
-  State.Counts.countCall(route, result);
-  if (FirstByteAt != Instant{})
-    State.Counts.observeFirstToken(route, FirstByteAt - ReceivedAt);
-  if (FirstByteAt != Instant{} &&
-      CurrentSend.Expected.FirstToken > Duration::zero())
-    State.Counts.observeExpectedFirstToken(route,
-                                           CurrentSend.Expected.FirstToken);
-}
-
 void GatewayCall::log(const char *outcome, int status, const char *cause) {
-  const Instant now = bootNow();
-  count(*cause == 0 ? outcome : cause);
-  const bool isGood = status / 100 == 2 && *cause == 0;
-  LogRateLimiter &budget =
-      isGood ? State.SuccessLogBudget : State.FailureLogBudget;
-  if (!budget.take(now))
-    return;
-  LogLine line(isGood ? Severity::Info : Severity::Warning, "call");
-  line.field("id", Call.Id)
-      .field("outcome", outcome)
-      .field("status", static_cast<std::int64_t>(status))
-      .field("cause", cause)
-      .field("ms", toMilliseconds(now - ReceivedAt));
-  if (Route)
-    line.field("route", Route->Name.text());
-  if (Team)
-    line.field("team", Team->Name.text()).field("units", Units);
-  if (Team && status == TooManyRequests)
-    line.field("level", State.RateLimiters[Team->Name].level())
-        .field("rate", Team->Rate)
-        .field("burst", Team->Burst);
+  CallRecord record;
+  record.Id = Call.Id;
+  record.Outcome = outcome;
+  record.Status = status;
+  record.Cause = cause;
+  record.ReceivedAt = ReceivedAt;
+  record.FirstByteAt = FirstByteAt;
+  record.Route = Identity.Route;
+  record.Team = Identity.Team;
+  record.Units = Charge.units();
   if (RetryState)
-    line.field("sends", static_cast<std::int64_t>(RetryState->sends()))
-        .field("failed_connects", static_cast<std::int64_t>(FailedConnects));
-  if (!CurrentSend.Replica.empty())
-    line.field("upstream", CurrentSend.Replica.text());
-  if (isRelaying())
-    line.field("relayed_to", CurrentSend.Peer.text());
+    record.Sends = RetryState->sends();
+  record.FailedConnects = FailedConnects;
+  record.Upstream = CurrentSend.Replica;
+  record.Expected = CurrentSend.Expected;
+  record.RelayedTo = CurrentSend.Peer;
   if (Relayed)
-    line.field("relayed_from", Relayed->From.text());
-  if (CurrentSend.Expected.FirstToken > Duration::zero())
-    line.field("expected_wait_ms", toMilliseconds(CurrentSend.Expected.Wait))
-        .field("expected_first_byte_ms",
-               toMilliseconds(CurrentSend.Expected.FirstToken))
-        .field("tokens_to_read", CurrentSend.Expected.TokensToPrefill)
-        .field("tokens_ahead", CurrentSend.Expected.TokensAhead);
-  if (FirstByteAt != Instant{})
-    line.field("first_byte_ms", toMilliseconds(FirstByteAt - ReceivedAt));
-  if (Plan)
-    line.field("plan", static_cast<std::int64_t>(Plan->plan().Version))
-        .field("plan_age_ms", toMilliseconds(State.planAge(now)));
+    record.RelayedFrom = Relayed->From;
+  record.Plan = Plan.get();
+  recordCall(State, record, bootNow());
 }
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -6,11 +6,11 @@
 #include "LibHttp/HttpExchange.h"
 #include "LibServing/CallRetryState.h"
 #include "LibServing/EventSplitter.h"
+#include "TeamCharge.h"
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
 #include <string>
-#include <vector>
 
 namespace sorrelbay {
 
@@ -37,7 +37,7 @@
     /// The host that the call is relayed to; empty if it is sent to an
     /// upstream.
     HostId Peer;
-    RelayResult Relay;
+    RelayResult PeerResult;
     /// When the upstream was chosen.
     Instant At{};
     /// When the call was written to the connection.
@@ -60,13 +60,11 @@
   void startRelayed();
   void decline(const char *cause);
   bool chooseRouteService();
-  bool findRoute();
-  bool findTeam();
-  bool chargeUnits();
   bool admit();
   void trySend();
   bool prefersRelay() const;
   bool tryRelay(Instant now);
+  Duration freshness() const;
   RelayEnvelope relayEnvelope(const HostId &peer, Instant now) const;
   void onRelayHead();
   void onRelayEnd();
@@ -103,11 +101,11 @@
   /// if a response has begun, by aborting it.
   void finishLocally(const char *cause, Duration retryDelay = {});
   void finishWithoutUpstream(Instant now);
+  void refuse(const CallRefusal &refusal);
   void refuse(int status, const char *cause,
               std::optional<Duration> retryAfter);
   Duration jitteredRetryAfter(Duration shortestDelay,
                               Duration longestSpread = Duration::max());
-  void count(const char *result);
   void log(const char *outcome, int status, const char *cause);
   bool isSuccess() const { return CurrentSend.Head.Status / 100 == 2; }
   bool isRelaying() const { return !CurrentSend.Peer.empty(); }
@@ -118,8 +116,8 @@
   ServingCall Call;
   Instant ReceivedAt;
   std::shared_ptr<const PlanIndex> Plan;
-  const ServingRoute *Route = nullptr;
-  const ServingTeam *Team = nullptr;
+  CallIdentity Identity;
+  TeamCharge Charge;
   ServiceId Service;
   std::optional<CallPlacement> Upstreams;
   std::optional<CallRetryState> RetryState;
@@ -127,11 +125,8 @@
   std::optional<RelayEnvelope> Relayed;
   /// The request as it is sent to upstreams, if it is not the received one.
   std::optional<HttpRequest> UpstreamRequest;
-  /// The hosts to which the call has been relayed.
-  std::vector<HostId> TriedPeers;
+  CallRelay Relay;
   CallCost ExpectedCost;
-  std::int64_t Units = 0;
-  bool HasChargedUnits = false;
   int FailedConnects = 0;
   std::shared_ptr<HttpCallHandle> Handle;
   Send CurrentSend;
