--- a/Services/sorrelbayd/CallRelay.cpp
+++ b/Services/sorrelbayd/CallRelay.cpp
@@ -16,7 +16,7 @@
                                          Instant now) {
   if (State.RelaySecret.empty() || Tried.size() >= MaxRelays)
     return std::nullopt;
-  const auto peer =
+  auto peer =
       State.Relays.choose(service, State.Fleet, Tried, State.Random(), now);
   if (!peer)
     return std::nullopt;
