sorrelbayd: Log how responses are framed and whether they end in an event

Change: HttpReplyHead names what marks the end of a body (length, chunks, the end of the connection); `call` lines carry it as `framing`, and `response_end` with `inside_event` if the stream stopped inside an event. `sorrelbay_upstream_responses_total{framing,end}` counts both. No decision depends on them.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -23,6 +23,20 @@
   return "";
 }
 
+const char *toText(BodyFraming framing) {
+  switch (framing) {
+  case BodyFraming::None:
+    return "none";
+  case BodyFraming::Length:
+    return "length";
+  case BodyFraming::Chunks:
+    return "chunks";
+  case BodyFraming::ConnectionEnd:
+    return "connection_end";
+  }
+  return "";
+}
+
 namespace {
 class ClientConnection;
 using ClientConnectionPointer = std::shared_ptr<ClientConnection>;
@@ -175,6 +189,16 @@
   return seconds(number);
 }
 
+/// What marks the end of the body of a response whose header was read.
+BodyFraming framingOf(const ReplyParser &parser) {
+  if (parser.is_done())
+    return BodyFraming::None;
+  if (parser.chunked())
+    return BodyFraming::Chunks;
+  return parser.content_length() ? BodyFraming::Length
+                                 : BodyFraming::ConnectionEnd;
+}
+
 void ClientConnection::close() {
   if (IsClosed)
     return;
@@ -321,6 +345,7 @@
   head.Headers = headersOf(message);
   if (const auto length = Parser->content_length())
     head.Length = *length;
+  head.Framing = framingOf(*Parser);
   const std::string keepAliveHeader = headerValue(head.Headers, "Keep-Alive");
   if (const auto timeout = keepAliveTimeout(keepAliveHeader))
     PeerKeepAliveTimeout = *timeout;
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -15,6 +15,20 @@
 
 namespace sorrelbay {
 
+/// What marks the end of a response's body.
+enum class BodyFraming {
+  /// The response has no body.
+  None,
+  Length,
+  Chunks,
+  /// The body ends with its connection. A close by the server is its end, a
+  /// reset is not.
+  ConnectionEnd,
+};
+
+/// The framing's name in logs and metrics.
+const char *toText(BodyFraming framing);
+
 /// The status and the header fields of a response.
 struct HttpReplyHead {
   int Status = 0;
@@ -22,6 +36,7 @@
   /// The length of the body in bytes; empty if the body is chunked or ends when
   /// the connection closes.
   std::optional<std::uint64_t> Length;
+  BodyFraming Framing = BodyFraming::None;
 };
 
 /// Why a call received no complete response.
--- a/Services/sorrelbayd/CallLog.cpp
+++ b/Services/sorrelbayd/CallLog.cpp
@@ -3,12 +3,19 @@
 
 namespace sorrelbay {
 
+static constexpr const char *InsideEvent = "inside_event";
+
 static void countCall(GatewayState &state, const CallRecord &record) {
   const char *result = *record.Cause == 0 ? record.Outcome : record.Cause;
   if (!record.RelayedFrom.empty())
     return state.Counts.countRelayedCall("received", result);
   const std::string route = record.Route ? record.Route->Name.text() : "";
   state.Counts.countCall(route, result);
+  if (record.Framing)
+    state.Counts.countResponse(toText(*record.Framing),
+                               record.EndedInsideEvent ? InsideEvent
+                               : *record.Cause == 0    ? "complete"
+                                                       : record.Cause);
   if (record.FirstByteAt == Instant{})
     return;
   state.Counts.observeFirstToken(route, record.FirstByteAt - record.ReceivedAt);
@@ -34,6 +41,10 @@
                static_cast<std::int64_t>(record.FailedConnects));
   if (!record.Upstream.empty())
     line.field("upstream", record.Upstream.text());
+  if (record.Framing)
+    line.field("framing", toText(*record.Framing));
+  if (record.EndedInsideEvent)
+    line.field("response_end", InsideEvent);
   if (!record.RelayedTo.empty())
     line.field("relayed_to", record.RelayedTo.text());
   if (!record.RelayedFrom.empty())
--- a/Services/sorrelbayd/CallLog.h
+++ b/Services/sorrelbayd/CallLog.h
@@ -23,6 +23,10 @@
   std::optional<int> Sends;
   int FailedConnects = 0;
   UpstreamId Upstream;
+  /// What marks the end of the upstream's response; empty if there is none.
+  std::optional<BodyFraming> Framing;
+  /// The upstream's stream ended inside an event.
+  bool EndedInsideEvent = false;
   /// The delays that were expected at the upstream.
   ReplicaChoice Expected;
   /// The host that the call was relayed to, or from; empty if it was not.
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -540,8 +540,9 @@
 void GatewayCall::relayStream(std::string_view bytes) {
   if (!HasBegun)
     beginResponse();
+  const std::string completeEvents = Events.feed(bytes);
   if (Identity.Route->IsResumable)
-    Exchange->write(Events.feed(bytes));
+    Exchange->write(completeEvents);
   else
     Exchange->write(bytes);
   if (Exchange->queuedBytes() > MaxQueuedBytes)
@@ -677,11 +678,11 @@
                       std::move(Body));
     return;
   }
+  log("answered", CurrentSend.Head.Status, "");
   if (Identity.Route->IsResumable)
     Exchange->write(Events.takePartialEvent());
   Exchange->write(Body);
   Exchange->end();
-  log("answered", CurrentSend.Head.Status, "");
 }
 
 void GatewayCall::onFailure(HttpFailure why) {
@@ -835,6 +836,9 @@
     record.Sends = RetryState->sends();
   record.FailedConnects = FailedConnects;
   record.Upstream = CurrentSend.Replica;
+  if (CurrentSend.Head.Status != 0)
+    record.Framing = CurrentSend.Head.Framing;
+  record.EndedInsideEvent = Events.hasPartialEvent();
   record.Expected = CurrentSend.Expected;
   record.RelayedTo = CurrentSend.Peer;
   if (Relayed)
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -30,6 +30,7 @@
   Family<Counter> &IgnoredInput;
   Family<Counter> &UpstreamConnects;
   Family<Counter> &RelayedCalls;
+  Family<Counter> &Responses;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -95,6 +96,9 @@
       RelayedCalls(counterFamily(Registry, "sorrelbay_relayed_calls_total",
                                  "Calls relayed between hosts, by direction "
                                  "and result.")),
+      Responses(counterFamily(Registry, "sorrelbay_upstream_responses_total",
+                              "Responses of upstreams, by what marks the end "
+                              "of their body and by how they ended.")),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -187,6 +191,11 @@
       .Increment();
 }
 
+void Metrics::countResponse(const std::string &framing,
+                            const std::string &end) {
+  All->Responses.Add({{"framing", framing}, {"end", end}}).Increment();
+}
+
 void Metrics::countObjectApi(const std::string &call,
                              const std::string &result) {
   All->ObjectApi.Add({{"call", call}, {"result", result}}).Increment();
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -53,6 +53,9 @@
   /// ("received"), by its result.
   void countRelayedCall(const std::string &direction,
                         const std::string &result);
+  /// Counts an upstream's response by what marks the end of its body and by how
+  /// it ended: "complete", "inside_event" or the cause of its call's failure.
+  void countResponse(const std::string &framing, const std::string &end);
   /// Sets the counts of the connections to upstreams.
   void setUpstreamConnectionCounts(const HttpClientCounts &counts);
   void setOpenCalls(std::size_t n);
