Tests/sorrelbayd: Reproduce streams that broke off and look complete

Callers saw: a stream whose engine crashed inside an event, framed as complete.

`response_ends/*` plays a length, chunks and the end of the connection with plain responses, streams and resumable streams, ended as a whole, inside an event and between two by a close, a reset and silence, in one read and in parts of 4 bytes; once more behind a relay.

--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -21,7 +21,7 @@
   boost::asio::post(loop, [done, result] { done(result); });
 }
 
-/// Parses "version;key" as a plan with the three routes.
+/// Parses "version;key" as a plan with the four routes.
 ServingPlan planOf(const Resource &object) {
   const std::size_t at = object.Body.find(';');
   if (at == std::string::npos)
@@ -48,7 +48,11 @@
   quick.MaxAttempts = 2;
   quick.Timeout = seconds(30);
   quick.LatencyTarget = milliseconds(400);
-  plan.Routes = {route, stream, quick};
+  ServingRoute onceStream = route;
+  onceStream.Name = RouteId("n");
+  onceStream.PathPrefix = "/n/";
+  onceStream.IsStream = true;
+  plan.Routes = {route, stream, onceStream, quick};
   ServingTeam team;
   team.Name = TeamId("team");
   team.Keys = {object.Body.substr(at + 1)};
@@ -80,6 +84,10 @@
   call.Path = request.Path;
   call.Method = request.Method;
   call.Key = headerValue(request.Headers, "X-Key");
+  const std::string waitLimit = headerValue(request.Headers, "X-Wait-Limit-Ms");
+  if (!waitLimit.empty())
+    call.WaitLimit = milliseconds(std::stoll(waitLimit));
+  call.LastEventId = headerValue(request.Headers, "X-After");
   const std::string tokens = headerValue(request.Headers, "X-Tokens");
   if (!tokens.empty()) {
     call.PromptTokens = std::stoll(tokens);
@@ -89,7 +97,7 @@
 }
 
 GatewaySettings settingsFor(const std::string &name, Duration keyRemoval,
-                            Duration grace) {
+                            Duration grace, double retryShare) {
   GatewaySettings settings;
   settings.Host = HostId(name);
   settings.Zone = ZoneId("z");
@@ -106,7 +114,7 @@
   bounds.PlanInForce = seconds(2);
   bounds.Evacuation = seconds(2);
   bounds.KeyRemoval = keyRemoval;
-  bounds.RetryShare = 0.2;
+  bounds.RetryShare = retryShare;
   bounds.RetrySlack = 20;
   bounds.RetryWindow = seconds(10);
   bounds.Lease = seconds(3);
@@ -353,8 +361,9 @@
   return out;
 }
 
-GatewayFixture::GatewayFixture(Duration keyRemoval, Duration grace)
-    : KeyRemoval(keyRemoval), Grace(grace) {
+GatewayFixture::GatewayFixture(Duration keyRemoval, Duration grace,
+                               double retryShare)
+    : KeyRemoval(keyRemoval), Grace(grace), RetryShare(retryShare) {
   Upstream = [](const std::shared_ptr<HttpExchange> &it) {
     it->respond(200, {{"X-Call", headerValue(it->request().Headers, "X-Call")}},
                 "ok for " + headerValue(it->request().Headers, "X-Team"));
@@ -370,7 +379,7 @@
   Store.put(ResourceKind::Plan, "main", "1;key");
   addReplica("r1");
   Served = std::make_unique<Gateway>(
-      settingsFor("host", keyRemoval, grace),
+      settingsFor("host", keyRemoval, grace, retryShare),
       [this](boost::asio::io_context &loop) { return hooks(loop, ""); });
   Served->start();
   CallerAddress = Served->callerAddress();
@@ -400,7 +409,7 @@
   std::unique_ptr<GatewayHost> host(
       new GatewayHost{UpstreamPath(UpstreamServer->address()), nullptr, ""});
   host->Served = std::make_unique<Gateway>(
-      settingsFor(name, KeyRemoval, Grace),
+      settingsFor(name, KeyRemoval, Grace, RetryShare),
       [this, path = host->Path.address()](boost::asio::io_context &loop) {
         return hooks(loop, path);
       });
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -59,15 +59,16 @@
 
 /// A gateway with an in-memory store and one upstream, all in this process. The
 /// test sets the upstream's request handler. A plan's text is "version;key".
-/// The plan has three routes to the service "desk", all open to the key: "/a/",
-/// whose calls must not be retried, "/s/", with resumable streams, and "/q/",
-/// whose calls may be repeated and have a latency target.
+/// The plan has four routes to the service "desk", all open to the key: "/a/",
+/// whose calls must not be retried, "/s/", with resumable streams, "/n/", with
+/// streams that must not be retried, and "/q/", whose calls may be repeated and
+/// have a latency target.
 class GatewayFixture {
 public:
   using UpstreamHandler = std::function<void(std::shared_ptr<HttpExchange>)>;
 
   explicit GatewayFixture(Duration keyRemoval = seconds(60),
-                          Duration grace = seconds(2));
+                          Duration grace = seconds(2), double retryShare = 0.2);
   ~GatewayFixture();
   GatewayFixture(const GatewayFixture &) = delete;
   GatewayFixture &operator=(const GatewayFixture &) = delete;
@@ -114,6 +115,7 @@
 
   Duration KeyRemoval;
   Duration Grace;
+  double RetryShare;
   std::unique_ptr<AsyncHttpServer> UpstreamServer;
   std::thread UpstreamWorker;
 };
--- /dev/null
+++ b/Tests/sorrelbayd/TestResponseEnds.cpp
@@ -0,0 +1,246 @@
+#include "GatewayFixture.h"
+#include "RawCaller.h"
+#include "ScriptedServer.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+namespace {
+
+enum class Framing { Length, Chunks, ConnectionEnd };
+/// How much of its body an upstream sends.
+enum class Extent { Whole, InsideEvent, BetweenEvents };
+
+/// How an upstream's response ends.
+struct Ending {
+  Extent Sent;
+  ScriptedEnd End;
+  /// The framing says that the part that was sent is all.
+  bool IsFramedAsComplete = false;
+};
+
+const std::vector<Ending> Endings = {
+    {Extent::Whole, ScriptedEnd::Close},
+    {Extent::Whole, ScriptedEnd::Reset},
+    {Extent::InsideEvent, ScriptedEnd::Close},
+    {Extent::InsideEvent, ScriptedEnd::Reset},
+    {Extent::InsideEvent, ScriptedEnd::Silence},
+    {Extent::InsideEvent, ScriptedEnd::Close, true},
+    {Extent::BetweenEvents, ScriptedEnd::Close},
+    {Extent::BetweenEvents, ScriptedEnd::Reset},
+    {Extent::BetweenEvents, ScriptedEnd::Silence},
+};
+
+const Framing Framings[] = {Framing::Length, Framing::Chunks,
+                            Framing::ConnectionEnd};
+const std::string Paths[] = {"/q/1", "/n/1", "/s/1"};
+constexpr std::size_t LastEvent = 3;
+constexpr int ReplicaCount = 40;
+constexpr Duration KeyRemoval = seconds(60);
+constexpr Duration Grace = seconds(2);
+/// So many retries for each call that the budget allows all of them.
+constexpr double RetryShare = 10;
+/// Bytes of an event that breaks off, and of the parts of split responses.
+constexpr std::size_t PartialEventBytes = 9;
+constexpr std::size_t SplitBytes = 4;
+
+bool isStream(const std::string &path) { return path != "/q/1"; }
+bool isResumable(const std::string &path) { return path == "/s/1"; }
+
+std::string event(std::size_t n, const std::string &newline) {
+  return "id: " + std::to_string(n) + newline + "data: event " +
+         std::to_string(n) + newline + newline;
+}
+
+/// The events after the one with that id.
+std::string eventsAfter(std::size_t n, const std::string &newline) {
+  std::string out;
+  for (++n; n <= LastEvent; ++n)
+    out += event(n, newline);
+  return out;
+}
+
+std::string firstBody(Extent sent, const std::string &newline) {
+  const std::string whole = eventsAfter(0, newline);
+  const std::size_t last = event(LastEvent, newline).size();
+  switch (sent) {
+  case Extent::Whole:
+    return whole;
+  case Extent::InsideEvent:
+    return whole.substr(0, whole.size() - last + PartialEventBytes);
+  case Extent::BetweenEvents:
+    return whole.substr(0, whole.size() - last);
+  }
+  return "";
+}
+
+std::string chunk(const std::string &bytes) {
+  char size[24];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  return size + bytes + "\r\n";
+}
+
+std::string head(const std::string &request, const std::string &framing) {
+  return "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Call: " +
+         scriptedHeader(request, "X-Call") + "\r\n" + framing + "\r\n";
+}
+
+/// A response with the body, of which `length` bytes are announced.
+ScriptedResponse respond(const std::string &request, Framing framing,
+                         const std::string &body, std::size_t length,
+                         bool isSplit) {
+  ScriptedResponse out;
+  switch (framing) {
+  case Framing::Length:
+    out.Parts = {
+        head(request, "Content-Length: " + std::to_string(length) + "\r\n")};
+    break;
+  case Framing::Chunks:
+    out.Parts = {head(request, "Transfer-Encoding: chunked\r\n")};
+    break;
+  case Framing::ConnectionEnd:
+    out.Parts = {head(request, "")};
+    break;
+  }
+  const std::size_t step =
+      isSplit ? SplitBytes : std::max<std::size_t>(1, body.size());
+  for (std::size_t at = 0; at < body.size(); at += step) {
+    const std::string part = body.substr(at, step);
+    out.Parts.push_back(framing == Framing::Chunks ? chunk(part) : part);
+  }
+  if (framing == Framing::Chunks && body.size() == length)
+    out.Parts.emplace_back("0\r\n\r\n");
+  return out;
+}
+
+/// Whether anything shows that the response is not complete.
+bool isShownBroken(Framing framing, const Ending &ending, bool isEvents) {
+  if (framing == Framing::ConnectionEnd && ending.End != ScriptedEnd::Close)
+    return true;
+  if (ending.Sent == Extent::Whole)
+    return false;
+  if (ending.Sent == Extent::InsideEvent && isEvents)
+    return true;
+  return framing != Framing::ConnectionEnd && !ending.IsFramedAsComplete;
+}
+
+std::string requestText(const std::string &path, const std::string &version) {
+  static int lastId = 0;
+  return "GET " + path + " HTTP/" + version +
+         "\r\nHost: test.example\r\nConnection: close\r\nX-Key: key\r\nX-Call: "
+         "raw" +
+         std::to_string(++lastId) + "\r\nX-Wait-Limit-Ms: 150\r\n\r\n";
+}
+
+/// Replaces the fixture's upstream. There are so many replicas that none fails
+/// often enough to be avoided.
+void useUpstream(GatewayFixture &fixture, const ScriptedServer &upstream) {
+  for (int n = ReplicaCount; n >= 1; --n)
+    fixture.Store.put(ResourceKind::Replicas, "r" + std::to_string(n),
+                      upstream.address() + " ready");
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+}
+
+/// The upstream's response to a call, and to one that resumes it.
+ScriptedServer::Script scriptOf(const Ending &ending, Framing framing,
+                                const std::string &newline, bool isSplit) {
+  return [=](const std::string &request) {
+    const std::string after = scriptedHeader(request, "X-After");
+    if (!after.empty()) {
+      const std::string rest = eventsAfter(std::stoul(after), newline);
+      return respond(request, framing, rest, rest.size(), isSplit);
+    }
+    const std::string sent = firstBody(ending.Sent, newline);
+    const std::size_t length = ending.IsFramedAsComplete
+                                   ? sent.size()
+                                   : eventsAfter(0, newline).size();
+    ScriptedResponse out = respond(request, framing, sent, length, isSplit);
+    out.End = ending.End;
+    return out;
+  };
+}
+
+/// Sends a call to a host for each ending, and checks what its caller gets.
+struct EndingTable {
+  ScriptedServer &Upstream;
+  std::string CallerAddress;
+  std::string Path;
+  std::string Newline = "\n";
+  std::string CallerVersion = "1.1";
+  /// The host that calls are relayed to; empty if they are not. It may resume a
+  /// relayed stream within the retries that its own calls allow.
+  std::string RelayAddress = {};
+
+  void check(Framing framing) const {
+    for (const Ending &ending : Endings)
+      for (const bool isSplit : {false, true}) {
+        if (!RelayAddress.empty())
+          callRelayHost();
+        Upstream.setScript(scriptOf(ending, framing, Newline, isSplit));
+        BOOST_TEST_CONTEXT(
+            Path << " framing " << static_cast<int>(framing) << " sent "
+                 << static_cast<int>(ending.Sent) << " end "
+                 << static_cast<int>(ending.End) << " framed as complete "
+                 << ending.IsFramedAsComplete << " split " << isSplit)
+        checkReply(callRaw(CallerAddress, requestText(Path, CallerVersion)),
+                   framing, ending);
+      }
+  }
+
+  void callRelayHost() const {
+    Upstream.setScript(scriptOf({Extent::Whole, ScriptedEnd::Close},
+                                Framing::Length, Newline, false));
+    BOOST_TEST(callRaw(RelayAddress, requestText("/q/1", "1.1")).IsComplete);
+  }
+
+  void checkReply(const RawReply &reply, Framing framing,
+                  const Ending &ending) const {
+    const std::string whole = eventsAfter(0, Newline);
+    const bool isBroken = isShownBroken(framing, ending, isStream(Path));
+    const bool isResumed =
+        isBroken && isResumable(Path) && ending.End != ScriptedEnd::Silence;
+    const bool isGood = reply.Status == 200 && reply.IsComplete;
+    if (CallerVersion == "1.0")
+      BOOST_TEST(!reply.IsChunked);
+    BOOST_TEST(isGood == (!isBroken || isResumed));
+    if (isGood)
+      BOOST_TEST(reply.Body ==
+                 (isResumed ? whole : firstBody(ending.Sent, Newline)));
+    else if (reply.Status == 200)
+      BOOST_TEST(whole.substr(0, reply.Body.size()) == reply.Body);
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(response_ends)
+
+// An upstream's response breaks off, and its caller takes what has arrived for
+// the whole response.
+BOOST_AUTO_TEST_CASE(a_response_that_broke_off_never_looks_complete) {
+  for (const std::string &path : Paths)
+    for (const Framing framing : Framings) {
+      GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
+      ScriptedServer upstream;
+      fixture.callUntil(200, "key");
+      useUpstream(fixture, upstream);
+      EndingTable{upstream, fixture.CallerAddress, path}.check(framing);
+    }
+}
+
+// The same, with another host between the upstream and the caller's.
+BOOST_AUTO_TEST_CASE(a_relayed_response_that_broke_off_never_looks_complete) {
+  for (const std::string &path : Paths)
+    for (const Framing framing : Framings) {
+      GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
+      ScriptedServer upstream;
+      const auto cut = fixture.addHost("cut");
+      useUpstream(fixture, upstream);
+      cut->Path.set(PathState::Resets);
+      EndingTable{upstream, cut->CallerAddress,   path, "\n",
+                  "1.1",    fixture.CallerAddress}
+          .check(framing);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
