LibHttp: Find the ends of events by any line ending

Callers saw: a resumable stream whose lines end with CR or CRLF was held back until it ended, and could not be resumed, since no event of it was ever complete. Engines of the own interface that end lines so lost their tokens.

Cause: EventSplitter and the reader of engine streams looked for two LF. Class: a reader that knows one of the spellings that its format allows.

Change: EventScanner finds the ends of lines and events with LF, CR and CRLF, also where a read splits a CRLF; EventSplitter uses it and moves to LibHttp, where the reader of engine streams uses it too. A stream of CRLF lines that stops between the last CR and LF counts as broken off. Comments between events are passed on at once instead of with the next event.

--- a/Libraries/LibEngine/EngineClient.cpp
+++ b/Libraries/LibEngine/EngineClient.cpp
@@ -1,4 +1,5 @@
 #include "LibEngine/EngineClient.h"
+#include "LibHttp/EventSplitter.h"
 #include "LibHttp/HttpClient.h"
 #include <nlohmann/json.hpp>
 
@@ -47,31 +48,19 @@
 public:
   using OnEvent = std::function<bool(const Json &)>;
 
-  bool appendData(std::string_view data, const OnEvent &onEvent) {
-    Buffer.append(data);
-    std::size_t start = 0;
-    while (true) {
-      const std::size_t end = Buffer.find("\n\n", start);
-      if (end == std::string::npos)
-        break;
-      if (!processEvent(Buffer.data() + start, Buffer.data() + end, onEvent))
-        return false;
-      start = end + 2;
-    }
-    Buffer.erase(0, start);
-    return true;
+  /// Returns false if the hook stopped the stream.
+  bool appendData(std::string_view bytes, const OnEvent &onEvent) {
+    const std::string events = Splitter.feed(bytes);
+    bool goesOn = true;
+    forEachEventData(events, [&](const std::string &data) {
+      goesOn = goesOn && processEvent(data, onEvent);
+    });
+    return goesOn;
   }
   bool isDone() const { return HasSeenDone; }
 
 private:
-  bool processEvent(const char *begin, const char *end,
-                    const OnEvent &onEvent) {
-    static const std::string_view field = "data: ";
-    const std::string_view event(begin, static_cast<std::size_t>(end - begin));
-    const std::size_t at = event.find(field);
-    if (at == std::string_view::npos)
-      return true;
-    const std::string_view data = event.substr(at + field.size());
+  bool processEvent(const std::string &data, const OnEvent &onEvent) {
     if (data == "[DONE]") {
       HasSeenDone = true;
       return true;
@@ -82,7 +71,7 @@
     return onEvent(json);
   }
 
-  std::string Buffer;
+  EventSplitter Splitter;
   bool HasSeenDone = false;
 };
 
--- a/Libraries/LibServing/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibHttp/EventScanner.h"
+#include <functional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -12,22 +14,26 @@
 class EventSplitter {
 public:
   /// Sets the id of the event that the stream follows.
-  void resumeAfter(std::string id) { LastId = std::move(id); }
+  void resumeAfter(std::string id) { Scanner.resumeAfter(std::move(id)); }
   /// Adds the next bytes of the stream and returns the events that they
   /// complete, unchanged.
   std::string feed(std::string_view bytes);
   /// The id of the last complete event that has one; empty before the first.
-  const std::string &lastId() const { return LastId; }
+  const std::string &lastId() const { return Scanner.lastId(); }
   /// Whether bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !PartialEvent.empty(); }
-  /// Removes and returns the buffered bytes of an incomplete event.
+  /// Removes and returns the buffered bytes of an incomplete event. Another
+  /// stream may follow.
   std::string takePartialEvent();
 
 private:
-  void readId(std::string_view event);
-
+  EventScanner Scanner;
   std::string PartialEvent;
-  std::string LastId;
 };
 
+/// Calls the hook with the data of each event that has some. The events must be
+/// complete.
+void forEachEventData(std::string_view events,
+                      const std::function<void(const std::string &)> &hook);
+
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -5,7 +5,7 @@
 #include "GatewayState.h"
 #include "LibHttp/HttpExchange.h"
 #include "LibServing/CallRetryState.h"
-#include "LibServing/EventSplitter.h"
+#include "LibHttp/EventSplitter.h"
 #include "TeamCharge.h"
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -1,5 +1,4 @@
 #include "LibServing/Allotment.h"
-#include "LibServing/EventSplitter.h"
 #include "LibServing/FleetClock.h"
 #include "LibServing/StoreReachability.h"
 #include "LibServing/UsageCounts.h"
@@ -7,26 +6,6 @@
 
 using namespace sorrelbay;
 
-BOOST_AUTO_TEST_SUITE(event_splitter)
-
-// An engine crashes in the middle of an event. If the partial event were
-// forwarded, the caller would receive it and then the whole event from the next
-// engine.
-BOOST_AUTO_TEST_CASE(only_complete_events_are_forwarded) {
-  const std::string stream = "id: 1\ndata: a\n\nid:2\ndata: b\n\nid: 3\ndata";
-  for (std::size_t cut = 0; cut <= stream.size(); ++cut) {
-    EventSplitter events;
-    std::string out = events.feed(stream.substr(0, cut));
-    out += events.feed(stream.substr(cut));
-    BOOST_TEST(out == "id: 1\ndata: a\n\nid:2\ndata: b\n\n");
-    BOOST_TEST(events.lastId() == "2");
-    BOOST_TEST(events.hasPartialEvent());
-    BOOST_TEST(events.takePartialEvent() == "id: 3\ndata");
-    BOOST_TEST(!events.hasPartialEvent());
-  }
-}
-
-BOOST_AUTO_TEST_SUITE_END()
 BOOST_AUTO_TEST_SUITE(usage_order)
 
 // A new duty holder finds four unreported windows, one of them long overdue. In
