sorrelbayd: Put a call's response together in a unit of its own

Change: CallResponse holds the buffered body, the incomplete event and whether the caller got something; GatewayCall tells it where an attempt begins and that it has ended. Reading from the upstream also pauses for a slow caller of a large plain response. Nothing else changes.

--- /dev/null
+++ b/Services/sorrelbayd/CallResponse.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "LibHttp/AsyncHttpClient.h"
+#include "LibHttp/EventSplitter.h"
+#include "LibHttp/HttpExchange.h"
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace sorrelbay {
+
+/// What is known about an attempt's response before its body.
+struct ResponseStart {
+  int Status = 0;
+  /// The header fields as they are forwarded.
+  HttpHeaders Headers;
+  std::optional<std::uint64_t> Length;
+  BodyFraming Framing = BodyFraming::None;
+  bool IsEventStream = false;
+  /// The stream may go on at another upstream, after its last complete event.
+  bool IsResumable = false;
+};
+
+/// The response to a call, put together from the responses of the call's
+/// attempts: an attempt's response follows that of the one before, after its
+/// last complete event.
+class CallResponse {
+public:
+  explicit CallResponse(std::shared_ptr<HttpExchange> exchange);
+
+  /// Sets the id of the event that the response follows.
+  void resumeAfter(std::string id) { Events.resumeAfter(std::move(id)); }
+  /// The response of another attempt begins. Drops what is left of the response
+  /// before: its buffered body, or an incomplete event.
+  void startAttempt(ResponseStart start);
+  /// Adds bytes of the attempt's body.
+  void append(std::string_view bytes);
+  /// Ends the response, so that it is complete.
+  void finish();
+  /// Ends the response with another head.
+  void finish(int status, const HttpHeaders &headers);
+  /// Closes the caller's connection, so that the response does not look
+  /// complete.
+  void abort();
+
+  /// Whether a part of the response was sent to the caller.
+  bool hasBegun() const { return HasBegun; }
+  /// The id of the last event that was sent; empty before the first.
+  const std::string &lastEventId() const { return Events.lastId(); }
+  /// Whether the stream so far ends inside an event.
+  bool isInsideEvent() const { return Events.hasPartialEvent(); }
+  /// Whether so much waits for a slow caller that no more should be read.
+  bool isBackedUp() const;
+
+private:
+  void begin();
+
+  std::shared_ptr<HttpExchange> Exchange;
+  ResponseStart Start;
+  EventSplitter Events;
+  std::string Body;
+  bool HasBegun = false;
+};
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -30,11 +30,6 @@
 /// call.
 constexpr Duration OnceOnlyFreshness = seconds(1);
 constexpr Duration DefaultFreshness = seconds(3);
-/// Responses up to this size are relayed once they are complete.
-constexpr std::size_t MaxBufferedResponse = 256UL * 1024;
-/// Reading from the upstream pauses while more than this many bytes wait for a
-/// slow caller.
-constexpr std::size_t MaxQueuedBytes = 256UL * 1024;
 /// Shortest Retry-After of a call that did not run, before jitter.
 constexpr Duration MinRetryAfter = milliseconds(100);
 /// Callers that wait for an upstream whose time of return is known return
@@ -74,7 +69,7 @@
                          std::shared_ptr<HttpExchange> exchange)
     : State(state), Exchange(std::move(exchange)),
       Call(state.Hooks.ReadCall(Exchange->request())), ReceivedAt(bootNow()),
-      Plan(state.Plan), Relay(state), Timer(state.Loop) {}
+      Plan(state.Plan), Relay(state), Response(Exchange), Timer(state.Loop) {}
 
 void GatewayCall::start() {
   if (const auto refusal =
@@ -100,6 +95,10 @@
     return;
   Exchange->onClientDisconnected(
       [self = shared_from_this()] { self->onCallerDisconnected(); });
+  Exchange->onDrained([self = shared_from_this()] {
+    if (self->IsOpen && self->Handle)
+      self->Handle->resume();
+  });
   armTimer();
   trySend();
 }
@@ -144,7 +143,7 @@
   if (const char *cause = declineCause(State, Call, envelope, ReceivedAt))
     return decline(cause);
   UpstreamRequest = withoutEnvelope(Exchange->request());
-  Events.resumeAfter(envelope.ResumeAfter);
+  Response.resumeAfter(envelope.ResumeAfter);
   start();
 }
 
@@ -216,12 +215,12 @@
   }
   if (IsOpen) {
     Handle->cancel();
-    if (!HasBegun)
+    if (!Response.hasBegun())
       RetryState->recordFailure();
     endSend(CurrentSend.HasFirstByte ? SendResult::Inconclusive
                                      : SendResult::Broken);
   }
-  if (!HasBegun)
+  if (!Response.hasBegun())
     return finishLocally("deadline");
   abortResponse("deadline");
 }
@@ -239,7 +238,8 @@
 
 void GatewayCall::trySend() {
   const Instant now = bootNow();
-  if (HasBegun ? !RetryState->canResume(now) : !RetryState->canSend(now))
+  if (Response.hasBegun() ? !RetryState->canResume(now)
+                          : !RetryState->canSend(now))
     return finishLocally("no_attempt_left");
   if (prefersRelay() && tryRelay(now))
     return;
@@ -264,7 +264,7 @@
   if (Identity.Team)
     attempt.Team = Identity.Team->Name;
   attempt.Priority = Upstreams->priority();
-  attempt.ResumeAfter = Events.lastId();
+  attempt.ResumeAfter = Response.lastEventId();
   CurrentSend.Replica = chosen->Id;
   CurrentSend.OfVersion = replica->OfVersion;
   CurrentSend.At = now;
@@ -328,7 +328,7 @@
   out.WaitLimit = RetryState->deadline() - now;
   out.Attempts = RetryState->attemptsLeft();
   out.PlanVersion = Plan->plan().Version;
-  out.ResumeAfter = Events.lastId();
+  out.ResumeAfter = Response.lastEventId();
   out.IsDemandCounted = Upstreams->isDemandCounted();
   return out;
 }
@@ -420,7 +420,8 @@
   // An error response must not continue a response of which another attempt has
   // sent a part.
   CurrentSend.IsDiscarded =
-      CurrentSend.ReplyInfo.DidNotRun || (HasBegun && !isSuccess());
+      CurrentSend.ReplyInfo.DidNotRun || (Response.hasBegun() && !isSuccess());
+  startResponse();
 }
 
 /// An upstream that responded through another host asked that host for a pause,
@@ -436,17 +437,19 @@
   case RelayOutcome::Declined:
   case RelayOutcome::Refused:
     CurrentSend.IsDiscarded =
-        HasBegun || CurrentSend.PeerResult.Outcome == RelayOutcome::Declined;
-    return;
+        Response.hasBegun() ||
+        CurrentSend.PeerResult.Outcome == RelayOutcome::Declined;
+    return startResponse();
   case RelayOutcome::Answered:
     break;
   }
   CurrentSend.Replica = CurrentSend.PeerResult.Upstream;
-  CurrentSend.IsDiscarded = HasBegun && !isSuccess();
+  CurrentSend.IsDiscarded = Response.hasBegun() && !isSuccess();
   UpstreamReplyInfo statements = CurrentSend.ReplyInfo;
   statements.Pause.reset();
   statements.Ignored.clear();
   noteStatements(statements, isSuccess(), true);
+  startResponse();
 }
 
 /// Records what the upstream states about itself in the response.
@@ -506,26 +509,23 @@
   }
   if (CurrentSend.IsDiscarded)
     return;
-  if (Identity.Route->IsStream && isSuccess())
-    return relayStream(bytes);
-  Body.append(bytes);
-  if (Body.size() <= MaxBufferedResponse)
-    return;
-  if (!HasBegun)
-    beginResponse();
-  Exchange->write(Body);
-  Body.clear();
+  Response.append(bytes);
+  if (Response.hasBegun() && !RetryState->isAnswering())
+    RetryState->recordResponseStarted();
+  if (Response.isBackedUp())
+    Handle->pause();
 }
 
-void GatewayCall::beginResponse() {
-  HasBegun = true;
-  RetryState->recordResponseStarted();
-  Exchange->onDrained([self = shared_from_this()] {
-    if (self->IsOpen && self->Handle)
-      self->Handle->resume();
-  });
-  Exchange->begin(CurrentSend.Head.Status, responseHeaders(),
-                  CurrentSend.Head.Length);
+/// The body of the attempt's response follows.
+void GatewayCall::startResponse() {
+  ResponseStart start;
+  start.Status = CurrentSend.Head.Status;
+  start.Headers = responseHeaders();
+  start.Length = CurrentSend.Head.Length;
+  start.Framing = CurrentSend.Head.Framing;
+  start.IsEventStream = Identity.Route->IsStream && isSuccess();
+  start.IsResumable = Identity.Route->IsResumable;
+  Response.startAttempt(std::move(start));
 }
 
 /// The header of the upstream's response as it is forwarded.
@@ -537,18 +537,6 @@
   return out;
 }
 
-void GatewayCall::relayStream(std::string_view bytes) {
-  if (!HasBegun)
-    beginResponse();
-  const std::string completeEvents = Events.feed(bytes);
-  if (Identity.Route->IsResumable)
-    Exchange->write(completeEvents);
-  else
-    Exchange->write(bytes);
-  if (Exchange->queuedBytes() > MaxQueuedBytes)
-    Handle->pause();
-}
-
 void GatewayCall::endSend(SendResult result) {
   if (!IsOpen)
     return;
@@ -605,7 +593,7 @@
   }
   const bool isSuccessful = isSuccess();
   endSend(isSuccessful ? SendResult::Answered : SendResult::Failed);
-  if (HasBegun && CurrentSend.IsDiscarded)
+  if (Response.hasBegun() && CurrentSend.IsDiscarded)
     return abortResponse("resume_failed");
   if (relay.Outcome == RelayOutcome::Refused)
     return passOnRefusal();
@@ -620,9 +608,8 @@
   if (status == Unavailable)
     Charge.giveBack(State);
   log("refused", status, CurrentSend.PeerResult.Cause.c_str());
-  Exchange->respond(status,
-                    State.Hooks.ResponseHeaders(CurrentSend.Head.Headers),
-                    std::move(Body));
+  Response.finish(status,
+                  State.Hooks.ResponseHeaders(CurrentSend.Head.Headers));
 }
 
 void GatewayCall::onRelayFailure(HttpFailure why) {
@@ -631,8 +618,7 @@
   if (why == HttpFailure::NotSent && !CurrentSend.WasSending)
     return trySend();
   RetryState->recordLostRelay();
-  Body.clear();
-  if (HasBegun)
+  if (Response.hasBegun())
     return abortResponse("relay_broke_off");
   finishLocally("relay_broke_off");
 }
@@ -649,17 +635,15 @@
   }
   if (!isSuccess()) {
     endSend(SendResult::Failed);
-    const bool canRetry = CurrentSend.Head.Status >= 500 && !HasBegun &&
+    const bool canRetry = CurrentSend.Head.Status >= 500 &&
+                          !Response.hasBegun() &&
                           Identity.Route->Kind == Repeatability::Idempotent;
     if (canRetry) {
-      const std::string body = std::move(Body);
-      Body.clear();
       RetryState->recordFailure();
       if (RetryState->canSend(bootNow()) && takeRetryFromBudget())
         return trySend();
-      Body = body;
     }
-    if (HasBegun && CurrentSend.IsDiscarded)
+    if (Response.hasBegun() && CurrentSend.IsDiscarded)
       return abortResponse("resume_failed");
     noteCallStarted();
     return finishResponse();
@@ -672,17 +656,8 @@
 void GatewayCall::finishResponse() {
   IsDone = true;
   Timer.cancel();
-  if (!HasBegun) {
-    log("answered", CurrentSend.Head.Status, "");
-    Exchange->respond(CurrentSend.Head.Status, responseHeaders(),
-                      std::move(Body));
-    return;
-  }
   log("answered", CurrentSend.Head.Status, "");
-  if (Identity.Route->IsResumable)
-    Exchange->write(Events.takePartialEvent());
-  Exchange->write(Body);
-  Exchange->end();
+  Response.finish();
 }
 
 void GatewayCall::onFailure(HttpFailure why) {
@@ -694,7 +669,7 @@
     return onRelayFailure(why);
   if (why == HttpFailure::NotSent && !CurrentSend.WasSending)
     return onNotSent();
-  if (HasBegun) {
+  if (Response.hasBegun()) {
     endSend(SendResult::Broken);
     RetryState->recordFailure();
     return resume() ? trySend() : abortResponse("upstream_broke_off");
@@ -704,7 +679,6 @@
   else
     RetryState->recordFailure();
   endSend(SendResult::Broken);
-  Body.clear();
   retryOrFinish(why == HttpFailure::Truncated ? "upstream_truncated"
                                               : "upstream_broke_off");
 }
@@ -728,11 +702,10 @@
   if (!Identity.Route->IsResumable || !RetryState->canResume(bootNow()) ||
       !takeRetryFromBudget())
     return false;
-  Events.takePartialEvent();
   LogLine(Severity::Info, "stream goes on elsewhere")
       .field("id", Call.Id)
       .field("from", CurrentSend.Replica.text())
-      .field("after_event", Events.lastId());
+      .field("after_event", Response.lastEventId());
   return true;
 }
 
@@ -742,14 +715,13 @@
   log("cut", CurrentSend.Head.Status, cause);
   IsDone = true;
   Timer.cancel();
-  Exchange->abort();
+  Response.abort();
 }
 
 void GatewayCall::retryOrFinish(const char *cause) {
-  Body.clear();
   const Instant now = bootNow();
-  const bool canRetry =
-      HasBegun ? RetryState->canResume(now) : RetryState->canSend(now);
+  const bool canRetry = Response.hasBegun() ? RetryState->canResume(now)
+                                            : RetryState->canSend(now);
   if (canRetry && takeRetryFromBudget())
     return trySend();
   finishLocally(cause, Upstreams->unavailability(now).Wait);
@@ -773,7 +745,7 @@
 }
 
 void GatewayCall::finishLocally(const char *cause, Duration retryDelay) {
-  if (HasBegun)
+  if (Response.hasBegun())
     return abortResponse(cause);
   switch (RetryState->failureKind(bootNow())) {
   case CallFailureKind::NotRun:
@@ -838,7 +810,7 @@
   record.Upstream = CurrentSend.Replica;
   if (CurrentSend.Head.Status != 0)
     record.Framing = CurrentSend.Head.Framing;
-  record.EndedInsideEvent = Events.hasPartialEvent();
+  record.EndedInsideEvent = Response.isInsideEvent();
   record.Expected = CurrentSend.Expected;
   record.RelayedTo = CurrentSend.Peer;
   if (Relayed)
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -2,10 +2,10 @@
 
 #include "CallPlacement.h"
 #include "CallRelay.h"
+#include "CallResponse.h"
 #include "GatewayState.h"
 #include "LibHttp/HttpExchange.h"
 #include "LibServing/CallRetryState.h"
-#include "LibHttp/EventSplitter.h"
 #include "TeamCharge.h"
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
@@ -93,8 +93,7 @@
   bool resume();
   void abortResponse(const char *cause);
   void retryOrFinish(const char *cause);
-  void beginResponse();
-  void relayStream(std::string_view bytes);
+  void startResponse();
   void finishResponse();
   void noteCallStarted();
   /// Ends the call without an upstream's response: with an error response or,
@@ -130,12 +129,10 @@
   int FailedConnects = 0;
   std::shared_ptr<HttpCallHandle> Handle;
   Send CurrentSend;
+  CallResponse Response;
   bool IsOpen = false;
-  bool HasBegun = false;
   bool IsCounted = false;
   bool IsDone = false;
-  std::string Body;
-  EventSplitter Events;
   boost::asio::steady_timer Timer;
   Instant FirstByteAt{};
 };
