sorrelbayd: Take a stream that ends inside an event for broken off

Callers saw: 200 with a part of a stream, framed as complete, after its engine had crashed. A new version whose engines did so was rolled out to the end, and its engines went on getting calls.

Cause: the end of a response's framing was taken for the end of its stream. A response with neither a length nor chunks ends with its connection, so that the close by a crash ended it. Class: an end that proves less than it is taken for.

Change: CallResponse judges the end of an attempt's response. A stream that ends inside an event broke off, also if its length or last chunk says that it is all; so did one that ends with its connection before any event. It is resumed where the route allows it, retried if the caller got nothing yet, cut otherwise, and counts as broken for versions and health. Responses that relay hosts send are judged alike. A stream begins for its caller with its first bytes that are passed on, and without a length: it may break off inside its last event, or go on elsewhere with another length.

Ruled out: judging by the connection's end alone. A response that names no type, on a route of streams, and whose framing shows it to be whole, may be plain; it passes, and the table has these endings now (11 instead of 9).

Conclusion: a stream that breaks off between two events with a plain close still can't be told from a whole one; nothing in it states its length.

--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -18,6 +18,10 @@
   /// Adds the next bytes of the stream and returns the events that they
   /// complete, unchanged.
   std::string feed(std::string_view bytes);
+  /// The same for bytes that are not held back until their event is complete.
+  void pass(std::string_view bytes) { Scanner.scan(bytes); }
+  /// Whether the stream so far ends inside an event.
+  bool isInsideEvent() const { return Scanner.isInsideEvent(); }
   /// The id of the last complete event that has one; empty before the first.
   const std::string &lastId() const { return Scanner.lastId(); }
   /// Whether bytes of an incomplete event are buffered.
--- a/Services/sorrelbayd/CallResponse.cpp
+++ b/Services/sorrelbayd/CallResponse.cpp
@@ -18,32 +18,54 @@
 }
 
 void CallResponse::append(std::string_view bytes) {
-  if (Start.IsEventStream) {
-    if (!HasBegun)
-      begin();
-    const std::string completeEvents = Events.feed(bytes);
-    Exchange->write(Start.IsResumable ? completeEvents : bytes);
-    return;
-  }
+  if (Start.IsEventStream)
+    return appendEvents(bytes);
   Body.append(bytes);
   if (Body.size() <= MaxBufferedResponse)
     return;
+  send(Body);
+  Body.clear();
+}
+
+void CallResponse::appendEvents(std::string_view bytes) {
+  if (Start.IsResumable)
+    return send(Events.feed(bytes));
+  Events.pass(bytes);
+  send(bytes);
+}
+
+void CallResponse::send(std::string_view bytes) {
+  if (bytes.empty())
+    return;
   if (!HasBegun)
     begin();
-  Exchange->write(Body);
-  Body.clear();
+  Exchange->write(bytes);
 }
 
+ResponseEnd CallResponse::end() const {
+  if (!Start.IsEventStream)
+    return ResponseEnd::Complete;
+  const bool isUnframed = Start.Framing == BodyFraming::ConnectionEnd;
+  if (Events.isInsideEvent() && (isUnframed || Start.IsTypeNamed))
+    return ResponseEnd::InsideEvent;
+  const bool hasEvents =
+      HasBegun || Start.ContinuesEarlierCall || !Events.lastId().empty();
+  return isUnframed && !hasEvents ? ResponseEnd::WithoutEvent
+                                  : ResponseEnd::Complete;
+}
+
+/// A stream's length is not announced: the stream may break off inside its last
+/// event, or go on at another upstream with a different length.
 void CallResponse::begin() {
   HasBegun = true;
-  Exchange->begin(Start.Status, Start.Headers, Start.Length);
+  Exchange->begin(Start.Status, Start.Headers,
+                  Start.IsEventStream ? std::nullopt : Start.Length);
 }
 
 void CallResponse::finish() {
+  Body += Events.takePartialEvent();
   if (!HasBegun)
     return finish(Start.Status, Start.Headers);
-  if (Start.IsResumable)
-    Exchange->write(Events.takePartialEvent());
   Exchange->write(Body);
   Exchange->end();
 }
--- a/Services/sorrelbayd/CallResponse.h
+++ b/Services/sorrelbayd/CallResponse.h
@@ -16,11 +16,27 @@
   HttpHeaders Headers;
   std::optional<std::uint64_t> Length;
   BodyFraming Framing = BodyFraming::None;
+  /// The response is a stream, or may be one as it names no type.
   bool IsEventStream = false;
+  bool IsTypeNamed = false;
+  /// The caller received the first events of the stream by an earlier call.
+  bool ContinuesEarlierCall = false;
   /// The stream may go on at another upstream, after its last complete event.
   bool IsResumable = false;
 };
 
+/// What the end of an attempt's response proves, once its framing has ended.
+enum class ResponseEnd {
+  Complete,
+  /// A stream ended inside an event: it broke off, whatever its framing says. A
+  /// response that names no type is judged so only if nothing but its
+  /// connection marks its end.
+  InsideEvent,
+  /// A stream that ends with its connection brought no event: its upstream may
+  /// have failed before the first.
+  WithoutEvent,
+};
+
 /// The response to a call, put together from the responses of the call's
 /// attempts: an attempt's response follows that of the one before, after its
 /// last complete event.
@@ -33,8 +49,11 @@
   /// The response of another attempt begins. Drops what is left of the response
   /// before: its buffered body, or an incomplete event.
   void startAttempt(ResponseStart start);
-  /// Adds bytes of the attempt's body.
+  /// Adds bytes of the attempt's body. A resumable stream is sent to the caller
+  /// by whole events.
   void append(std::string_view bytes);
+  /// Whether the attempt's response, whose framing has ended, is complete.
+  ResponseEnd end() const;
   /// Ends the response, so that it is complete.
   void finish();
   /// Ends the response with another head.
@@ -48,11 +67,13 @@
   /// The id of the last event that was sent; empty before the first.
   const std::string &lastEventId() const { return Events.lastId(); }
   /// Whether the stream so far ends inside an event.
-  bool isInsideEvent() const { return Events.hasPartialEvent(); }
+  bool isInsideEvent() const { return Events.isInsideEvent(); }
   /// Whether so much waits for a slow caller that no more should be read.
   bool isBackedUp() const;
 
 private:
+  void appendEvents(std::string_view bytes);
+  void send(std::string_view bytes);
   void begin();
 
   std::shared_ptr<HttpExchange> Exchange;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -523,7 +523,13 @@
   start.Headers = responseHeaders();
   start.Length = CurrentSend.Head.Length;
   start.Framing = CurrentSend.Head.Framing;
-  start.IsEventStream = Identity.Route->IsStream && isSuccess();
+  // An upstream may give a plain response to a call on a stream's route.
+  const std::string type =
+      headerValue(CurrentSend.Head.Headers, "Content-Type");
+  start.IsTypeNamed = !type.empty();
+  start.IsEventStream = Identity.Route->IsStream && isSuccess() &&
+                        (type.empty() || isEventStreamType(type));
+  start.ContinuesEarlierCall = !Call.LastEventId.empty();
   start.IsResumable = Identity.Route->IsResumable;
   Response.startAttempt(std::move(start));
 }
@@ -626,6 +632,10 @@
 void GatewayCall::onEnd() {
   if (IsDone)
     return;
+  const bool isBroken =
+      !CurrentSend.IsDiscarded && Response.end() != ResponseEnd::Complete;
+  if (isBroken)
+    return onFailure(HttpFailure::Truncated);
   if (isRelaying())
     return onRelayEnd();
   if (CurrentSend.ReplyInfo.DidNotRun) {
@@ -705,6 +715,7 @@
   LogLine(Severity::Info, "stream goes on elsewhere")
       .field("id", Call.Id)
       .field("from", CurrentSend.Replica.text())
+      .field("framing", toText(CurrentSend.Head.Framing))
       .field("after_event", Response.lastEventId());
   return true;
 }
--- a/Tests/sorrelbayd/TestResponseEnds.cpp
+++ b/Tests/sorrelbayd/TestResponseEnds.cpp
@@ -17,6 +17,8 @@
   ScriptedEnd End;
   /// The framing says that the part that was sent is all.
   bool IsFramedAsComplete = false;
+  /// The response names its type, that of a stream.
+  bool IsTypeNamed = true;
 };
 
 const std::vector<Ending> Endings = {
@@ -26,6 +28,8 @@
     {Extent::InsideEvent, ScriptedEnd::Reset},
     {Extent::InsideEvent, ScriptedEnd::Silence},
     {Extent::InsideEvent, ScriptedEnd::Close, true},
+    {Extent::InsideEvent, ScriptedEnd::Close, false, false},
+    {Extent::InsideEvent, ScriptedEnd::Close, true, false},
     {Extent::BetweenEvents, ScriptedEnd::Close},
     {Extent::BetweenEvents, ScriptedEnd::Reset},
     {Extent::BetweenEvents, ScriptedEnd::Silence},
@@ -80,28 +84,33 @@
   return size + bytes + "\r\n";
 }
 
-std::string head(const std::string &request, const std::string &framing) {
+std::string head(const std::string &request, const std::string &fields) {
   return "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Call: " +
-         scriptedHeader(request, "X-Call") + "\r\n" + framing + "\r\n";
+         scriptedHeader(request, "X-Call") + "\r\n" + fields + "\r\n";
 }
 
-/// A response with the body, of which `length` bytes are announced.
-ScriptedResponse respond(const std::string &request, Framing framing,
-                         const std::string &body, std::size_t length,
-                         bool isSplit) {
-  ScriptedResponse out;
+/// The header fields by which a response of that length is framed.
+std::string framingFields(Framing framing, std::size_t length) {
   switch (framing) {
   case Framing::Length:
-    out.Parts = {
-        head(request, "Content-Length: " + std::to_string(length) + "\r\n")};
-    break;
+    return "Content-Length: " + std::to_string(length) + "\r\n";
   case Framing::Chunks:
-    out.Parts = {head(request, "Transfer-Encoding: chunked\r\n")};
-    break;
+    return "Transfer-Encoding: chunked\r\n";
   case Framing::ConnectionEnd:
-    out.Parts = {head(request, "")};
-    break;
+    return "";
   }
+  return "";
+}
+
+/// A response with the body, of which `length` bytes are announced.
+ScriptedResponse respond(const std::string &request, Framing framing,
+                         const std::string &body, std::size_t length,
+                         bool isSplit, bool isTypeNamed) {
+  ScriptedResponse out;
+  std::string fields = framingFields(framing, length);
+  if (isTypeNamed)
+    fields += "Content-Type: text/event-stream\r\n";
+  out.Parts = {head(request, fields)};
   const std::size_t step =
       isSplit ? SplitBytes : std::max<std::size_t>(1, body.size());
   for (std::size_t at = 0; at < body.size(); at += step) {
@@ -119,9 +128,11 @@
     return true;
   if (ending.Sent == Extent::Whole)
     return false;
-  if (ending.Sent == Extent::InsideEvent && isEvents)
+  if (ending.Sent == Extent::InsideEvent && isEvents && ending.IsTypeNamed)
     return true;
-  return framing != Framing::ConnectionEnd && !ending.IsFramedAsComplete;
+  if (framing == Framing::ConnectionEnd)
+    return ending.Sent == Extent::InsideEvent && isEvents;
+  return !ending.IsFramedAsComplete;
 }
 
 std::string requestText(const std::string &path, const std::string &version) {
@@ -148,13 +159,15 @@
     const std::string after = scriptedHeader(request, "X-After");
     if (!after.empty()) {
       const std::string rest = eventsAfter(std::stoul(after), newline);
-      return respond(request, framing, rest, rest.size(), isSplit);
+      return respond(request, framing, rest, rest.size(), isSplit,
+                     ending.IsTypeNamed);
     }
     const std::string sent = firstBody(ending.Sent, newline);
     const std::size_t length = ending.IsFramedAsComplete
                                    ? sent.size()
                                    : eventsAfter(0, newline).size();
-    ScriptedResponse out = respond(request, framing, sent, length, isSplit);
+    ScriptedResponse out =
+        respond(request, framing, sent, length, isSplit, ending.IsTypeNamed);
     out.End = ending.End;
     return out;
   };
@@ -177,11 +190,12 @@
         if (!RelayAddress.empty())
           callRelayHost();
         Upstream.setScript(scriptOf(ending, framing, Newline, isSplit));
-        BOOST_TEST_CONTEXT(
-            Path << " framing " << static_cast<int>(framing) << " sent "
-                 << static_cast<int>(ending.Sent) << " end "
-                 << static_cast<int>(ending.End) << " framed as complete "
-                 << ending.IsFramedAsComplete << " split " << isSplit)
+        BOOST_TEST_CONTEXT(Path << " framing " << static_cast<int>(framing)
+                                << " sent " << static_cast<int>(ending.Sent)
+                                << " end " << static_cast<int>(ending.End)
+                                << " framed as complete "
+                                << ending.IsFramedAsComplete << " typed "
+                                << ending.IsTypeNamed << " split " << isSplit)
         checkReply(callRaw(CallerAddress, requestText(Path, CallerVersion)),
                    framing, ending);
       }
@@ -243,4 +257,61 @@
     }
 }
 
+namespace {
+
+/// Responds with a stream that ends with its connection: inside an event if the
+/// replica's name begins so, otherwise whole.
+ScriptedServer::Script brokenAt(const std::string &brokenReplicas) {
+  return [=](const std::string &request) {
+    const std::string replica = scriptedHeader(request, "X-Replica");
+    const bool isBroken = replica.find(brokenReplicas) == 0;
+    const std::string body =
+        firstBody(isBroken ? Extent::InsideEvent : Extent::Whole, "\n");
+    return respond(request, Framing::ConnectionEnd, body, body.size(), false,
+                   true);
+  };
+}
+
+} // namespace
+
+// A new version crashes inside its streams. If these counted as answered, it
+// would get all calls.
+BOOST_AUTO_TEST_CASE(a_version_whose_streams_break_off_is_rolled_back) {
+  GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
+  ScriptedServer upstream(brokenAt("new"));
+  fixture.callUntil(200, "key");
+  useUpstream(fixture, upstream);
+  fixture.Store.put(ResourceKind::Moves, "desk", "v2");
+  fixture.Store.put(ResourceKind::Replicas, "new1",
+                    upstream.address() + " ready");
+  std::string status;
+  for (int n = 0; n < 4000 && status != "rolled_back"; ++n) {
+    BOOST_REQUIRE(status != "completed");
+    callRaw(fixture.CallerAddress, requestText("/n/1", "1.1"));
+    status = fixture.Store.statusOf(ResourceKind::Moves, "desk");
+  }
+  BOOST_TEST(status == "rolled_back");
+}
+
+// One of two upstreams crashes inside each of its streams. If these counted as
+// answered, it would go on getting half of all calls.
+BOOST_AUTO_TEST_CASE(an_upstream_whose_streams_break_off_is_avoided) {
+  GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
+  ScriptedServer upstream(brokenAt("r1"));
+  fixture.callUntil(200, "key");
+  for (const std::string id : {"r1", "r2"})
+    fixture.Store.put(ResourceKind::Replicas, id,
+                      upstream.address() + " ready");
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+  int broken = 0;
+  constexpr int Calls = 60;
+  for (int n = 0; n < Calls; ++n)
+    broken +=
+        callRaw(fixture.CallerAddress, requestText("/n/1", "1.1")).IsComplete
+            ? 0
+            : 1;
+  BOOST_TEST(broken > 0);
+  BOOST_TEST(broken < Calls / 4);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
