LibHttp: Free the connection of a response that ends after its last bytes

Callers saw: a connection that took no further request after a response with a length whose last bytes had been sent before its handler ended it; found while the ends of responses were read through.

Cause: Connection::end() only marked the response as ended. The step after a response runs when queued bytes have been sent, and nothing was queued.

Change: if nothing is left to send, end() takes that step itself.

Figures: async_http/a_response_that_ends_after_its_last_bytes_frees_its_connection red before (the request counted as open until its connection was given up, and the connection was not used again), green after.

--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -429,6 +429,8 @@
     QueuedOutput += "0\r\n\r\n";
   IsChunked = false;
   HasEnded = true;
+  if (!IsWriting && QueuedOutput.empty())
+    return onResponseSent();
   flush();
 }
 
--- a/Tests/LibHttp/TestAsyncHttp.cpp
+++ b/Tests/LibHttp/TestAsyncHttp.cpp
@@ -147,6 +147,25 @@
   BOOST_TEST(pair.Body == "one two");
 }
 
+// The last bytes of a response have been sent when its handler ends it. Its
+// connection would never take another request.
+BOOST_AUTO_TEST_CASE(
+    a_response_that_ends_after_its_last_bytes_frees_its_connection) {
+  Pair pair;
+  pair.Handle = [&](const std::shared_ptr<HttpExchange> &it) {
+    it->begin(200, {}, 4);
+    it->write("part");
+    it->onDrained([it] { it->end(); });
+  };
+  for (int n = 0; n < 2; ++n) {
+    pair.HasEnded = false;
+    pair.Client.send(pair.Server.address(), {}, pair.hooks());
+    pair.runUntil([&] { return pair.HasEnded; });
+    pair.runUntil([&] { return pair.Server.openRequests() == 0; });
+  }
+  BOOST_TEST(pair.Client.counts().Reused == 1U);
+}
+
 // A server closes the connection in the middle of a response. The part that was
 // received must not pass for the whole response.
 BOOST_AUTO_TEST_CASE(an_answer_that_is_cut_is_not_taken_for_whole) {
