LibHttp: Show callers of HTTP/1.0 where a response breaks off

Callers saw: a caller of HTTP/1.0, which knows no chunks, got a stream in chunks all the same. Without them it could not have told a stream that broke off from a whole one, as both end with a close.

Cause: the server framed each response without a length in chunks, whatever the version of the request. Class: an end that proves less than it is taken for, here at the server's own end.

Change: such a caller gets the body without chunks, until its connection ends. Until the response has ended, the connection is reset instead of closed (SO_LINGER), also if the process is killed; a response that ended closes it as before.

--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -14,6 +14,8 @@
 
 constexpr int ListenBacklog = 1024;
 constexpr std::size_t FirstReadBytes = 4096;
+/// HTTP/1.1, as Beast writes it.
+constexpr unsigned FirstVersionWithChunks = 11;
 constexpr Duration AcceptRetryDelay = milliseconds(50);
 /// The longest time to send the response to a malformed request, and to wait
 /// for a client to close the connection after its last response.
@@ -80,10 +82,11 @@
   void handleDisconnect();
   template <typename Message>
   void fillHeader(Message &message, int status, const HttpHeaders &headers);
+  void resetOnClose(bool isReset);
   void flush();
   void onResponseSent();
   bool closesAfterResponse() const {
-    return !KeepsAlive || ServerState->IsClosing;
+    return !KeepsAlive || EndsWithConnection || ServerState->IsClosing;
   }
 
   std::shared_ptr<SharedState> ServerState;
@@ -97,7 +100,11 @@
   bool WaitsForRequest = false;
   bool KeepsAlive = true;
   bool IsHead = false;
+  /// The client understands chunks, as clients of HTTP/1.1 do.
+  bool TakesChunks = true;
   bool IsChunked = false;
+  /// The response has neither a length nor chunks and ends with its connection.
+  bool EndsWithConnection = false;
   bool HasEnded = false;
   bool ClosesAfterResponse = false;
   bool IsWatching = false;
@@ -296,7 +303,9 @@
   auto message = Parser->release();
   Parser.reset();
   KeepsAlive = message.keep_alive();
+  EndsWithConnection = false;
   IsHead = message.method() == http::verb::head;
+  TakesChunks = message.version() >= FirstVersionWithChunks;
   HasRequest = true;
   HasEnded = false;
   ++ServerState->OpenRequests;
@@ -398,12 +407,15 @@
   if (IsClosed)
     return;
   http::response<http::empty_body> message;
+  IsChunked = !length && TakesChunks;
+  EndsWithConnection = !length && !TakesChunks;
+  if (EndsWithConnection)
+    resetOnClose(true);
   fillHeader(message, status, headers);
-  IsChunked = !length.has_value();
   if (length)
     message.content_length(*length);
   else
-    message.chunked(true);
+    message.chunked(TakesChunks);
   QueuedOutput += headerText(message);
   flush();
 }
@@ -434,6 +446,14 @@
   flush();
 }
 
+/// The client takes a close of the connection for the end of a response that
+/// ends with it. Until the response has ended, the connection is reset instead,
+/// also by the end of this process.
+void Connection::resetOnClose(bool isReset) {
+  ErrorCode ignored;
+  Socket.set_option(asio::socket_base::linger(isReset, 0), ignored);
+}
+
 void Connection::flush() {
   if (IsWriting || IsClosed || QueuedOutput.empty())
     return;
@@ -457,6 +477,8 @@
 }
 
 void Connection::onResponseSent() {
+  if (EndsWithConnection)
+    resetOnClose(false);
   HasRequest = false;
   HasEnded = false;
   --ServerState->OpenRequests;
--- a/Libraries/LibHttp/HttpExchange.h
+++ b/Libraries/LibHttp/HttpExchange.h
@@ -22,14 +22,16 @@
   virtual void respond(int status, const HttpHeaders &headers,
                        std::string body) = 0;
   /// Begins a response whose body has the given length in bytes; without a
-  /// length it is sent in chunks.
+  /// length it is sent in chunks or, to a client that does not take them, until
+  /// the connection ends.
   virtual void begin(int status, const HttpHeaders &headers,
                      std::optional<std::uint64_t> length) = 0;
   /// Adds bytes to the body of a response that was begun.
   virtual void write(std::string_view bytes) = 0;
   /// Ends a response that was begun, so that it is complete.
   virtual void end() = 0;
-  /// Closes the connection.
+  /// Closes the connection, or resets it if its close would look like the end of
+  /// the response.
   virtual void abort() = 0;
   /// The number of bytes queued for sending, because the client reads slowly.
   virtual std::size_t queuedBytes() const = 0;
