LibHttp: Take no response that is cut between its chunks for whole

Callers saw: nothing yet. A response in chunks whose connection was closed between the CR and the LF after a chunk counted as complete: an engine's stream, a desk's answer, which is kept under its idempotency key, or an object of the store.

Cause: cpp-httplib 0.11 reads such a line as the end of the body. Found by cutting each framing at each byte.

Change: sendOnce, HttpPool and HttpStream read responses with Beast's parser, as the event loop's client does, over BlockingConnection, which adds time limits and cancelling to a socket. The text of a request is made at one place for both clients. cpp-httplib remains for the server.

Ruled out: the event loop's client for these calls; each would need a loop of its own with three descriptors instead of one.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -151,27 +151,6 @@
   std::weak_ptr<ClientConnection> CallConnection;
 };
 
-/// The request in wire format.
-std::string requestText(const HttpCall &call, const std::string &address) {
-  std::string out = call.Method;
-  out += ' ';
-  out += call.Path;
-  out += " HTTP/1.1\r\n";
-  if (!hasHeader(call.Headers, "Host"))
-    out += "Host: " + address + "\r\n";
-  for (const HttpHeader &it : call.Headers) {
-    out += it.Name;
-    out += ": ";
-    out += it.Value;
-    out += "\r\n";
-  }
-  if (!call.Body.empty() || (call.Method != "GET" && call.Method != "HEAD"))
-    out += "Content-Length: " + std::to_string(call.Body.size()) + "\r\n";
-  out += "\r\n";
-  out += call.Body;
-  return out;
-}
-
 /// The timeout in a Keep-Alive header field; empty if it has none or it is
 /// malformed.
 std::optional<Duration> keepAliveTimeout(const std::string &field) {
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,83 +1,135 @@
 #include "LibHttp/HttpClient.h"
+#include "LibHttp/BlockingConnection.h"
+#include <array>
 #include <atomic>
-#include <httplib.h>
+#include <limits>
+#include <optional>
 
 namespace sorrelbay {
 
+using namespace beastcommon;
+
 namespace {
 
 constexpr std::size_t MaxIdlePerAddress = 32;
+constexpr std::size_t ReadBufferBytes = 16UL * 1024;
+constexpr std::uint32_t MaxHeaderBytes = 32UL * 1024;
+constexpr int FirstFinalStatus = 200;
+
+using ReplyParser = http::response_parser<http::buffer_body>;
+
+/// A call on a connection. The hooks return false to stop the call.
+class BlockingCall {
+public:
+  using OnReply = std::function<bool(const HttpReply &)>;
+  using OnData = std::function<bool(std::string_view)>;
+
+  BlockingCall(BlockingConnection &connection, const HttpCall &call)
+      : CallConnection(connection), What(call.Method + " " + call.Path) {}
+
+  /// Returns false if a hook stopped the call. Throws HttpOutcomeUnknown unless
+  /// the response is complete.
+  bool run(const std::string &request, const OnReply &onReply,
+           const OnData &onData) {
+    ErrorCode ec;
+    CallConnection.write(request, ec);
+    if (ec)
+      fail(ec);
+    return onReply(readHeader()) && readBody(onData);
+  }
+  /// Whether the connection can take another call.
+  bool isReusable() const {
+    return Parser && Parser->is_done() && Parser->keep_alive() &&
+           Buffer.size() == 0;
+  }
 
-std::unique_ptr<httplib::Client> connectTo(const std::string &address,
-                                           bool keepAlive) {
-  const std::size_t colon = address.rfind(':');
-  if (colon == std::string::npos)
-    throw HttpNotSent("expected an address as ip:port, got: " + address);
-  const std::string host = address.substr(0, colon);
-  const int port = std::atoi(address.c_str() + colon + 1);
-  auto client = std::make_unique<httplib::Client>(host, port);
-  client->set_keep_alive(keepAlive);
-  client->set_tcp_nodelay(true);
-  return client;
-}
+private:
+  [[noreturn]] void fail(const ErrorCode &ec) const {
+    throw HttpOutcomeUnknown(What + ": " + ec.message());
+  }
 
-void setTimeouts(httplib::Client &client, const HttpCall &call) {
-  client.set_connection_timeout(call.ConnectTimeout);
-  client.set_read_timeout(call.ReadTimeout);
-  client.set_write_timeout(call.ReadTimeout);
-}
+  HttpReply readHeader() {
+    HttpReply reply;
+    while (reply.Status < FirstFinalStatus) {
+      Parser.emplace();
+      Parser->header_limit(MaxHeaderBytes);
+      Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+      ErrorCode ec;
+      http::read_header(CallConnection, Buffer, *Parser, ec);
+      if (ec)
+        fail(ec);
+      reply.Status = static_cast<int>(Parser->get().result_int());
+    }
+    reply.Headers = headersOf(Parser->get());
+    return reply;
+  }
 
-httplib::Request toRequest(const HttpCall &call) {
-  httplib::Request request;
-  request.method = call.Method;
-  request.path = call.Path;
-  request.body = call.Body;
-  for (const HttpHeader &it : call.Headers)
-    request.headers.emplace(it.Name, it.Value);
-  if (!call.Body.empty())
-    request.headers.emplace("Content-Type", call.ContentType);
-  return request;
-}
+  bool readBody(const OnData &onData) {
+    std::array<char, ReadBufferBytes> part{};
+    while (!Parser->is_done()) {
+      auto &body = Parser->get().body();
+      body.data = part.data();
+      body.size = part.size();
+      body.more = true;
+      ErrorCode ec;
+      http::read_some(CallConnection, Buffer, *Parser, ec);
+      const std::size_t n = part.size() - Parser->get().body().size;
+      if (n != 0 && !onData({part.data(), n}))
+        return false;
+      if (ec && ec != http::error::need_buffer)
+        fail(ec);
+    }
+    return true;
+  }
 
-HttpReply toReply(const httplib::Response &response) {
-  HttpReply reply;
-  reply.Status = response.status;
-  reply.Body = response.body;
-  for (const auto &it : response.headers)
-    reply.Headers.push_back({it.first, it.second});
-  return reply;
-}
+  BlockingConnection &CallConnection;
+  std::string What;
+  boost::beast::flat_buffer Buffer;
+  std::optional<ReplyParser> Parser;
+};
 
-[[noreturn]] void throwFailure(const std::string &what, httplib::Error error) {
-  const std::string text = what + ": " + httplib::to_string(error);
-  switch (error) {
-  case httplib::Error::Connection:
-  case httplib::Error::ConnectionTimeout:
-  case httplib::Error::BindIPAddress:
-    throw HttpNotSent(text);
-  default:
-    throw HttpOutcomeUnknown(text);
-  }
+/// The request in wire format.
+std::string wireText(HttpCall call, const std::string &address,
+                     bool isKeptAlive) {
+  if (!isKeptAlive)
+    call.Headers.push_back({"Connection", "close"});
+  if (!call.Body.empty() && !hasHeader(call.Headers, "Content-Type"))
+    call.Headers.push_back({"Content-Type", call.ContentType});
+  return requestText(call, address);
 }
 
-HttpReply sendOver(httplib::Client &client, const HttpCall &call) {
-  setTimeouts(client, call);
-  httplib::Request request = toRequest(call);
-  httplib::Response response;
-  auto error = httplib::Error::Success;
-  if (!client.send(request, response, error))
-    throwFailure(call.Method + " " + call.Path, error);
-  return toReply(response);
+/// Sends the call over a connected connection and waits for the complete
+/// response; also returns whether the connection can take another call.
+std::pair<HttpReply, bool> sendOver(BlockingConnection &connection,
+                                    const HttpCall &call,
+                                    const std::string &address,
+                                    bool isKeptAlive) {
+  connection.setTimeout(call.ReadTimeout);
+  HttpReply out;
+  BlockingCall blockingCall(connection, call);
+  blockingCall.run(
+      wireText(call, address, isKeptAlive),
+      [&out](const HttpReply &reply) {
+        out = reply;
+        return true;
+      },
+      [&out](std::string_view bytes) {
+        out.Body.append(bytes);
+        return true;
+      });
+  return {std::move(out), blockingCall.isReusable()};
 }
 
 } // namespace
 
 HttpReply sendOnce(const std::string &address, const HttpCall &call) {
-  return sendOver(*connectTo(address, false), call);
+  BlockingConnection connection;
+  connection.connect(address, call.ConnectTimeout);
+  return sendOver(connection, call, address, false).first;
 }
 
 struct HttpPool::Connection {
-  std::unique_ptr<httplib::Client> Client;
+  BlockingConnection Link;
 };
 
 HttpPool::HttpPool() = default;
@@ -106,8 +158,9 @@
   auto pooled = acquireConnection(address);
   if (pooled) {
     try {
-      HttpReply reply = sendOver(*pooled->Client, call);
-      releaseConnection(address, std::move(pooled));
+      auto [reply, isReusable] = sendOver(pooled->Link, call, address, true);
+      if (isReusable)
+        releaseConnection(address, std::move(pooled));
       return reply;
     } catch (const HttpOutcomeUnknown &) {
       // The pooled connection was closed or lost while idle; a new one may work
@@ -115,53 +168,50 @@
     }
   }
   auto fresh = std::make_unique<Connection>();
-  fresh->Client = connectTo(address, true);
-  HttpReply reply = sendOver(*fresh->Client, call);
-  releaseConnection(address, std::move(fresh));
+  fresh->Link.connect(address, call.ConnectTimeout);
+  auto [reply, isReusable] = sendOver(fresh->Link, call, address, true);
+  if (isReusable)
+    releaseConnection(address, std::move(fresh));
   return reply;
 }
 
 struct HttpStream::Connection {
-  std::unique_ptr<httplib::Client> Client;
+  std::string Address;
+  BlockingConnection Link;
   std::atomic<bool> IsCancelled{false};
 };
 
 HttpStream::HttpStream(const std::string &address, HttpCall call)
     : StreamConnection(std::make_unique<Connection>()), Call(std::move(call)) {
-  StreamConnection->Client = connectTo(address, false);
+  StreamConnection->Address = address;
 }
 
 HttpStream::~HttpStream() = default;
 
 void HttpStream::cancel() {
   StreamConnection->IsCancelled = true;
-  StreamConnection->Client->stop();
+  StreamConnection->Link.cancel();
 }
 
 bool HttpStream::run(const OnReply &onReply, const OnData &onData) {
-  setTimeouts(*StreamConnection->Client, Call);
-  httplib::Request request = toRequest(Call);
-  bool wasStopped = false;
-  request.response_handler = [&](const httplib::Response &response) {
-    wasStopped = StreamConnection->IsCancelled || !onReply(toReply(response));
-    return !wasStopped;
-  };
-  request.content_receiver = [&](const char *data, std::size_t n, std::uint64_t,
-                                 std::uint64_t) {
-    wasStopped =
-        StreamConnection->IsCancelled || !onData(std::string_view(data, n));
-    return !wasStopped;
-  };
-  httplib::Response response;
-  auto error = httplib::Error::Success;
-  if (StreamConnection->IsCancelled)
-    return false;
-  const bool isWhole = StreamConnection->Client->send(request, response, error);
-  if (isWhole && !wasStopped)
-    return true;
-  if (wasStopped || StreamConnection->IsCancelled)
-    return false;
-  throwFailure(Call.Method + " " + Call.Path, error);
+  const std::atomic<bool> &isCancelled = StreamConnection->IsCancelled;
+  BlockingConnection &link = StreamConnection->Link;
+  try {
+    link.connect(StreamConnection->Address, Call.ConnectTimeout);
+    link.setTimeout(Call.ReadTimeout);
+    BlockingCall blockingCall(link, Call);
+    return blockingCall.run(
+        wireText(Call, StreamConnection->Address, false),
+        [&](const HttpReply &reply) { return !isCancelled && onReply(reply); },
+        [&](std::string_view data) { return !isCancelled && onData(data); });
+  } catch (const HttpNotSent &) {
+    if (!isCancelled)
+      throw;
+  } catch (const HttpOutcomeUnknown &) {
+    if (!isCancelled)
+      throw;
+  }
+  return false;
 }
 
 } // namespace sorrelbay
--- a/Libraries/LibHttp/HttpExchange.h
+++ b/Libraries/LibHttp/HttpExchange.h
@@ -30,8 +30,8 @@
   virtual void write(std::string_view bytes) = 0;
   /// Ends a response that was begun, so that it is complete.
   virtual void end() = 0;
-  /// Closes the connection, or resets it if its close would look like the end of
-  /// the response.
+  /// Closes the connection, or resets it if its close would look like the end
+  /// of the response.
   virtual void abort() = 0;
   /// The number of bytes queued for sending, because the client reads slowly.
   virtual std::size_t queuedBytes() const = 0;
--- a/Libraries/LibHttp/HttpMessage.cpp
+++ b/Libraries/LibHttp/HttpMessage.cpp
@@ -64,4 +64,24 @@
   return out;
 }
 
+std::string requestText(const HttpCall &call, const std::string &address) {
+  std::string out = call.Method;
+  out += ' ';
+  out += call.Path;
+  out += " HTTP/1.1\r\n";
+  if (!hasHeader(call.Headers, "Host"))
+    out += "Host: " + address + "\r\n";
+  for (const HttpHeader &it : call.Headers) {
+    out += it.Name;
+    out += ": ";
+    out += it.Value;
+    out += "\r\n";
+  }
+  if (!call.Body.empty() || (call.Method != "GET" && call.Method != "HEAD"))
+    out += "Content-Length: " + std::to_string(call.Body.size()) + "\r\n";
+  out += "\r\n";
+  out += call.Body;
+  return out;
+}
+
 } // namespace sorrelbay
--- a/Libraries/LibHttp/HttpMessage.h
+++ b/Libraries/LibHttp/HttpMessage.h
@@ -65,6 +65,10 @@
   Duration ReadTimeout = seconds(5);
 };
 
+/// The request in wire format. Without a Host header field of its own it names
+/// the address.
+std::string requestText(const HttpCall &call, const std::string &address);
+
 /// A response as a client receives it.
 struct HttpReply {
   int Status = 0;
