sorrelbayd: Resume no stream after an event that has no id

Callers saw: nothing yet. A stream that broke off after an event without an id was resumed after the last event that had one, so that its caller would get the events since then twice.

Cause: the point to go on from was the last id, not the last event. Found while the ends of streams were read through.

Change: a stream is resumed only if its last complete event with data has an id of its own, or if it has sent none; otherwise its response is cut.

--- a/Libraries/LibHttp/EventScanner.cpp
+++ b/Libraries/LibHttp/EventScanner.cpp
@@ -5,6 +5,7 @@
 namespace sorrelbay {
 
 static constexpr std::string_view IdField = "id";
+static constexpr std::string_view DataField = "data";
 static constexpr std::string_view EventStreamType = "text/event-stream";
 /// The bytes of a line that are kept; a longer id is cut off.
 static constexpr std::size_t MaxLineBytes = 1024;
@@ -67,7 +68,9 @@
   HasFields = true;
   const std::string_view line = Line;
   const std::size_t colon = std::min(line.find(':'), line.size());
-  if (line.substr(0, colon) != IdField)
+  const std::string_view name = line.substr(0, colon);
+  HasData = HasData || name == DataField;
+  if (name != IdField)
     return;
   std::string_view id = line.substr(std::min(colon + 1, line.size()));
   while (!id.empty() && id.front() == ' ')
@@ -78,15 +81,20 @@
 void EventScanner::endEvent() {
   HasFields = false;
   AwaitsLineFeed = false;
+  // An event without data is not passed to the application.
+  if (NextId || HasData)
+    IsLastEventNamed = NextId.has_value() && !NextId->empty();
   if (NextId)
     LastId = std::move(*NextId);
   NextId.reset();
+  HasData = false;
 }
 
 void EventScanner::restart() {
-  std::string id = std::move(LastId);
-  *this = EventScanner();
-  LastId = std::move(id);
+  EventScanner next;
+  next.LastId = std::move(LastId);
+  next.IsLastEventNamed = IsLastEventNamed;
+  *this = std::move(next);
 }
 
 bool isEventStreamType(std::string_view contentType) {
--- a/Libraries/LibHttp/EventScanner.h
+++ b/Libraries/LibHttp/EventScanner.h
@@ -19,6 +19,9 @@
   bool isInsideEvent() const { return HasFields || LineLength != 0; }
   /// The id of the last complete event that has one; empty before the first.
   const std::string &lastId() const { return LastId; }
+  /// Whether the stream can be resumed after the last complete event: it has an
+  /// id of its own, or there is none yet.
+  bool isLastEventNamed() const { return IsLastEventNamed; }
   /// Sets the id of the event that the stream follows.
   void resumeAfter(std::string id) { LastId = std::move(id); }
   /// Forgets an incomplete event; another stream follows.
@@ -42,6 +45,8 @@
   bool AwaitsLineFeed = false;
   /// The line before ended with a CR alone.
   bool EndsLinesWithCarriageReturn = false;
+  bool HasData = false;
+  bool IsLastEventNamed = true;
   std::optional<std::string> NextId;
   std::string LastId;
 };
--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -22,6 +22,8 @@
   void pass(std::string_view bytes) { Scanner.scan(bytes); }
   /// Whether the stream so far ends inside an event.
   bool isInsideEvent() const { return Scanner.isInsideEvent(); }
+  /// Whether the stream can be resumed after the last complete event.
+  bool isLastEventNamed() const { return Scanner.isLastEventNamed(); }
   /// The id of the last complete event that has one; empty before the first.
   const std::string &lastId() const { return Scanner.lastId(); }
   /// Whether bytes of an incomplete event are buffered.
--- a/Services/sorrelbayd/CallResponse.h
+++ b/Services/sorrelbayd/CallResponse.h
@@ -64,6 +64,10 @@
 
   /// Whether a part of the response was sent to the caller.
   bool hasBegun() const { return HasBegun; }
+  /// Whether another upstream can go on with the response where it has stopped.
+  bool isResumable() const {
+    return Start.IsResumable && Events.isLastEventNamed();
+  }
   /// The id of the last event that was sent; empty before the first.
   const std::string &lastEventId() const { return Events.lastId(); }
   /// Whether the stream so far ends inside an event.
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -709,7 +709,7 @@
 /// the last complete event and within the same response, so that its caller
 /// sees a pause instead of a cut. Returns false if it must not be continued.
 bool GatewayCall::resume() {
-  if (!Identity.Route->IsResumable || !RetryState->canResume(bootNow()) ||
+  if (!Response.isResumable() || !RetryState->canResume(bootNow()) ||
       !takeRetryFromBudget())
     return false;
   LogLine(Severity::Info, "stream goes on elsewhere")
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -342,6 +342,26 @@
              "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n");
 }
 
+// A replica is reclaimed after an event without an id. A stream that went on
+// after the last id would send that event twice.
+BOOST_AUTO_TEST_CASE(a_stream_is_not_resumed_after_an_event_without_id) {
+  GatewayFixture fixture;
+  fixture.addReplica("r2");
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+  fixture.callUntil(200, "key");
+  std::atomic<int> resumed{0};
+  fixture.Upstream = [&](const std::shared_ptr<HttpExchange> &it) {
+    const HttpHeaders id = {
+        {"X-Call", headerValue(it->request().Headers, "X-Call")}};
+    resumed += headerValue(it->request().Headers, "X-After").empty() ? 0 : 1;
+    it->begin(200, id, std::nullopt);
+    it->write("id: 1\ndata: a\n\ndata: b\n\n");
+    it->onDrained([it] { it->abort(); });
+  };
+  BOOST_CHECK_THROW(fixture.call("key", "/s/1"), HttpOutcomeUnknown);
+  BOOST_TEST(resumed == 0);
+}
+
 namespace {
 
 /// Calls until the rollout's status is `status`; returns how many calls went to
