--- a/Libraries/LibHttp/BlockingConnection.h
+++ b/Libraries/LibHttp/BlockingConnection.h
@@ -29,6 +29,7 @@
   /// Reads what has arrived, or waits for it; the error is eof once the server
   /// has closed the connection. Named as Beast requires.
   template <typename Buffers>
+  // NOLINTNEXTLINE(readability-identifier-naming)
   std::size_t read_some(const Buffers &buffers, beastcommon::ErrorCode &ec) {
     for (auto it = beastcommon::asio::buffer_sequence_begin(buffers);
          it != beastcommon::asio::buffer_sequence_end(buffers); ++it) {
@@ -40,7 +41,9 @@
     return 0;
   }
 
-  template <typename Buffers> std::size_t read_some(const Buffers &buffers) {
+  template <typename Buffers>
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  std::size_t read_some(const Buffers &buffers) {
     beastcommon::ErrorCode ec;
     const std::size_t n = read_some(buffers, ec);
     if (ec)
--- a/Tests/LibDesk/TestDeskClient.cpp
+++ b/Tests/LibDesk/TestDeskClient.cpp
@@ -9,6 +9,7 @@
 const std::string Fields =
     "HTTP/1.1 200 OK\r\nConnection: close\r\nX-Request-Id: r1\r\n";
 const std::string Body = R"({"booked":true})";
+const std::string UnframedAnswer = Fields + "\r\n" + Body;
 
 /// The desk's answer to a call with an idempotency key; empty if its outcome is
 /// unknown.
@@ -53,7 +54,7 @@
   ScriptedServer desk;
   for (const ScriptedEnd end : {ScriptedEnd::Close, ScriptedEnd::Reset}) {
     desk.setScript([end](const std::string &) {
-      return ScriptedResponse{{Fields + "\r\n" + Body}, end};
+      return ScriptedResponse{{UnframedAnswer}, end};
     });
     BOOST_TEST(answerOf(desk.address()) ==
                (end == ScriptedEnd::Close ? Body : ""));
--- a/Tests/sorrelbayd/TestResponseEnds.cpp
+++ b/Tests/sorrelbayd/TestResponseEnds.cpp
@@ -65,7 +65,7 @@
 }
 
 std::string firstBody(Extent sent, const std::string &newline) {
-  const std::string whole = eventsAfter(0, newline);
+  std::string whole = eventsAfter(0, newline);
   const std::size_t last = event(LastEvent, newline).size();
   switch (sent) {
   case Extent::Whole:
