LibServing: Let no zone keep its level above the others'

Cause: of two levels, its zone's and that of the other zones, a host moved towards the upper. A zone that stood too high confirmed itself.

Change: of two middle levels the lower counts.

Ruled out: that this is all.

--- a/Libraries/LibServing/TeamRateLimiter.cpp
+++ b/Libraries/LibServing/TeamRateLimiter.cpp
@@ -158,8 +158,10 @@
       peerLevels.push_back(clampLevel(*it.Level));
   if (peerLevels.empty())
     return;
+  // Of two middle levels the lower counts: a zone that stands above the others
+  // must not confirm itself.
   const auto middle =
-      peerLevels.begin() + static_cast<long>(peerLevels.size() / 2);
+      peerLevels.begin() + static_cast<long>((peerLevels.size() - 1) / 2);
   std::nth_element(peerLevels.begin(), middle, peerLevels.end());
   const double part = *middle < Level ? DownwardStep : UpwardStep;
   Level += part * (*middle - Level);
--- a/Tests/LibServing/TestTeamRateLimiter.cpp
+++ b/Tests/LibServing/TestTeamRateLimiter.cpp
@@ -185,6 +185,29 @@
   BOOST_TEST(low.level() > before);
 }
 
+// A host knows two levels, its zone's and that of the other zones. If it keeps
+// to its zone's, the zone that stands highest takes the whole rate.
+BOOST_AUTO_TEST_CASE(a_zone_does_not_keep_a_level_above_the_others) {
+  TeamRateLimiter limiter;
+  const Instant now{seconds(100)};
+  BOOST_TEST(limiter.take(1, Rate, Burst, now));
+  constexpr double ZoneLevel = 1900;
+  constexpr double OthersLevel = -600;
+  const auto note = [&](const std::string &source, double level) {
+    PeerUsage use;
+    use.Incarnation = IncarnationId(source);
+    use.IsOlder = true;
+    use.IsSum = true;
+    use.Level = level;
+    limiter.notePeer(SourceId(source), use, now);
+  };
+  note("own zone", ZoneLevel);
+  note("other zones", OthersLevel);
+  for (int n = 0; n < 12; ++n)
+    limiter.converge(now);
+  BOOST_TEST(limiter.level() < OthersLevel + 0.05 * (ZoneLevel - OthersLevel));
+}
+
 // A host admits a call right after its start and only then receives the report
 // that the bucket is empty.
 BOOST_AUTO_TEST_CASE(a_host_that_admitted_too_early_adopts_its_peers_level) {
