LibHttp: Use no id of an event that is too long to be kept

Cause: of a line only 1,024 bytes are kept, and a longer id was cut off: a stream would have been resumed after another event than its last. Found when the diff was read again.

Change: such an event counts as one without an id; its stream is not resumed.

--- a/Libraries/LibHttp/EventScanner.cpp
+++ b/Libraries/LibHttp/EventScanner.cpp
@@ -7,7 +7,7 @@
 static constexpr std::string_view IdField = "id";
 static constexpr std::string_view DataField = "data";
 static constexpr std::string_view EventStreamType = "text/event-stream";
-/// The bytes of a line that are kept; a longer id is cut off.
+/// The bytes of a line that are kept. A longer id counts as none.
 static constexpr std::size_t MaxLineBytes = 1024;
 
 std::optional<std::size_t> EventScanner::scan(std::string_view bytes) {
@@ -50,7 +50,6 @@
   const bool isEmpty = LineLength == 0;
   const bool isComment = !isEmpty && Line.front() == ':';
   IsAfterCarriageReturn = isCarriageReturn;
-  LineLength = 0;
   if (isEmpty && HasFields) {
     AwaitsLineFeed = isCarriageReturn && !EndsLinesWithCarriageReturn;
     if (!AwaitsLineFeed)
@@ -61,6 +60,7 @@
   if (!isCarriageReturn)
     EndsLinesWithCarriageReturn = false;
   Line.clear();
+  LineLength = 0;
   return !HasFields;
 }
 
@@ -75,7 +75,7 @@
   std::string_view id = line.substr(std::min(colon + 1, line.size()));
   while (!id.empty() && id.front() == ' ')
     id.remove_prefix(1);
-  NextId = std::string(id);
+  NextId = LineLength > MaxLineBytes ? "" : std::string(id);
 }
 
 void EventScanner::endEvent() {
--- a/Tests/LibHttp/TestEventSplitter.cpp
+++ b/Tests/LibHttp/TestEventSplitter.cpp
@@ -124,6 +124,18 @@
   }
 }
 
+// A stream goes on after an id of which a part was kept. The upstream would
+// take it for another event.
+BOOST_AUTO_TEST_CASE(an_id_that_is_too_long_is_not_used) {
+  EventSplitter events;
+  events.feed("id: " + std::string(100000, '1') + "\ndata: a\n\n");
+  BOOST_TEST(events.lastId() == "");
+  BOOST_TEST(!events.isLastEventNamed());
+  events.feed("id: 2\ndata: b\n\n");
+  BOOST_TEST(events.lastId() == "2");
+  BOOST_TEST(events.isLastEventNamed());
+}
+
 // An engine ends its lines otherwise than with LF, or leaves out the space
 // before the data. Its tokens would be lost.
 BOOST_AUTO_TEST_CASE(the_data_of_events_is_read_with_any_line_ending) {
