Tests/sorrelbayd: Share the set-up of calls whose responses end oddly

Cause: three cases of response_ends set up the same host and upstream; and one check, that a caller of HTTP/1.0 gets no chunks, stood twice in a row.

Change: one function for the three, and the check once. It checks the same value as before; no other assertion, ending or row is touched.

--- a/Tests/sorrelbayd/TestResponseEnds.cpp
+++ b/Tests/sorrelbayd/TestResponseEnds.cpp
@@ -214,8 +214,6 @@
     const bool isResumed =
         isBroken && isResumable(Path) && ending.End != ScriptedEnd::Silence;
     const bool isGood = reply.Status == 200 && reply.IsComplete;
-    if (CallerVersion == "1.0")
-      BOOST_TEST(!reply.IsChunked);
     if (CallerVersion == "1.0")
       BOOST_TEST(!reply.IsChunked);
     BOOST_TEST(isGood == (!isBroken || isResumed));
@@ -227,6 +225,19 @@
   }
 };
 
+/// Checks all framings and endings at hosts that reach the upstream themselves.
+void checkDirectCalls(const std::string &path, const std::string &newline,
+                      const std::string &callerVersion) {
+  for (const Framing framing : Framings) {
+    GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
+    ScriptedServer upstream;
+    fixture.callUntil(200, "key");
+    useUpstream(fixture, upstream);
+    EndingTable{upstream, fixture.CallerAddress, path, newline, callerVersion}
+        .check(framing);
+  }
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(response_ends)
@@ -235,40 +246,20 @@
 // the whole response.
 BOOST_AUTO_TEST_CASE(a_response_that_broke_off_never_looks_complete) {
   for (const std::string &path : Paths)
-    for (const Framing framing : Framings) {
-      GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
-      ScriptedServer upstream;
-      fixture.callUntil(200, "key");
-      useUpstream(fixture, upstream);
-      EndingTable{upstream, fixture.CallerAddress, path}.check(framing);
-    }
+    checkDirectCalls(path, "\n", "1.1");
 }
 
 // The same for a caller of HTTP/1.0, which gets no chunks.
 BOOST_AUTO_TEST_CASE(a_caller_without_chunks_can_tell_what_broke_off) {
   for (const std::string &path : Paths)
-    for (const Framing framing : Framings) {
-      GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
-      ScriptedServer upstream;
-      fixture.callUntil(200, "key");
-      useUpstream(fixture, upstream);
-      EndingTable{upstream, fixture.CallerAddress, path, "\n", "1.0"}.check(
-          framing);
-    }
+    checkDirectCalls(path, "\n", "1.0");
 }
 
 // The same for streams whose lines do not end with LF.
 BOOST_AUTO_TEST_CASE(streams_with_any_line_ending_are_judged_alike) {
   for (const std::string path : {"/n/1", "/s/1"})
     for (const std::string newline : {"\r", "\r\n"})
-      for (const Framing framing : Framings) {
-        GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
-        ScriptedServer upstream;
-        fixture.callUntil(200, "key");
-        useUpstream(fixture, upstream);
-        EndingTable{upstream, fixture.CallerAddress, path, newline}.check(
-            framing);
-      }
+      checkDirectCalls(path, newline, "1.1");
 }
 
 // The same, with another host between the upstream and the caller's.
