sorrelbayd: Log which upstreams crash, and under which prompts

Cause: the line of a call names its upstream, not its prompt, and nothing says that an upstream crashed.

Change: UpstreamCrashMonitor, a unit of its own. A call that breaks off, or is given up while its upstream is silent, before it has got past the begin of its answer has its upstream checked by opening a connection; if none can be opened, the upstream has crashed. `upstream crashed` names upstream, version, manner and the parts of the prompts of the calls that may have caused it; sorrelbay_upstream_crashes_total counts. A host that reaches no upstream of the service can't tell and holds the crash back until it does. HttpFailure tells a reset from an end that is silent (Unacknowledged).

Ruled out: counting each broken call as a crash; engines also spoil answers and go on.

No decision changes: calls are placed, retried and ended as before.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -206,6 +206,11 @@
   hooks.OnFailure(why);
 }
 
+/// The failure that an error on reading stands for.
+static HttpFailure failureOf(ErrorCode ec, HttpFailure otherwise) {
+  return ec == asio::error::timed_out ? HttpFailure::Unacknowledged : otherwise;
+}
+
 void ClientConnection::failToConnect(ConnectResult result) {
   if (IsActive && Hooks.OnConnect)
     Hooks.OnConnect(result);
@@ -310,7 +315,7 @@
         if (self->IsClosed)
           return;
         if (ec)
-          return self->fail(HttpFailure::Broken);
+          return self->fail(failureOf(ec, HttpFailure::Broken));
         self->onHeaderRead();
       });
 }
@@ -372,7 +377,7 @@
   if (IsClosed)
     return;
   if (ec && ec != http::error::need_buffer)
-    return fail(HttpFailure::Truncated);
+    return fail(failureOf(ec, HttpFailure::Truncated));
   readBody();
 }
 
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -48,6 +48,9 @@
   Broken,
   /// The response was cut off after its header.
   Truncated,
+  /// The server has not acknowledged what was sent to it for a while: it, or
+  /// the path to it, is lost. It may have run the call.
+  Unacknowledged,
   /// OnSending withdrew the call. No byte of it left this host.
   Withdrawn,
 };
--- a/Libraries/LibHttp/EventScanner.cpp
+++ b/Libraries/LibHttp/EventScanner.cpp
@@ -79,6 +79,7 @@
 }
 
 void EventScanner::endEvent() {
+  ++CompleteEvents;
   HasFields = false;
   AwaitsLineFeed = false;
   // An event without data is not passed to the application.
--- a/Libraries/LibHttp/EventScanner.h
+++ b/Libraries/LibHttp/EventScanner.h
@@ -17,6 +17,8 @@
   std::optional<std::size_t> scan(std::string_view bytes);
   /// Whether the bytes so far end inside an event or a line.
   bool isInsideEvent() const { return HasFields || LineLength != 0; }
+  /// The complete events since the begin or the last restart.
+  std::size_t completeEvents() const { return CompleteEvents; }
   /// The id of the last complete event that has one; empty before the first.
   const std::string &lastId() const { return LastId; }
   /// Whether the stream can be resumed after the last complete event: it has an
@@ -36,6 +38,7 @@
   /// The begin of the current line, as far as field names and ids need it.
   std::string Line;
   std::size_t LineLength = 0;
+  std::size_t CompleteEvents = 0;
   /// The current event has a field.
   bool HasFields = false;
   /// The last byte was a CR; an LF that follows belongs to it.
--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -26,6 +26,8 @@
   bool isLastEventNamed() const { return Scanner.isLastEventNamed(); }
   /// The id of the last complete event that has one; empty before the first.
   const std::string &lastId() const { return Scanner.lastId(); }
+  /// The complete events since the last call of takePartialEvent.
+  std::size_t completeEvents() const { return Scanner.completeEvents(); }
   /// Whether bytes of an incomplete event are buffered.
   bool hasPartialEvent() const { return !PartialEvent.empty(); }
   /// Removes and returns the buffered bytes of an incomplete event. Another
--- a/Services/sorrelbayd/CallResponse.h
+++ b/Services/sorrelbayd/CallResponse.h
@@ -72,6 +72,8 @@
   const std::string &lastEventId() const { return Events.lastId(); }
   /// Whether the stream so far ends inside an event.
   bool isInsideEvent() const { return Events.isInsideEvent(); }
+  /// The complete events of the attempt's stream so far.
+  std::size_t completeEvents() const { return Events.completeEvents(); }
   /// Whether so much waits for a slow caller that no more should be read.
   bool isBackedUp() const;
 
--- /dev/null
+++ b/Services/sorrelbayd/CallSend.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "CallRelay.h"
+#include "LibHttp/AsyncHttpClient.h"
+#include "LibServing/ReplicaTable.h"
+#include "LibServing/ServingCall.h"
+#include "UpstreamCrashMonitor.h"
+
+namespace sorrelbay {
+
+/// One attempt to send a call to an upstream.
+struct CallSend {
+  UpstreamId Replica;
+  /// The host that the call is relayed to; empty if it is sent to an upstream.
+  HostId Peer;
+  RelayResult PeerResult;
+  /// When the upstream was chosen.
+  Instant At{};
+  /// When the call was written to the connection.
+  Instant SentAt{};
+  bool WasSending = false;
+  /// The call was sent and has got no byte yet.
+  bool IsWaiting = false;
+  bool HasFirstByte = false;
+  bool IsDiscarded = false;
+  /// The connection was closed or reset before the response was complete.
+  bool HasBrokenOff = false;
+  HttpReplyHead Head;
+  /// What the head states.
+  UpstreamReplyInfo ReplyInfo;
+  VersionId OfVersion;
+  Instant FirstByteAt{};
+  /// The prompt tokens and delays that were expected at the upstream.
+  ReplicaChoice Expected;
+  UpstreamCrashMonitor::SendId WatchId = 0;
+
+  /// What an end of the send shows of its upstream.
+  WatchedEnd watchedEnd(SendResult result) const;
+};
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -353,6 +353,7 @@
   ServiceRollouts.tick(now);
   updateRetryBudgets();
   Upstreams.tick(now);
+  State.Crashes.tick();
   Fleet.tick(now);
   State.logStoreCalls(now);
 }
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -353,6 +353,8 @@
   if (isRelaying())
     return;
   State.NoteConnect(Service, CurrentSend.Replica, result);
+  if (result == ConnectResult::Connected)
+    State.Crashes.noteConnected(CurrentSend.Replica);
   if (result == ConnectResult::Connected || !State.ConnectLogBudget.take(now))
     return;
   LogLine(Severity::Warning, "upstream connection failed")
@@ -376,6 +378,8 @@
   CurrentSend.IsWaiting = true;
   State.Paths.noteSent(Service, now);
   State.WatchForSilence();
+  CurrentSend.WatchId =
+      State.Crashes.begin(*State.Replicas.find(CurrentSend.Replica), Call);
   return true;
 }
 
@@ -510,6 +514,7 @@
   if (CurrentSend.IsDiscarded)
     return;
   Response.append(bytes);
+  State.Crashes.noteReceived(CurrentSend.WatchId, Response.completeEvents());
   if (Response.hasBegun() && !RetryState->isAnswering())
     RetryState->recordResponseStarted();
   if (Response.isBackedUp())
@@ -555,6 +560,7 @@
   if (CurrentSend.IsWaiting)
     State.Paths.noteWaitEnded(Service, CurrentSend.SentAt);
   CurrentSend.IsWaiting = false;
+  State.Crashes.end(CurrentSend.WatchId, CurrentSend.watchedEnd(result));
   if (result == SendResult::Broken && CurrentSend.WasSending)
     State.Paths.noteBroken(Service, bootNow());
   // Without a path to its upstreams, this host has no evidence against them.
@@ -677,6 +683,7 @@
     return onWithdrawn();
   if (isRelaying())
     return onRelayFailure(why);
+  CurrentSend.HasBrokenOff = why != HttpFailure::Unacknowledged;
   if (why == HttpFailure::NotSent && !CurrentSend.WasSending)
     return onNotSent();
   if (Response.hasBegun()) {
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -3,6 +3,7 @@
 #include "CallPlacement.h"
 #include "CallRelay.h"
 #include "CallResponse.h"
+#include "CallSend.h"
 #include "GatewayState.h"
 #include "LibHttp/HttpExchange.h"
 #include "LibServing/CallRetryState.h"
@@ -31,31 +32,6 @@
   GatewayCall(GatewayState &state, std::shared_ptr<HttpExchange> exchange);
 
 private:
-  /// One attempt to send the call to an upstream.
-  struct Send {
-    UpstreamId Replica;
-    /// The host that the call is relayed to; empty if it is sent to an
-    /// upstream.
-    HostId Peer;
-    RelayResult PeerResult;
-    /// When the upstream was chosen.
-    Instant At{};
-    /// When the call was written to the connection.
-    Instant SentAt{};
-    bool WasSending = false;
-    /// The call was sent and has got no byte yet.
-    bool IsWaiting = false;
-    bool HasFirstByte = false;
-    bool IsDiscarded = false;
-    HttpReplyHead Head;
-    /// What the head states.
-    UpstreamReplyInfo ReplyInfo;
-    VersionId OfVersion;
-    Instant FirstByteAt{};
-    /// The prompt tokens and delays that were expected at the upstream.
-    ReplicaChoice Expected;
-  };
-
   void start();
   void startRelayed();
   void decline(const char *cause);
@@ -128,7 +104,7 @@
   CallCost ExpectedCost;
   int FailedConnects = 0;
   std::shared_ptr<HttpCallHandle> Handle;
-  Send CurrentSend;
+  CallSend CurrentSend;
   CallResponse Response;
   bool IsOpen = false;
   bool IsCounted = false;
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -47,7 +47,8 @@
       Usage(Incarnation, Settings.Zone, Settings.Bounds.UsageWindow),
       Paths(reachabilitySettingsFor(Settings.Host)),
       Fleet({Settings.Host, Settings.Zone, bootNow()}),
-      Time(sorrelbay::now(), bootNow()), Random(std::random_device()()) {}
+      Time(sorrelbay::now(), bootNow()), Crashes(Client, Time, Paths, Counts),
+      Random(std::random_device()()) {}
 
 void GatewayState::noteStoreCall(const char *call, ResourceKind kind,
                                  std::optional<StoreFailure> failure) {
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -20,6 +20,7 @@
 #include "LibServing/UpstreamReachability.h"
 #include "LibServing/UsageCounts.h"
 #include "Metrics.h"
+#include "UpstreamCrashMonitor.h"
 #include <boost/asio/io_context.hpp>
 #include <functional>
 #include <map>
@@ -72,6 +73,8 @@
   std::string RelaySecret;
   FleetView Fleet;
   FleetClock Time;
+  /// Which upstreams crash, and under which calls.
+  UpstreamCrashMonitor Crashes;
   std::mt19937_64 Random;
   /// Log lines a second for calls. Successes and failures have separate limits,
   /// so that successes cannot displace failures.
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -31,6 +31,7 @@
   Family<Counter> &UpstreamConnects;
   Family<Counter> &RelayedCalls;
   Family<Counter> &Responses;
+  Family<Counter> &UpstreamCrashes;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -99,6 +100,10 @@
       Responses(counterFamily(Registry, "sorrelbay_upstream_responses_total",
                               "Responses of upstreams, by what marks the end "
                               "of their body and by how they ended.")),
+      UpstreamCrashes(counterFamily(Registry,
+                                    "sorrelbay_upstream_crashes_total",
+                                    "Crashes of upstreams that ended calls, by "
+                                    "service and by how they showed.")),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -214,6 +219,12 @@
   counter.Increment(static_cast<double>(count) - counter.Value());
 }
 
+void Metrics::countUpstreamCrash(const std::string &service,
+                                 const std::string &manner) {
+  All->UpstreamCrashes.Add({{"service", service}, {"manner", manner}})
+      .Increment();
+}
+
 void Metrics::setUpstreamConnectionCounts(const HttpClientCounts &counts) {
   raiseTo(All->IgnoredInput.Add({{"kind", "late_response"}}),
           counts.LateResponses);
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -56,6 +56,10 @@
   /// Counts an upstream's response by what marks the end of its body and by how
   /// it ended: "complete", "inside_event" or the cause of its call's failure.
   void countResponse(const std::string &framing, const std::string &end);
+  /// Counts a crash of an upstream of the service that ended calls of this
+  /// host, by how it showed: "reset" or "silence".
+  void countUpstreamCrash(const std::string &service,
+                          const std::string &manner);
   /// Sets the counts of the connections to upstreams.
   void setUpstreamConnectionCounts(const HttpClientCounts &counts);
   void setOpenCalls(std::size_t n);
--- /dev/null
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.cpp
@@ -0,0 +1,218 @@
+#include "UpstreamCrashMonitor.h"
+#include "LibBase/BootClock.h"
+#include "LibBase/Hash.h"
+#include "LibBase/LogLine.h"
+#include <algorithm>
+
+namespace sorrelbay {
+
+namespace {
+
+/// An answer with so many complete events has got past its begin.
+constexpr std::size_t EventsPastBegin = 2;
+/// An upstream that is silent for this long, while calls wait for it, is
+/// checked, and again at this interval.
+constexpr Duration SilenceLimit = milliseconds(750);
+constexpr Duration CheckInterval = seconds(2);
+/// A silent upstream can only have crashed under calls that were sent while it
+/// ran; it need not have shown that at the very moment.
+constexpr Duration AliveTolerance = milliseconds(250);
+/// What is known of an upstream without open calls is kept for this long.
+constexpr Duration UpstreamRetention = seconds(10);
+/// A crash is dropped if its service has not been reached for this long.
+constexpr Duration LongestHoldTime = seconds(5);
+/// Lost sends of an upstream that are kept until it is known whether it runs.
+constexpr std::size_t MaxLostSends = 64;
+/// Suspected parts that a log line names.
+constexpr std::size_t MaxLoggedParts = 8;
+
+} // namespace
+
+UpstreamCrashMonitor::SendId
+UpstreamCrashMonitor::begin(const ReplicaRecord &upstream,
+                            const ServingCall &call) {
+  if (call.Prompt.size() < 2)
+    return 0;
+  const SendId id = ++LastId;
+  Send send;
+  send.Upstream = upstream.Id;
+  send.CallHash = call.Id.empty() ? id : stableHash(call.Id);
+  send.Prompt = call.Prompt;
+  send.SentAt = bootNow();
+  WatchedUpstream &watched = Upstreams[upstream.Id];
+  watched.Record = upstream;
+  ++watched.OpenSends;
+  Sends.emplace(id, std::move(send));
+  return id;
+}
+
+void UpstreamCrashMonitor::noteConnected(const UpstreamId &upstream) {
+  Upstreams[upstream].AliveAt = bootNow();
+}
+
+void UpstreamCrashMonitor::noteReceived(SendId id, std::size_t events) {
+  const auto it = Sends.find(id);
+  if (it == Sends.end())
+    return;
+  Send &send = it->second;
+  WatchedUpstream &upstream = Upstreams[send.Upstream];
+  upstream.AliveAt = bootNow();
+  if (send.IsPastBegin || events < EventsPastBegin)
+    return;
+  send.IsPastBegin = true;
+  Hooks.OnSurvived(upstream.Record.OfService, send.Prompt);
+}
+
+void UpstreamCrashMonitor::end(SendId id, WatchedEnd result) {
+  const auto it = Sends.find(id);
+  if (it == Sends.end())
+    return;
+  Send send = std::move(it->second);
+  Sends.erase(it);
+  WatchedUpstream &upstream = Upstreams[send.Upstream];
+  --upstream.OpenSends;
+  if (result == WatchedEnd::Answered && !send.IsPastBegin)
+    Hooks.OnSurvived(upstream.Record.OfService, send.Prompt);
+  const Instant now = bootNow();
+  const bool isSilent = result == WatchedEnd::GivenUp &&
+                        now - send.SentAt >= SilenceLimit &&
+                        now - upstream.AliveAt >= SilenceLimit;
+  const bool isLost = result == WatchedEnd::BrokenOff || isSilent;
+  if (send.IsPastBegin || !isLost || upstream.Lost.size() >= MaxLostSends)
+    return;
+  upstream.HasBrokenOff =
+      upstream.HasBrokenOff || result == WatchedEnd::BrokenOff;
+  upstream.Lost.push_back({send.CallHash, std::move(send.Prompt), send.SentAt});
+  check(upstream, now);
+}
+
+/// Opens a connection to the upstream, to see whether it runs.
+void UpstreamCrashMonitor::check(WatchedUpstream &upstream, Instant now) {
+  if (upstream.IsChecking)
+    return;
+  upstream.IsChecking = true;
+  upstream.CheckedAt = now;
+  Client.openIdle(upstream.Record.Address,
+                  [this, id = upstream.Record.Id](ConnectResult result) {
+                    onChecked(id, result);
+                  });
+}
+
+void UpstreamCrashMonitor::onChecked(const UpstreamId &id,
+                                     ConnectResult result) {
+  const auto it = Upstreams.find(id);
+  if (it == Upstreams.end())
+    return;
+  WatchedUpstream &upstream = it->second;
+  upstream.IsChecking = false;
+  const bool isRunning = result == ConnectResult::Connected;
+  if (isRunning)
+    upstream.AliveAt = bootNow();
+  if (!isRunning) {
+    addSilentSends(id, upstream);
+    const UpstreamCrash crash = crashOf(upstream);
+    log(crash, upstream, bootNow());
+    Held.push_back({crash, bootNow()});
+    reportHeld();
+  }
+  upstream.Lost.clear();
+  upstream.HasBrokenOff = false;
+}
+
+/// Adds the calls that still wait for the upstream, which does not run.
+void UpstreamCrashMonitor::addSilentSends(const UpstreamId &id,
+                                          WatchedUpstream &upstream) {
+  for (const auto &[sendId, send] : Sends)
+    if (send.Upstream == id && !send.IsPastBegin &&
+        upstream.Lost.size() < MaxLostSends)
+      upstream.Lost.push_back({send.CallHash, send.Prompt, send.SentAt});
+}
+
+/// The crash with the calls that may have been its cause. A silent upstream can
+/// only have crashed under calls that were sent while it ran.
+UpstreamCrash
+UpstreamCrashMonitor::crashOf(const WatchedUpstream &upstream) const {
+  UpstreamCrash crash;
+  crash.Upstream = upstream.Record.Id;
+  crash.StartedMs = upstream.Record.StartedMs;
+  crash.Service = upstream.Record.OfService;
+  crash.At =
+      Time.at(upstream.HasBrokenOff ? upstream.CheckedAt : upstream.AliveAt);
+  for (const LostSend &it : upstream.Lost) {
+    if (!upstream.HasBrokenOff && it.SentAt > upstream.AliveAt + AliveTolerance)
+      continue;
+    const Instant sentAt = Time.at(it.SentAt);
+    for (std::size_t n = 0; n + 1 < it.Prompt.size(); ++n) {
+      SuspectSend &suspect = crash.Suspects[it.Prompt[n].Id];
+      if (suspect.SentAt < sentAt)
+        suspect = {sentAt, it.CallHash};
+    }
+  }
+  return crash;
+}
+
+void UpstreamCrashMonitor::log(const UpstreamCrash &crash,
+                               const WatchedUpstream &upstream, Instant now) {
+  const char *manner = upstream.HasBrokenOff ? "reset" : "silence";
+  Counts.countUpstreamCrash(crash.Service.text(), manner);
+  if (!LogBudget.take(now))
+    return;
+  std::string parts;
+  std::size_t named = 0;
+  for (const auto &[part, send] : crash.Suspects)
+    if (named++ < MaxLoggedParts)
+      parts += (parts.empty() ? "" : ",") + part;
+  LogLine(Severity::Warning, "upstream crashed")
+      .field("upstream", crash.Upstream.text())
+      .field("service", crash.Service.text())
+      .field("version", upstream.Record.OfVersion.text())
+      .field("manner", manner)
+      .field("calls", static_cast<std::int64_t>(upstream.Lost.size()))
+      .field("suspects", static_cast<std::int64_t>(crash.Suspects.size()))
+      .field("parts", parts)
+      .field("silent_ms", toMilliseconds(now - upstream.AliveAt));
+}
+
+bool UpstreamCrashMonitor::isOpenOrRecent(const WatchedUpstream &upstream,
+                                          Instant now) {
+  return upstream.OpenSends > 0 || upstream.IsChecking ||
+         now - upstream.AliveAt < UpstreamRetention;
+}
+
+/// Reports the crashes of services that this host reaches. A host that is cut
+/// off can't tell crashes from its own loss until it reaches another upstream.
+void UpstreamCrashMonitor::reportHeld() {
+  const Instant now = bootNow();
+  std::vector<HeldCrash> held = std::move(Held);
+  Held.clear();
+  for (HeldCrash &it : held) {
+    if (!Paths.isUnreachable(it.Crash.Service))
+      Hooks.OnCrash(it.Crash);
+    else if (now - it.HeldSince < LongestHoldTime)
+      Held.push_back(std::move(it));
+  }
+}
+
+void UpstreamCrashMonitor::tick() {
+  const Instant now = bootNow();
+  reportHeld();
+  std::map<UpstreamId, Instant> waitingSince;
+  for (const auto &[id, send] : Sends) {
+    if (send.IsPastBegin)
+      continue;
+    const auto [it, isNew] =
+        waitingSince.try_emplace(send.Upstream, send.SentAt);
+    if (!isNew)
+      it->second = std::min(it->second, send.SentAt);
+  }
+  for (const auto &[id, since] : waitingSince) {
+    WatchedUpstream &upstream = Upstreams[id];
+    if (now - since >= SilenceLimit && now - upstream.AliveAt >= SilenceLimit &&
+        now - upstream.CheckedAt >= CheckInterval)
+      check(upstream, now);
+  }
+  for (auto it = Upstreams.begin(); it != Upstreams.end();)
+    it = isOpenOrRecent(it->second, now) ? std::next(it) : Upstreams.erase(it);
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "LibBase/LogRateLimiter.h"
+#include "LibHttp/AsyncHttpClient.h"
+#include "LibServing/FleetClock.h"
+#include "LibServing/ReplicaRecord.h"
+#include "LibServing/ServingCall.h"
+#include "LibServing/UpstreamCrash.h"
+#include "LibServing/UpstreamReachability.h"
+#include "Metrics.h"
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace sorrelbay {
+
+/// How a send ended, as far as it shows whether its upstream still runs.
+enum class WatchedEnd {
+  /// The answer was complete.
+  Answered,
+  /// The connection was closed or reset before that.
+  BrokenOff,
+  /// It was given up, by this host or its caller, while the upstream was
+  /// silent.
+  GivenUp,
+  /// It shows nothing.
+  Other,
+};
+
+struct UpstreamCrashHooks {
+  /// A process of an upstream has crashed.
+  std::function<void(const UpstreamCrash &)> OnCrash =
+      [](const UpstreamCrash &) {};
+  /// A call got past the begin of its answer.
+  std::function<void(const ServiceId &, const std::vector<PromptPart> &)>
+      OnSurvived = [](const ServiceId &, const std::vector<PromptPart> &) {};
+};
+
+/// Finds out which upstreams crash, and which calls may have been the cause:
+/// those whose answers had not got past their begin. An upstream has crashed if
+/// calls sent to it break off or are silent and no connection to it can be
+/// opened afterwards. Watches only calls whose prompts have parts that others
+/// can share. Used on the event loop's thread only.
+class UpstreamCrashMonitor {
+public:
+  /// Identifies a watched send; 0 for one that is not watched.
+  using SendId = std::uint64_t;
+
+  UpstreamCrashMonitor(AsyncHttpClient &client, const FleetClock &time,
+                       const UpstreamReachability &paths, Metrics &counts)
+      : Client(client), Time(time), Paths(paths), Counts(counts) {}
+
+  void setHooks(UpstreamCrashHooks hooks) { Hooks = std::move(hooks); }
+  /// The call is sent to the upstream now.
+  SendId begin(const ReplicaRecord &upstream, const ServingCall &call);
+  /// A connection to the upstream was opened.
+  void noteConnected(const UpstreamId &upstream);
+  /// Bytes of the answer arrived, which has `events` complete events by now.
+  void noteReceived(SendId id, std::size_t events);
+  void end(SendId id, WatchedEnd result);
+  /// Looks for silent upstreams. To be called several times a second.
+  void tick();
+
+private:
+  struct Send {
+    UpstreamId Upstream;
+    std::uint64_t CallHash = 0;
+    std::vector<PromptPart> Prompt;
+    Instant SentAt{};
+    bool IsPastBegin = false;
+  };
+  /// A send that ended, or is silent, until it is known whether its upstream
+  /// runs.
+  struct LostSend {
+    std::uint64_t CallHash = 0;
+    std::vector<PromptPart> Prompt;
+    Instant SentAt{};
+  };
+  struct WatchedUpstream {
+    ReplicaRecord Record;
+    /// When the upstream last sent anything, or accepted a connection.
+    Instant AliveAt{};
+    Instant CheckedAt{};
+    bool IsChecking = false;
+    int OpenSends = 0;
+    std::vector<LostSend> Lost;
+    bool HasBrokenOff = false;
+  };
+
+  /// A crash that is not reported yet.
+  struct HeldCrash {
+    UpstreamCrash Crash;
+    Instant HeldSince{};
+  };
+
+  void check(WatchedUpstream &upstream, Instant now);
+  void onChecked(const UpstreamId &id, ConnectResult result);
+  void reportHeld();
+  UpstreamCrash crashOf(const WatchedUpstream &upstream) const;
+  void log(const UpstreamCrash &crash, const WatchedUpstream &upstream,
+           Instant now);
+  void addSilentSends(const UpstreamId &id, WatchedUpstream &upstream);
+  static bool isOpenOrRecent(const WatchedUpstream &upstream, Instant now);
+
+  AsyncHttpClient &Client;
+  const FleetClock &Time;
+  const UpstreamReachability &Paths;
+  Metrics &Counts;
+  UpstreamCrashHooks Hooks;
+  std::unordered_map<SendId, Send> Sends;
+  std::map<UpstreamId, WatchedUpstream> Upstreams;
+  std::vector<HeldCrash> Held;
+  SendId LastId = 0;
+  /// Log lines a second.
+  LogRateLimiter LogBudget{20};
+};
+
+} // namespace sorrelbay
