Tests/sorrelbayd: Show calls that crash engines being sent on

What callers saw: engines end one after the other, with all calls that they run.

Change: twelve engines that crash, before the first byte or inside the first event, when a call has a certain part in its prompt, in front of three hosts that take turns, so that each sees few crashes; on streams that may be sent once, streams that may be resumed and calls that may be repeated. After five crashes and three seconds, at most three calls with the part may reach engines, and all sound calls with the other part are served.

--- /dev/null
+++ b/Tests/sorrelbayd/CrashingEngines.cpp
@@ -0,0 +1,102 @@
+#include "CrashingEngines.h"
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <sstream>
+
+namespace sorrelbay {
+
+/// The time until an engine begins to write, and until a crashed one listens
+/// again.
+static constexpr Duration PrefillTime = milliseconds(15);
+static constexpr Duration RestartTime = milliseconds(150);
+
+CrashingEngines::CrashingEngines(GatewayFixture &fixture, int count,
+                                 CrashMoment moment)
+    : Fixture(fixture), Moment(moment) {
+  Fixture.onUpstream([&] {
+    for (int n = 0; n < count; ++n) {
+      Engines.push_back(std::make_unique<Engine>());
+      Engine &engine = *Engines.back();
+      engine.Timer =
+          std::make_unique<boost::asio::steady_timer>(Fixture.UpstreamLoop);
+      engine.Address = "127.0.0.1:0";
+      listen(engine);
+      engine.Address = engine.Server->address();
+    }
+  });
+  for (std::size_t n = 0; n < Engines.size(); ++n)
+    Fixture.Store.put(ResourceKind::Replicas, "e" + std::to_string(n),
+                      Engines[n]->Address + " ready");
+  Fixture.Store.remove(ResourceKind::Replicas, "r1");
+  Fixture.waitUntilSeen(ResourceKind::Replicas);
+}
+
+CrashingEngines::~CrashingEngines() {
+  Fixture.onUpstream([&] { Engines.clear(); });
+}
+
+void CrashingEngines::listen(Engine &engine) {
+  engine.Server = std::make_unique<AsyncHttpServer>(
+      Fixture.UpstreamLoop, engine.Address,
+      AsyncHttpServerHooks{[] { return HttpLimits{}; },
+                           [this, &engine](std::shared_ptr<HttpExchange> it) {
+                             serve(engine, it);
+                           }});
+}
+
+void CrashingEngines::addFatalPart(const std::string &part) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  FatalParts.push_back(part);
+}
+
+int CrashingEngines::reached(const std::string &part) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  return Reached[part];
+}
+
+/// Counts the parts, which are separated by spaces. Returns whether one is
+/// fatal.
+bool CrashingEngines::isFatal(const std::string &parts) {
+  const std::lock_guard<std::mutex> lock(Mutex);
+  std::istringstream text(parts);
+  bool out = false;
+  for (std::string part; text >> part;) {
+    ++Reached[part];
+    out = out || std::find(FatalParts.begin(), FatalParts.end(), part) !=
+                     FatalParts.end();
+  }
+  return out;
+}
+
+void CrashingEngines::serve(Engine &engine,
+                            const std::shared_ptr<HttpExchange> &exchange) {
+  const HttpHeaders headers = {
+      {"X-Call", headerValue(exchange->request().Headers, "X-Call")},
+      {"Content-Type", "text/event-stream"}};
+  if (!isFatal(headerValue(exchange->request().Headers, "X-Parts")))
+    return exchange->respond(200, headers,
+                             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n"
+                             "data: c\n\n");
+  if (Moment == CrashMoment::InsideFirstEvent) {
+    exchange->begin(200, headers, std::nullopt);
+    exchange->write("id: 1\nda");
+  }
+  engine.Timer->expires_after(PrefillTime);
+  engine.Timer->async_wait(
+      [this, &engine, exchange](boost::system::error_code ec) {
+        if (!ec)
+          crash(engine);
+      });
+}
+
+void CrashingEngines::crash(Engine &engine) {
+  ++Crashes;
+  engine.Server.reset();
+  engine.Timer->expires_after(RestartTime);
+  engine.Timer->async_wait([this, &engine](boost::system::error_code ec) {
+    if (!ec)
+      listen(engine);
+  });
+}
+
+} // namespace sorrelbay
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <sstream>
 
 namespace sorrelbay {
 
@@ -93,6 +94,14 @@
     call.PromptTokens = std::stoll(tokens);
     call.Prompt = {{"own", *call.PromptTokens}};
   }
+  const std::string parts = headerValue(request.Headers, "X-Parts");
+  if (!parts.empty()) {
+    call.PromptTokens = 100;
+    std::istringstream text(parts);
+    for (std::string part; text >> part;)
+      call.Prompt.push_back({part, 10});
+    call.Prompt.push_back({"own" + call.Id, 10});
+  }
   return call;
 }
 
@@ -284,6 +293,7 @@
         {"X-Replica", it.Replica.text()},
         {"X-After", it.ResumeAfter},
         {"X-Call", headerValue(request.Headers, "X-Call")},
+        {"X-Parts", headerValue(request.Headers, "X-Parts")},
         {"X-Team", it.Team.text()},
         {"X-Wait-Ms", std::to_string(toMilliseconds(it.WaitLimit))}};
     return call;
@@ -405,14 +415,14 @@
             UpstreamServer->address() + (isLeaving ? " leaving" : " ready"));
 }
 
-std::unique_ptr<GatewayHost> GatewayFixture::addHost(const std::string &name) {
+std::unique_ptr<GatewayHost> GatewayFixture::addHost(const std::string &name,
+                                                     bool isDirect) {
   std::unique_ptr<GatewayHost> host(
       new GatewayHost{UpstreamPath(UpstreamServer->address()), nullptr, ""});
   host->Served = std::make_unique<Gateway>(
       settingsFor(name, KeyRemoval, Grace, RetryShare),
-      [this, path = host->Path.address()](boost::asio::io_context &loop) {
-        return hooks(loop, path);
-      });
+      [this, path = isDirect ? std::string() : host->Path.address()](
+          boost::asio::io_context &loop) { return hooks(loop, path); });
   host->Served->start();
   host->CallerAddress = host->Served->callerAddress();
   const auto names = [](const Gateway &it, const std::string &address) {
@@ -436,8 +446,9 @@
 }
 
 HttpReply GatewayFixture::callAt(const std::string &address,
-                                 const std::string &path) {
-  return send(address, "key", path);
+                                 const std::string &path,
+                                 const std::string &parts) {
+  return send(address, "key", path, parts);
 }
 
 HttpReply GatewayFixture::call(const std::string &key,
@@ -446,8 +457,8 @@
 }
 
 HttpReply GatewayFixture::send(const std::string &address,
-                               const std::string &key,
-                               const std::string &path) const {
+                               const std::string &key, const std::string &path,
+                               const std::string &parts) const {
   static std::atomic<int> lastId{0};
   HttpCall call;
   call.Method = "POST";
@@ -458,6 +469,8 @@
                   {"X-Key", key}};
   if (PromptTokens != 0)
     call.Headers.push_back({"X-Tokens", std::to_string(PromptTokens)});
+  if (!parts.empty())
+    call.Headers.push_back({"X-Parts", parts});
   return sendOnce(address, call);
 }
 
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -78,12 +78,17 @@
   void waitUntilSeen(ResourceKind kind);
   /// Sends a call with that key; the timeout of the route is three seconds.
   HttpReply call(const std::string &key, const std::string &path = "/a/1");
-  /// The same at the host with that address.
-  HttpReply callAt(const std::string &address, const std::string &path);
+  /// The same at the host with that address. The call's prompt has the parts,
+  /// which are separated by spaces, and one of its own.
+  HttpReply callAt(const std::string &address, const std::string &path,
+                   const std::string &parts = "");
   /// The addresses that the host names to callers, separated by spaces.
   static std::string lookUp(const Gateway &host);
-  /// Starts another host, and waits until it and the first name each other.
-  std::unique_ptr<GatewayHost> addHost(const std::string &name);
+  /// Starts another host, and waits until it and the first name each other. It
+  /// reaches the upstream over its path or, with `isDirect`, all upstreams as
+  /// they are registered.
+  std::unique_ptr<GatewayHost> addHost(const std::string &name,
+                                       bool isDirect = false);
   /// Repeats the call until its response has that status. Fails the test if it
   /// never does.
   HttpReply callUntil(int status, const std::string &key,
@@ -109,7 +114,7 @@
 
 private:
   HttpReply send(const std::string &address, const std::string &key,
-                 const std::string &path) const;
+                 const std::string &path, const std::string &parts = "") const;
   GatewayHooks hooks(boost::asio::io_context &loop,
                      const std::string &upstreamAddress);
 
--- /dev/null
+++ b/Tests/sorrelbayd/TestPromptCrashes.cpp
@@ -0,0 +1,106 @@
+#include "CrashingEngines.h"
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace sorrelbay;
+
+namespace {
+
+constexpr int EngineCount = 12;
+/// The platform allows so many requests with a fatal part to reach engines
+/// after the fifth crash and the time in which hosts notice.
+constexpr int CrashesUntilBound = 5;
+constexpr int AllowedRequests = 3;
+constexpr Duration NoticeTime = seconds(3);
+constexpr int CallsAfterBound = 12;
+constexpr Duration CallInterval = milliseconds(40);
+
+const CrashMoment Moments[] = {CrashMoment::BeforeFirstByte,
+                               CrashMoment::InsideFirstEvent};
+/// Streams that may be sent once, streams that may be resumed, and calls that
+/// may be repeated.
+const std::string Paths[] = {"/n/1", "/s/1", "/q/1"};
+
+/// Three hosts that take turns, so that each sees few crashes.
+struct Hosts {
+  explicit Hosts(GatewayFixture &fixture)
+      : Fixture(fixture), Second(fixture.addHost("second", true)),
+        Third(fixture.addHost("third", true)) {}
+
+  HttpReply call(const std::string &path, const std::string &parts) {
+    const std::string addresses[] = {
+        Fixture.CallerAddress, Second->CallerAddress, Third->CallerAddress};
+    try {
+      return Fixture.callAt(addresses[Turn++ % 3], path, parts);
+    } catch (const HttpOutcomeUnknown &) {
+      // The response was cut.
+      return {};
+    }
+  }
+
+  GatewayFixture &Fixture;
+  std::unique_ptr<GatewayHost> Second;
+  std::unique_ptr<GatewayHost> Third;
+  std::size_t Turn = 0;
+};
+
+/// Checks how many calls with a fatal part reach engines, and that sound calls
+/// with the other parts of their prompts are served.
+void checkBound(CrashMoment moment, const std::string &path) {
+  GatewayFixture fixture;
+  Hosts hosts(fixture);
+  CrashingEngines engines(fixture, EngineCount, moment);
+  engines.addFatalPart("fatal");
+  for (int n = 0; n < 40 && engines.crashes() < CrashesUntilBound; ++n) {
+    hosts.call(path, "shared fatal");
+    hosts.call(path, "shared other");
+    std::this_thread::sleep_for(CallInterval);
+  }
+  BOOST_REQUIRE(engines.crashes() >= CrashesUntilBound);
+  std::this_thread::sleep_for(NoticeTime);
+  const int reached = engines.reached("fatal");
+  int served = 0;
+  for (int n = 0; n < CallsAfterBound; ++n) {
+    hosts.call(path, n % 2 == 0 ? "shared fatal" : "fatal shared");
+    served += hosts.call(path, "shared other").Status == 200 ? 1 : 0;
+    std::this_thread::sleep_for(CallInterval);
+  }
+  BOOST_TEST(engines.reached("fatal") - reached <= AllowedRequests);
+  BOOST_TEST(served == CallsAfterBound);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(prompt_crashes)
+
+// Calls with one part in their prompts crash an engine each. Unless hosts find
+// the part out, they send on until all engines are down.
+BOOST_AUTO_TEST_CASE(calls_that_crash_engines_are_not_sent_on) {
+  for (const CrashMoment moment : Moments)
+    for (const std::string &path : Paths)
+      BOOST_TEST_CONTEXT(moment << ", " << path)
+  checkBound(moment, path);
+}
+
+// What is logged and counted as a crash must be one, or prompts are suspected
+// for responses that an upstream spoils.
+BOOST_AUTO_TEST_CASE(upstreams_that_crash_are_counted) {
+  const std::string count = "sorrelbay_upstream_crashes_total{"
+                            "manner=\"reset\",service=\"desk\"}";
+  GatewayFixture fixture;
+  fixture.Upstream = [](const std::shared_ptr<HttpExchange> &it) {
+    it->abort();
+  };
+  for (int n = 0; n < CallsAfterBound; ++n)
+    fixture.callAt(fixture.CallerAddress, "/n/1", "shared fatal");
+  BOOST_TEST(fixture.metric(count) == 0);
+  CrashingEngines engines(fixture, EngineCount, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart("fatal");
+  fixture.callAt(fixture.CallerAddress, "/n/1", "shared other");
+  BOOST_TEST(fixture.metric(count) == 0);
+  fixture.callAt(fixture.CallerAddress, "/n/1", "shared fatal");
+  std::this_thread::sleep_for(CallInterval);
+  BOOST_TEST(fixture.metric(count) == 1);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
