LibServing: Find the parts of prompts under which upstreams crash

Each host sees few crashes, and all calls of an engine end with it, so that neither a host nor a single crash shows anything.

Change: PromptQuarantine, a pure unit. Hosts report to each other which parts, of the calls whose answers had not got past their begin, ended with which process of which upstream, and which parts survived; the reports are merged, whatever is late, lost or repeated. Reports carry what is known when it changes and once a second.

Ruled out: counting crashes alone (a zone that fails at once, or a hot prompt while engines crash in series); thresholds by share (each host sees few); trying a part again to find out (the bound counts that, too).

Tests: prompt_quarantine/* with 1, 6, 24 and 58 hosts, 4 to 116 engines, resets and silence, sends with and without repeats, late and lost reports, kills, all hosts killed, the store away, cuts; two parts, a victim's part mixed in; a zone that fails twice, engines that crash in series under a hot part.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/FleetReportCodec.h"
+#include "LibPeer/CrashKnowledgeJson.h"
 #include "LibPeer/PeerFailures.h"
 #include <nlohmann/json.hpp>
 
@@ -82,6 +83,7 @@
 /// The position of the rate limits in a report.
 constexpr std::size_t RateLimitsField = 19;
 constexpr std::size_t RejectionLimitsField = 20;
+constexpr std::size_t CrashesField = 21;
 
 json rateLimitsToJson(const LimitStatements &limits) {
   json out = json::array();
@@ -140,6 +142,8 @@
   if (messageFields.size() > RejectionLimitsField)
     report.RejectionLimits =
         rateLimitsFromJson(messageFields.at(RejectionLimitsField));
+  if (messageFields.size() > CrashesField)
+    report.Crashes = crashKnowledgeFromJson(messageFields.at(CrashesField));
   return report;
 }
 
@@ -204,7 +208,8 @@
                   demand,
                   included,
                   rateLimitsToJson(report.RateLimits),
-                  rateLimitsToJson(report.RejectionLimits)});
+                  rateLimitsToJson(report.RejectionLimits),
+                  crashKnowledgeToJson(report.Crashes)});
 }
 
 std::string encodeFleetMessage(const RelayedChanges &relayedChanges) {
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -3,6 +3,7 @@
 #include "LibLoad/EngineDemand.h"
 #include "LibServing/ReplicaTable.h"
 #include "LibServing/TeamRateLimiter.h"
+#include "LibServing/UpstreamCrash.h"
 #include "LibServing/UsageCounts.h"
 #include <map>
 #include <set>
@@ -106,6 +107,10 @@
   LimitStatements RateLimits;
   /// The same about the rejections a second that they bear.
   LimitStatements RejectionLimits;
+  /// What the reporter knows of crashes of upstreams and of quarantined
+  /// prompts, its own and what other hosts reported to it; in some reports
+  /// only.
+  CrashKnowledge Crashes;
   /// The hosts' records of rollouts, as encoded by RolloutCodec; empty if there
   /// are none.
   std::string Moves;
--- a/Libraries/LibServing/FleetReportMerger.cpp
+++ b/Libraries/LibServing/FleetReportMerger.cpp
@@ -6,6 +6,8 @@
 static constexpr std::size_t ReportedWindows = 3;
 /// Processes that are started together may start this far apart.
 static constexpr Duration MaxStartSkew = seconds(1);
+/// What is known of crashes is reported this often, as reports may be lost.
+static constexpr Duration CrashReportInterval = seconds(1);
 
 /// The newest windows, at most ReportedWindows of them.
 static std::map<WindowNumber, TeamCounts>
@@ -23,6 +25,8 @@
 
 void FleetReportMerger::take(const FleetReport &report, const FleetMember &self,
                              Instant now) {
+  if (!report.Crashes.empty())
+    Tables.Quarantine.merge(report.Crashes, Tables.Time.at(now));
   for (const auto &[window, counts] : report.Usage) {
     if (report.Scope == ReportScope::Host)
       Tables.Usage.noteHost(report.Zone, report.Incarnation, window, counts);
@@ -115,7 +119,7 @@
     limiter.converge(now);
 }
 
-void FleetReportMerger::fillOwnReport(FleetReport &report, Instant now) const {
+void FleetReportMerger::fillOwnReport(FleetReport &report, Instant now) {
   report.Open = Tables.Replicas.ownWork();
   report.Demand = Tables.Demand.own(now);
   report.RateLimits = Tables.Replicas.statements().ownRateLimits(now);
@@ -126,6 +130,13 @@
       report.Levels[team] = *level;
   }
   report.Usage = newestWindows(Tables.Usage.own());
+  const std::uint64_t revision = Tables.Quarantine.revision();
+  if (revision == ReportedCrashRevision &&
+      now - CrashesReportedAt < CrashReportInterval)
+    return;
+  report.Crashes = Tables.Quarantine.knowledge(Tables.Time.at(now));
+  ReportedCrashRevision = revision;
+  CrashesReportedAt = now;
 }
 
 void FleetReportMerger::fillUsage(FleetReport &sum) const {
--- a/Libraries/LibServing/FleetReportMerger.h
+++ b/Libraries/LibServing/FleetReportMerger.h
@@ -2,6 +2,7 @@
 
 #include "LibServing/FleetClock.h"
 #include "LibServing/FleetView.h"
+#include "LibServing/PromptQuarantine.h"
 #include "LibServing/ReplicaTable.h"
 #include "LibServing/TeamRateLimiter.h"
 #include "LibServing/UsageCounts.h"
@@ -18,6 +19,7 @@
   std::map<TeamId, TeamRateLimiter> &RateLimiters;
   UsageCounts &Usage;
   FleetClock &Time;
+  PromptQuarantine &Quarantine;
 };
 
 /// Merges the reports of other hosts into this host's tables so that each
@@ -43,8 +45,9 @@
   /// Moves the levels of the teams' rate limiters towards those of other hosts;
   /// to be called a few times a second.
   void converge(Instant now);
-  /// Fills this host's own work and usage into its report.
-  void fillOwnReport(FleetReport &report, Instant now) const;
+  /// Fills this host's own work and usage into its report, and what it knows of
+  /// crashes if that has changed or was not reported for a while.
+  void fillOwnReport(FleetReport &report, Instant now);
   /// Fills the usage of the hosts that a sum covers into it.
   void fillUsage(FleetReport &sum) const;
 
@@ -59,6 +62,9 @@
   /// The sources whose reports are in the tables.
   std::map<SourceId, FleetReport> CountedReports;
   bool HasCountedSum = false;
+  /// What was last reported of crashes, and when.
+  std::uint64_t ReportedCrashRevision = 0;
+  Instant CrashesReportedAt{};
 };
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -60,7 +60,7 @@
       ProcessStartedAt(bootNow()),
       ReportMerger(state.Fleet,
                    {state.Replicas, state.Demand, state.RateLimiters,
-                    state.Usage, state.Time},
+                    state.Usage, state.Time, state.Quarantine},
                    ProcessStartedAt, logSource) {}
 
 void GatewayFleet::listen() {
@@ -84,7 +84,7 @@
   return self;
 }
 
-FleetReport GatewayFleet::ownReport(Instant now) const {
+FleetReport GatewayFleet::ownReport(Instant now) {
   FleetReport report;
   report.Reporter = State.Settings.Host;
   report.Zone = State.Settings.Zone;
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -61,7 +61,7 @@
 
 private:
   void applyReport(const FleetReport &report);
-  FleetReport ownReport(Instant now) const;
+  FleetReport ownReport(Instant now);
   void sendOwnReport(const FleetReport &own, Instant now);
   void publishAggregates(const FleetReport &own, Instant now);
   void updateLinks(Instant now);
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -12,6 +12,7 @@
 #include "LibServing/DeferredFailures.h"
 #include "LibServing/FleetClock.h"
 #include "LibServing/FleetView.h"
+#include "LibServing/PromptQuarantine.h"
 #include "LibServing/RelayPeers.h"
 #include "LibServing/ReplicaTable.h"
 #include "LibServing/ServingPlan.h"
@@ -73,6 +74,8 @@
   std::string RelaySecret;
   FleetView Fleet;
   FleetClock Time;
+  /// The parts of prompts under which upstreams crash.
+  PromptQuarantine Quarantine;
   /// Which upstreams crash, and under which calls.
   UpstreamCrashMonitor Crashes;
   std::mt19937_64 Random;
--- a/Tests/LibServing/SimulatedHost.cpp
+++ b/Tests/LibServing/SimulatedHost.cpp
@@ -19,8 +19,11 @@
   RateLimiters.clear();
   Usage = std::make_unique<UsageCounts>(Incarnation, Member.Zone, UsageWindow);
   Time = std::make_unique<FleetClock>(now, now);
+  Quarantine = std::make_unique<PromptQuarantine>();
   ReportMerger = std::make_unique<FleetReportMerger>(
-      *View, FleetTables{*Replicas, *Demand, RateLimiters, *Usage, *Time}, now);
+      *View,
+      FleetTables{*Replicas, *Demand, RateLimiters, *Usage, *Time, *Quarantine},
+      now);
 }
 
 FleetReport SimulatedHost::nextReport(Instant now) {
--- a/Tests/LibServing/SimulatedHost.h
+++ b/Tests/LibServing/SimulatedHost.h
@@ -26,6 +26,7 @@
   std::map<TeamId, TeamRateLimiter> RateLimiters;
   std::unique_ptr<UsageCounts> Usage;
   std::unique_ptr<FleetClock> Time;
+  std::unique_ptr<PromptQuarantine> Quarantine;
   std::unique_ptr<FleetReportMerger> ReportMerger;
 
   /// Starts a new process without any state of the previous one. The number
