sorrelbayd: Send no calls with parts of prompts that crash upstreams

Class: evidence that is counted by where it was seen, not by what its cases have in common.

Change: a call whose prompt is quarantined is rejected before it is placed, relayed, repeated or resumed, again when it is written to a connection that it waited for, and is withdrawn from an engine where it waits. Its caller gets 400 without Retry-After if it was sent to no upstream, and 502 if it may have run; its units are given back. `prompt quarantine`, `call has a quarantined prompt`, the cause prompt_quarantined, sorrelbay_quarantines and sorrelbay_quarantine_changes_total.

Ruled out: 503 (invites a repeat), 502 for all (says nothing about having run).

--- a/Services/sorrelbayd/CallLog.cpp
+++ b/Services/sorrelbayd/CallLog.cpp
@@ -11,16 +11,17 @@
     return state.Counts.countRelayedCall("received", result);
   const std::string route = record.Route ? record.Route->Name.text() : "";
   state.Counts.countCall(route, result);
-  if (record.Framing)
-    state.Counts.countResponse(toText(*record.Framing),
+  const CallSend &send = *record.LastSend;
+  if (send.Head.Status != 0)
+    state.Counts.countResponse(toText(send.Head.Framing),
                                record.EndedInsideEvent ? InsideEvent
                                : *record.Cause == 0    ? "complete"
                                                        : record.Cause);
   if (record.FirstByteAt == Instant{})
     return;
   state.Counts.observeFirstToken(route, record.FirstByteAt - record.ReceivedAt);
-  if (record.Expected.FirstToken > Duration::zero())
-    state.Counts.observeExpectedFirstToken(route, record.Expected.FirstToken);
+  if (send.Expected.FirstToken > Duration::zero())
+    state.Counts.observeExpectedFirstToken(route, send.Expected.FirstToken);
 }
 
 static void addTeam(LogLine &line, GatewayState &state,
@@ -39,17 +40,18 @@
     line.field("sends", static_cast<std::int64_t>(*record.Sends))
         .field("failed_connects",
                static_cast<std::int64_t>(record.FailedConnects));
-  if (!record.Upstream.empty())
-    line.field("upstream", record.Upstream.text());
-  if (record.Framing)
-    line.field("framing", toText(*record.Framing));
+  const CallSend &send = *record.LastSend;
+  if (!send.Replica.empty())
+    line.field("upstream", send.Replica.text());
+  if (send.Head.Status != 0)
+    line.field("framing", toText(send.Head.Framing));
   if (record.EndedInsideEvent)
     line.field("response_end", InsideEvent);
-  if (!record.RelayedTo.empty())
-    line.field("relayed_to", record.RelayedTo.text());
+  if (!send.Peer.empty())
+    line.field("relayed_to", send.Peer.text());
   if (!record.RelayedFrom.empty())
     line.field("relayed_from", record.RelayedFrom.text());
-  const ReplicaChoice &expected = record.Expected;
+  const ReplicaChoice &expected = send.Expected;
   if (expected.FirstToken > Duration::zero())
     line.field("expected_wait_ms", toMilliseconds(expected.Wait))
         .field("expected_first_byte_ms", toMilliseconds(expected.FirstToken))
--- a/Services/sorrelbayd/CallLog.h
+++ b/Services/sorrelbayd/CallLog.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "CallSend.h"
 #include "GatewayState.h"
 #include <optional>
 #include <string>
@@ -22,15 +23,11 @@
   /// Empty if the call was refused before anything was decided.
   std::optional<int> Sends;
   int FailedConnects = 0;
-  UpstreamId Upstream;
-  /// What marks the end of the upstream's response; empty if there is none.
-  std::optional<BodyFraming> Framing;
+  /// The last send of the call.
+  const CallSend *LastSend = nullptr;
   /// The upstream's stream ended inside an event.
   bool EndedInsideEvent = false;
-  /// The delays that were expected at the upstream.
-  ReplicaChoice Expected;
-  /// The host that the call was relayed to, or from; empty if it was not.
-  HostId RelayedTo;
+  /// The host that the call was relayed from; empty if it was not.
   HostId RelayedFrom;
   const PlanIndex *Plan = nullptr;
 };
--- a/Services/sorrelbayd/CallPlacement.cpp
+++ b/Services/sorrelbayd/CallPlacement.cpp
@@ -3,6 +3,20 @@
 
 namespace sorrelbay {
 
+const char *causeOf(UnavailabilityCause cause) {
+  switch (cause) {
+  case UnavailabilityCause::Cold:
+    return "upstreams_cold";
+  case UnavailabilityCause::Limited:
+    return "upstreams_limited";
+  case UnavailabilityCause::Paused:
+    return "upstreams_paused";
+  case UnavailabilityCause::NoUpstream:
+    break;
+  }
+  return "no_upstream";
+}
+
 /// Whether this host may use a connection to the upstream. An upstream accepts
 /// a limited number of connections from all hosts together and resets those
 /// beyond it along with their calls, so each host uses at most its share.
--- a/Services/sorrelbayd/CallPlacement.h
+++ b/Services/sorrelbayd/CallPlacement.h
@@ -19,6 +19,9 @@
   bool IsDemandCounted = false;
 };
 
+/// The name in logs and metrics of why no upstream takes a call.
+const char *causeOf(UnavailabilityCause cause);
+
 /// Chooses the upstreams for one call, for its first attempt and for repeats,
 /// and counts the call as demand for the service's engines.
 class CallPlacement {
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -69,6 +69,15 @@
                              const UpstreamId &upstream, ConnectResult result) {
     Upstreams.noteConnect(service, upstream, result);
   };
+  State.Crashes.setHooks(
+      {[this](const UpstreamCrash &crash) {
+         State.Quarantine.noteCrash(crash, State.Time.at(bootNow()));
+         Fleet.publishPromptly();
+       },
+       [this](const ServiceId &service, const std::vector<PromptPart> &prompt) {
+         State.Quarantine.noteSurvived(service, prompt,
+                                       State.Time.at(bootNow()));
+       }});
   State.WatchForSilence = [this] { Upstreams.watchForSilence(); };
   State.IsRollingOut = [this](const ServiceId &service) {
     return ServiceRollouts.isRollingOut(service);
@@ -152,9 +161,12 @@
     State.Counts.setBundleGeneration(State.Plan ? State.Plan->plan().Version
                                                 : 0);
     if (State.Plan)
-      for (const ServingService &it : State.Plan->plan().Services)
+      for (const ServingService &it : State.Plan->plan().Services) {
         State.Counts.setEngineDemand(it.Name.text(),
                                      State.Demand.total(it.Name, bootNow()));
+        State.Counts.setQuarantines(it.Name.text(),
+                                    State.Quarantine.inForce(it.Name));
+      }
     exchange->respond(Ok, {{"Content-Type", "text/plain; version=0.0.4"}},
                       State.Counts.render());
   };
@@ -354,6 +366,8 @@
   updateRetryBudgets();
   Upstreams.tick(now);
   State.Crashes.tick();
+  State.Quarantine.tick(State.Time.at(now));
+  State.Crashes.withdraw(State.Quarantine);
   Fleet.tick(now);
   State.logStoreCalls(now);
 }
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -5,6 +5,7 @@
 #include "LibBase/LogLine.h"
 #include "LibHttp/TimerExpiry.h"
 #include "LibPeer/PeerFailures.h"
+#include "QuarantineLog.h"
 #include "ResponseStatements.h"
 #include <algorithm>
 
@@ -12,6 +13,7 @@
 
 namespace {
 
+constexpr int BadRequest = 400;
 constexpr int Forbidden = 403;
 constexpr int BadGateway = 502;
 constexpr int Unavailable = 503;
@@ -44,20 +46,6 @@
 /// once, so that they do not send other calls to the same engine.
 constexpr Duration LargePrompt = milliseconds(100);
 
-const char *causeOf(UnavailabilityCause cause) {
-  switch (cause) {
-  case UnavailabilityCause::Cold:
-    return "upstreams_cold";
-  case UnavailabilityCause::Limited:
-    return "upstreams_limited";
-  case UnavailabilityCause::Paused:
-    return "upstreams_paused";
-  case UnavailabilityCause::NoUpstream:
-    break;
-  }
-  return "no_upstream";
-}
-
 } // namespace
 
 void GatewayCall::serve(GatewayState &state,
@@ -188,6 +176,10 @@
   if (canSwitchUpstream)
     at = std::min(at, CurrentSend.At +
                           Identity.Route->LatencyTarget * SilenceTimeoutFactor);
+  waitUntil(at);
+}
+
+void GatewayCall::waitUntil(Instant at) {
   Timer.expires_after(std::max<Duration>(at - bootNow(), Duration::zero()));
   Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
     if (!ec && !self->IsDone && hasExpired(self->Timer))
@@ -206,12 +198,7 @@
       endSend(SendResult::Broken);
       return trySend();
     }
-    Timer.expires_after(RetryState->deadline() - now);
-    Timer.async_wait([self = shared_from_this()](boost::system::error_code ec) {
-      if (!ec && !self->IsDone && hasExpired(self->Timer))
-        self->onTimer();
-    });
-    return;
+    return waitUntil(RetryState->deadline());
   }
   if (IsOpen) {
     Handle->cancel();
@@ -241,6 +228,8 @@
   if (Response.hasBegun() ? !RetryState->canResume(now)
                           : !RetryState->canSend(now))
     return finishLocally("no_attempt_left");
+  if (State.Quarantine.matching(Service, Call.Prompt))
+    return finishQuarantined();
   if (prefersRelay() && tryRelay(now))
     return;
   const auto chosen = Upstreams->choose(now);
@@ -368,7 +357,9 @@
 /// now that there is a connection.
 bool GatewayCall::onSending() {
   const Instant now = bootNow();
-  if (!isRelaying() && !State.Replicas.maySend(CurrentSend.Replica, now))
+  const bool maySend =
+      isRelaying() || State.Replicas.maySend(CurrentSend.Replica, now);
+  if (!maySend || State.Quarantine.matching(Service, Call.Prompt))
     return false;
   CurrentSend.WasSending = true;
   CurrentSend.SentAt = now;
@@ -379,10 +370,33 @@
   State.Paths.noteSent(Service, now);
   State.WatchForSilence();
   CurrentSend.WatchId =
-      State.Crashes.begin(*State.Replicas.find(CurrentSend.Replica), Call);
+      State.Crashes.begin(*State.Replicas.find(CurrentSend.Replica), Call,
+                          [weak = weak_from_this()] {
+                            if (const auto self = weak.lock())
+                              self->onQuarantined();
+                          });
   return true;
 }
 
+/// Rejects a call that no upstream may get. It did not run unless it was sent
+/// before; its caller must not repeat it.
+void GatewayCall::finishQuarantined() {
+  logQuarantinedCall(State, Call, Service);
+  if (RetryState->failureKind(bootNow()) != CallFailureKind::NotRun)
+    return finishLocally(PromptQuarantined);
+  refuse(BadRequest, PromptQuarantined, std::nullopt);
+}
+
+/// The prompt was quarantined while the call waited for its upstream.
+void GatewayCall::onQuarantined() {
+  if (IsDone || !IsOpen)
+    return;
+  Handle->cancel();
+  RetryState->recordFailure();
+  endSend(SendResult::Inconclusive);
+  finishQuarantined();
+}
+
 /// The upstream left or asked for a pause after it was chosen.
 void GatewayCall::onWithdrawn() {
   endSend(SendResult::Inconclusive);
@@ -802,7 +816,7 @@
                          std::optional<Duration> retryAfter) {
   IsDone = true;
   Timer.cancel();
-  if (status == Unavailable)
+  if (status == Unavailable || status == BadRequest)
     Charge.giveBack(State);
   log("refused", status, cause);
   HttpHeaders headers = State.Hooks.LocalResponseHeaders(Call, retryAfter);
@@ -825,12 +839,8 @@
   if (RetryState)
     record.Sends = RetryState->sends();
   record.FailedConnects = FailedConnects;
-  record.Upstream = CurrentSend.Replica;
-  if (CurrentSend.Head.Status != 0)
-    record.Framing = CurrentSend.Head.Framing;
+  record.LastSend = &CurrentSend;
   record.EndedInsideEvent = Response.isInsideEvent();
-  record.Expected = CurrentSend.Expected;
-  record.RelayedTo = CurrentSend.Peer;
   if (Relayed)
     record.RelayedFrom = Relayed->From;
   record.Plan = Plan.get();
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -49,6 +49,8 @@
   void onNotSent();
   void onConnect(ConnectResult result);
   bool onSending();
+  void finishQuarantined();
+  void onQuarantined();
   void onWithdrawn();
   bool takeRetryFromBudget();
   HttpCallHooks upstreamHooks();
@@ -60,6 +62,7 @@
   void onCallerDisconnected();
   void onTimer();
   void armTimer();
+  void waitUntil(Instant at);
   void endSend(SendResult result);
   void recordOutcome(SendResult result);
   void noteFirstByte();
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
 #include "LibObjectApi/InstrumentedStore.h"
+#include "QuarantineLog.h"
 
 namespace sorrelbay {
 
@@ -47,8 +48,13 @@
       Usage(Incarnation, Settings.Zone, Settings.Bounds.UsageWindow),
       Paths(reachabilitySettingsFor(Settings.Host)),
       Fleet({Settings.Host, Settings.Zone, bootNow()}),
-      Time(sorrelbay::now(), bootNow()), Crashes(Client, Time, Paths, Counts),
-      Random(std::random_device()()) {}
+      Time(sorrelbay::now(), bootNow()),
+      Quarantine({},
+                 [this](QuarantineChange change, const QuarantineKey &key,
+                        const QuarantineMark &mark) {
+                   logQuarantineChange(*this, change, key, mark);
+                 }),
+      Crashes(Client, Time, Paths, Counts), Random(std::random_device()()) {}
 
 void GatewayState::noteStoreCall(const char *call, ResourceKind kind,
                                  std::optional<StoreFailure> failure) {
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -32,6 +32,8 @@
   Family<Counter> &RelayedCalls;
   Family<Counter> &Responses;
   Family<Counter> &UpstreamCrashes;
+  Family<Counter> &QuarantineChanges;
+  Family<Gauge> &Quarantines;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -104,6 +106,13 @@
                                     "sorrelbay_upstream_crashes_total",
                                     "Crashes of upstreams that ended calls, by "
                                     "service and by how they showed.")),
+      QuarantineChanges(counterFamily(Registry,
+                                      "sorrelbay_quarantine_changes_total",
+                                      "Changes of quarantines of prompts.")),
+      Quarantines(prometheus::BuildGauge()
+                      .Name("sorrelbay_quarantines")
+                      .Help("Quarantines of prompts in force, by service.")
+                      .Register(Registry)),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -225,6 +234,16 @@
       .Increment();
 }
 
+void Metrics::countQuarantineChange(const std::string &service,
+                                    const std::string &change) {
+  All->QuarantineChanges.Add({{"service", service}, {"change", change}})
+      .Increment();
+}
+
+void Metrics::setQuarantines(const std::string &service, int count) {
+  All->Quarantines.Add({{"service", service}}).Set(count);
+}
+
 void Metrics::setUpstreamConnectionCounts(const HttpClientCounts &counts) {
   raiseTo(All->IgnoredInput.Add({{"kind", "late_response"}}),
           counts.LateResponses);
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -60,6 +60,12 @@
   /// host, by how it showed: "reset" or "silence".
   void countUpstreamCrash(const std::string &service,
                           const std::string &manner);
+  /// Counts what became of a quarantine of prompts: "declared", "cleared" or
+  /// "released".
+  void countQuarantineChange(const std::string &service,
+                             const std::string &change);
+  /// Sets the number of a service's quarantines in force.
+  void setQuarantines(const std::string &service, int count);
   /// Sets the counts of the connections to upstreams.
   void setUpstreamConnectionCounts(const HttpClientCounts &counts);
   void setOpenCalls(std::size_t n);
--- a/Services/sorrelbayd/UpstreamCrashMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.cpp
@@ -12,7 +12,7 @@
 constexpr std::size_t EventsPastBegin = 2;
 /// An upstream that is silent for this long, while calls wait for it, is
 /// checked, and again at this interval.
-constexpr Duration SilenceLimit = milliseconds(750);
+constexpr Duration SilenceLimit = milliseconds(500);
 constexpr Duration CheckInterval = seconds(2);
 /// A silent upstream can only have crashed under calls that were sent while it
 /// ran; it need not have shown that at the very moment.
@@ -30,7 +30,8 @@
 
 UpstreamCrashMonitor::SendId
 UpstreamCrashMonitor::begin(const ReplicaRecord &upstream,
-                            const ServingCall &call) {
+                            const ServingCall &call,
+                            std::function<void()> withdraw) {
   if (call.Prompt.size() < 2)
     return 0;
   const SendId id = ++LastId;
@@ -39,6 +40,7 @@
   send.CallHash = call.Id.empty() ? id : stableHash(call.Id);
   send.Prompt = call.Prompt;
   send.SentAt = bootNow();
+  send.Withdraw = std::move(withdraw);
   WatchedUpstream &watched = Upstreams[upstream.Id];
   watched.Record = upstream;
   ++watched.OpenSends;
@@ -215,4 +217,15 @@
     it = isOpenOrRecent(it->second, now) ? std::next(it) : Upstreams.erase(it);
 }
 
+void UpstreamCrashMonitor::withdraw(const PromptQuarantine &quarantine) {
+  std::vector<std::function<void()>> withdrawn;
+  for (const auto &[id, send] : Sends)
+    if (!send.IsPastBegin &&
+        quarantine.matching(Upstreams[send.Upstream].Record.OfService,
+                            send.Prompt))
+      withdrawn.push_back(send.Withdraw);
+  for (const auto &it : withdrawn)
+    it();
+}
+
 } // namespace sorrelbay
--- a/Services/sorrelbayd/UpstreamCrashMonitor.h
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.h
@@ -3,6 +3,7 @@
 #include "LibBase/LogRateLimiter.h"
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibServing/FleetClock.h"
+#include "LibServing/PromptQuarantine.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ServingCall.h"
 #include "LibServing/UpstreamCrash.h"
@@ -54,8 +55,10 @@
       : Client(client), Time(time), Paths(paths), Counts(counts) {}
 
   void setHooks(UpstreamCrashHooks hooks) { Hooks = std::move(hooks); }
-  /// The call is sent to the upstream now.
-  SendId begin(const ReplicaRecord &upstream, const ServingCall &call);
+  /// The call is sent to the upstream now. `withdraw` is called if the call is
+  /// to be withdrawn, and ends the send.
+  SendId begin(const ReplicaRecord &upstream, const ServingCall &call,
+               std::function<void()> withdraw);
   /// A connection to the upstream was opened.
   void noteConnected(const UpstreamId &upstream);
   /// Bytes of the answer arrived, which has `events` complete events by now.
@@ -63,6 +66,9 @@
   void end(SendId id, WatchedEnd result);
   /// Looks for silent upstreams. To be called several times a second.
   void tick();
+  /// Withdraws the sends whose prompts are quarantined, unless their answers
+  /// have got past their begin: they would crash their upstreams.
+  void withdraw(const PromptQuarantine &quarantine);
 
 private:
   struct Send {
@@ -71,6 +77,7 @@
     std::vector<PromptPart> Prompt;
     Instant SentAt{};
     bool IsPastBegin = false;
+    std::function<void()> Withdraw;
   };
   /// A send that ended, or is silent, until it is known whether its upstream
   /// runs.
--- a/Tests/sorrelbayd/TestPromptCrashes.cpp
+++ b/Tests/sorrelbayd/TestPromptCrashes.cpp
@@ -60,13 +60,20 @@
   std::this_thread::sleep_for(NoticeTime);
   const int reached = engines.reached("fatal");
   int served = 0;
+  int rejected = 0;
   for (int n = 0; n < CallsAfterBound; ++n) {
-    hosts.call(path, n % 2 == 0 ? "shared fatal" : "fatal shared");
+    const HttpReply reply =
+        hosts.call(path, n % 2 == 0 ? "shared fatal" : "fatal shared");
+    // The caller must not repeat it, and may rely on that it did not run.
+    const bool isRejected =
+        reply.Status == 400 && !hasHeader(reply.Headers, "Retry-After");
+    rejected += isRejected ? 1 : 0;
     served += hosts.call(path, "shared other").Status == 200 ? 1 : 0;
     std::this_thread::sleep_for(CallInterval);
   }
   BOOST_TEST(engines.reached("fatal") - reached <= AllowedRequests);
   BOOST_TEST(served == CallsAfterBound);
+  BOOST_TEST(rejected == CallsAfterBound);
 }
 
 } // namespace
