sorrelbayd: Keep quarantines of prompts in the store

Cause: what hosts know of prompts ends with their processes. All hosts are replaced at any time, and may be killed at once; those that start would crash engines again until they have found out anew.

Change: one object of a kind of its own holds the quarantines, and the crashes of parts that are suspects of several. The host that watches the store for the fleet writes what is new; others do if it is still missing after two to four seconds, by conditional update. A host serves once it has read the object; later changes arrive by the watch, within 30 s, and by the hosts' reports. What operators release stays in the object as released, so that no late report brings it back. `sorrelbay quarantine list` and `release` read and write the object.

While versions run side by side, hosts of the version before refuse relayed changes of the new kind and close the connection, about every 7 s.

Ruled out: an object for each part (a list and a write for each); expiry by time (the next call crashes an engine again); a status by host.

Tests: prompt_crashes/quarantines_outlast_all_processes, quarantines_found_without_the_store_are_stored_later and operators_release_a_part.

--- a/Libraries/LibObjectApi/ResourceStore.cpp
+++ b/Libraries/LibObjectApi/ResourceStore.cpp
@@ -18,6 +18,8 @@
     return "usage";
   case ResourceKind::Relays:
     return "relays";
+  case ResourceKind::Quarantines:
+    return "quarantines";
   case ResourceKind::Evacuations:
     return "evacuations";
   }
--- a/Libraries/LibObjectApi/ResourceStore.h
+++ b/Libraries/LibObjectApi/ResourceStore.h
@@ -31,10 +31,13 @@
   /// The secret with which daemons prove to each other that they relay a call;
   /// written by the first of them.
   Relays,
+  /// The quarantined prompts; written by the daemons, and by operators who
+  /// release them.
+  Quarantines,
 };
 
 /// The number of enumerators of ResourceKind, for tables indexed by kind.
-constexpr std::size_t ResourceKindCount = 8;
+constexpr std::size_t ResourceKindCount = 9;
 
 /// The kind's name in logs and metrics.
 const char *toText(ResourceKind kind);
--- /dev/null
+++ b/Libraries/LibOperator/QuarantineObject.cpp
@@ -0,0 +1,125 @@
+#include "LibOperator/QuarantineObject.h"
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+namespace sorrelbay {
+
+using nlohmann::json;
+
+namespace {
+
+std::int64_t toMicroseconds(Instant at) {
+  return at.time_since_epoch().count();
+}
+
+Instant instantAt(const json &from, const char *key) {
+  return Instant(Duration(from.at(key).get<std::int64_t>()));
+}
+
+json crashToJson(const UpstreamCrash &crash) {
+  json suspects = json::array();
+  for (const auto &[part, send] : crash.Suspects)
+    suspects.push_back({{"part", part},
+                        {"sent_us", toMicroseconds(send.SentAt)},
+                        {"call_hash", send.CallHash}});
+  return {{"upstream", crash.Upstream.text()},
+          {"started_ms", crash.StartedMs},
+          {"service", crash.Service.text()},
+          {"at_us", toMicroseconds(crash.At)},
+          {"suspects", std::move(suspects)}};
+}
+
+UpstreamCrash crashFromJson(const json &from) {
+  UpstreamCrash out;
+  out.Upstream = UpstreamId(from.at("upstream").get<std::string>());
+  out.StartedMs = from.at("started_ms").get<std::int64_t>();
+  out.Service = ServiceId(from.at("service").get<std::string>());
+  out.At = instantAt(from, "at_us");
+  for (const json &it : from.at("suspects"))
+    out.Suspects[it.at("part").get<std::string>()] = {
+        instantAt(it, "sent_us"), it.at("call_hash").get<std::uint64_t>()};
+  return out;
+}
+
+json quarantineToJson(const QuarantineKey &key, const QuarantineMark &mark) {
+  return {{"service", key.Service.text()},
+          {"parts", key.Parts},
+          {"declared_us", toMicroseconds(mark.DeclaredAt)},
+          {"released_us", toMicroseconds(mark.ReleasedAt)},
+          {"crashes", mark.Crashes}};
+}
+
+void quarantineFromJson(QuarantineMarks &marks, const json &from) {
+  QuarantineKey key{ServiceId(from.at("service").get<std::string>()),
+                    from.at("parts").get<std::vector<std::string>>()};
+  if (key.Parts.empty())
+    throw QuarantineObjectMalformed("a quarantine names no part");
+  std::sort(key.Parts.begin(), key.Parts.end());
+  marks[key] = {instantAt(from, "declared_us"), instantAt(from, "released_us"),
+                from.at("crashes").get<int>()};
+}
+
+} // namespace
+
+std::string renderQuarantineObject(const CrashKnowledge &knowledge) {
+  json quarantines = json::array();
+  for (const auto &[key, mark] : knowledge.Quarantines)
+    quarantines.push_back(quarantineToJson(key, mark));
+  json crashes = json::array();
+  for (const UpstreamCrash &it : knowledge.Crashes)
+    crashes.push_back(crashToJson(it));
+  return json{{"quarantines", std::move(quarantines)},
+              {"crashes", std::move(crashes)}}
+      .dump();
+}
+
+CrashKnowledge parseQuarantineObject(const std::string &body) {
+  CrashKnowledge out;
+  try {
+    const json object = json::parse(body);
+    for (const json &it : object.at("quarantines"))
+      quarantineFromJson(out.Quarantines, it);
+    for (const json &it : object.at("crashes"))
+      out.Crashes.push_back(crashFromJson(it));
+  } catch (const json::exception &error) {
+    throw QuarantineObjectMalformed(
+        std::string("the stored quarantines can't be read: ") + error.what());
+  }
+  return out;
+}
+
+int releaseQuarantines(QuarantineMarks &marks, const std::string &part,
+                       Instant now) {
+  int n = 0;
+  for (auto &[key, mark] : marks) {
+    const bool namesPart =
+        std::find(key.Parts.begin(), key.Parts.end(), part) != key.Parts.end();
+    if (!namesPart || !mark.isInForce())
+      continue;
+    // The operator's clock may be behind the fleet's.
+    mark.ReleasedAt = std::max(now, mark.DeclaredAt);
+    ++n;
+  }
+  return n;
+}
+
+std::string renderQuarantineTable(const QuarantineMarks &marks, Instant now) {
+  std::ostringstream out;
+  for (const bool isInForce : {true, false})
+    for (const auto &[key, mark] : marks) {
+      if (mark.isInForce() != isInForce)
+        continue;
+      std::string parts;
+      for (const std::string &it : key.Parts)
+        parts += (parts.empty() ? "" : "+") + it;
+      const Instant since = isInForce ? mark.DeclaredAt : mark.ReleasedAt;
+      out << key.Service.text() << ' ' << parts << ' '
+          << (isInForce ? "quarantined" : "released") << ' '
+          << std::max<std::int64_t>(0, toMilliseconds(now - since) / 1000)
+          << " s ago, " << mark.Crashes << " crashes\n";
+    }
+  return out.str();
+}
+
+} // namespace sorrelbay
--- /dev/null
+++ b/Libraries/LibOperator/QuarantineObject.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "LibBase/Error.h"
+#include "LibServing/UpstreamCrash.h"
+#include <string>
+
+namespace sorrelbay {
+
+/// The stored quarantines can't be read.
+class QuarantineObjectMalformed : public Error {
+public:
+  using Error::Error;
+};
+
+/// The name of the object in the store that holds all quarantines, and the
+/// crashes that may lead to others.
+constexpr const char *QuarantineObjectName = "prompts";
+
+/// Renders quarantines and crashes as the JSON text of the object's body.
+std::string renderQuarantineObject(const CrashKnowledge &knowledge);
+/// The inverse. Throws QuarantineObjectMalformed.
+CrashKnowledge parseQuarantineObject(const std::string &body);
+
+/// Releases all quarantines in force that name the part, also those of several
+/// parts, at `now`. Returns how many there were.
+int releaseQuarantines(QuarantineMarks &marks, const std::string &part,
+                       Instant now);
+
+/// The quarantines as a table for operators, those in force first; the times
+/// are ages at `now`.
+std::string renderQuarantineTable(const QuarantineMarks &marks, Instant now);
+
+} // namespace sorrelbay
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -27,6 +27,8 @@
 /// request. The time lets callers look up the addresses again, without this
 /// host, before their connections close.
 constexpr Duration IdleTimeoutWhileStopping = milliseconds(1200);
+/// Longest time until all hosts act by an operator's release of a quarantine.
+constexpr Duration QuarantineRelease = seconds(30);
 /// Time by which a watch may return late.
 constexpr Duration WatchDelay = milliseconds(400);
 /// What a relayed call's header has more than the caller's.
@@ -52,7 +54,8 @@
                     [this](const RelayedChanges &relayed) {
                       applyRelayedChanges(relayed);
                     }}),
-      Upstreams(State), Secret(State), TickTimer(Loop) {
+      Upstreams(State), Secret(State), StoredQuarantines(State),
+      TickTimer(Loop) {
   State.Replicas.setRegions(State.Settings.RegionOf);
   State.Self = [this] { return Fleet.self(); };
   State.NotifyPeers = [this] { Fleet.publishPromptly(); };
@@ -210,9 +213,13 @@
   RolloutOrders = makeWatcher(
       ResourceKind::Moves,
       rareChangeSettingsFor(State.Settings.Bounds.TrialEnd), rolloutHooks);
+  Quarantines = makeWatcher(ResourceKind::Quarantines,
+                            rareChangeSettingsFor(QuarantineRelease),
+                            StoredQuarantines.watcherHooks());
   Plans->start();
   Replicas->start();
   RolloutOrders->start();
+  Quarantines->start();
   if (State.Settings.Bounds.Evacuation > Duration::zero())
     watchEvacuations();
 }
@@ -264,6 +271,8 @@
     Replicas->receive(relayed, now);
   else if (relayed.Kind == ResourceKind::Moves)
     RolloutOrders->receive(relayed, now);
+  else if (relayed.Kind == ResourceKind::Quarantines)
+    Quarantines->receive(relayed, now);
   else if (relayed.Kind == ResourceKind::Evacuations && Evacuations)
     Evacuations->receive(relayed, now);
 }
@@ -354,7 +363,8 @@
     LogLine(Severity::Warning, "event loop delayed")
         .field("late_ms", toMilliseconds(now - State.TickedAt - TickInterval));
   State.TickedAt = now;
-  for (ResourceWatcher *it : {Plans.get(), Replicas.get(), RolloutOrders.get()})
+  for (ResourceWatcher *it :
+       {Plans.get(), Replicas.get(), RolloutOrders.get(), Quarantines.get()})
     it->tick(now);
   if (Evacuations)
     Evacuations->tick(now);
@@ -368,6 +378,7 @@
   State.Crashes.tick();
   State.Quarantine.tick(State.Time.at(now));
   State.Crashes.withdraw(State.Quarantine);
+  StoredQuarantines.tick(Fleet.isFleetLeader(now), now);
   Fleet.tick(now);
   State.logStoreCalls(now);
 }
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -7,6 +7,7 @@
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibObjectApi/ResourceWatcher.h"
 #include "LibServing/AddressLookup.h"
+#include "QuarantineStore.h"
 #include "RelaySecret.h"
 #include "ReplicaOrders.h"
 #include "UpstreamMonitor.h"
@@ -82,6 +83,7 @@
   GatewayFleet Fleet;
   UpstreamMonitor Upstreams;
   RelaySecret Secret;
+  QuarantineStore StoredQuarantines;
   std::unique_ptr<AsyncHttpServer> Callers;
   /// Null if the settings name no address for relayed calls.
   std::unique_ptr<AsyncHttpServer> RelayedCallers;
@@ -91,6 +93,7 @@
   std::unique_ptr<ResourceWatcher> Plans;
   std::unique_ptr<ResourceWatcher> Replicas;
   std::unique_ptr<ResourceWatcher> RolloutOrders;
+  std::unique_ptr<ResourceWatcher> Quarantines;
   /// Null if the deployment does not evacuate zones.
   std::unique_ptr<ResourceWatcher> Evacuations;
   boost::asio::steady_timer TickTimer;
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -78,6 +78,7 @@
 
 bool GatewayState::knowsUpstreams() const {
   return ReplicasConfirmedAt != Instant{} &&
+         QuarantineConfirmedAt != Instant{} &&
          (Settings.Bounds.Evacuation == Duration::zero() ||
           EvacuationsConfirmedAt != Instant{});
 }
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -57,6 +57,7 @@
   Duration LongestPlanAge = seconds(2);
   Instant ReplicasConfirmedAt{};
   Instant EvacuationsConfirmedAt{};
+  Instant QuarantineConfirmedAt{};
   ReplicaTable Replicas;
   EngineDemand Demand;
   /// Limits of the plan in force.
@@ -120,8 +121,8 @@
   /// regular report.
   std::function<void()> NotifyPeers = [] {};
 
-  /// Whether the upstreams and, in deployments that evacuate zones, the
-  /// evacuated zones have been read from the store.
+  /// Whether the upstreams, the quarantined prompts and, in deployments that
+  /// evacuate zones, the evacuated zones have been read from the store.
   bool knowsUpstreams() const;
   /// Upper bound on the age of the plan.
   Duration planAge(Instant now) const { return now - PlanConfirmedAt; }
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -388,8 +388,13 @@
   UpstreamWorker = std::thread([this] { UpstreamLoop.run(); });
   Store.put(ResourceKind::Plan, "main", "1;key");
   addReplica("r1");
+  restart();
+}
+
+void GatewayFixture::restart() {
+  Served.reset();
   Served = std::make_unique<Gateway>(
-      settingsFor("host", keyRemoval, grace, retryShare),
+      settingsFor("host", KeyRemoval, Grace, RetryShare),
       [this](boost::asio::io_context &loop) { return hooks(loop, ""); });
   Served->start();
   CallerAddress = Served->callerAddress();
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -84,6 +84,9 @@
                    const std::string &parts = "");
   /// The addresses that the host names to callers, separated by spaces.
   static std::string lookUp(const Gateway &host);
+  /// Ends the gateway's process and starts another, which knows only what the
+  /// store holds.
+  void restart();
   /// Starts another host, and waits until it and the first name each other. It
   /// reaches the upstream over its path or, with `isDirect`, all upstreams as
   /// they are registered.
--- a/Tests/sorrelbayd/TestPromptCrashes.cpp
+++ b/Tests/sorrelbayd/TestPromptCrashes.cpp
@@ -1,4 +1,5 @@
 #include "CrashingEngines.h"
+#include "LibOperator/QuarantineObject.h"
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
@@ -14,6 +15,7 @@
 constexpr Duration NoticeTime = seconds(3);
 constexpr int CallsAfterBound = 12;
 constexpr Duration CallInterval = milliseconds(40);
+constexpr int MaxCalls = 400;
 
 const CrashMoment Moments[] = {CrashMoment::BeforeFirstByte,
                                CrashMoment::InsideFirstEvent};
@@ -76,6 +78,24 @@
   BOOST_TEST(rejected == CallsAfterBound);
 }
 
+std::string storedQuarantines(GatewayFixture &fixture) {
+  return fixture.Store.bodyOf(ResourceKind::Quarantines, QuarantineObjectName);
+}
+
+/// Sends calls with a fatal part until its quarantine is in the store.
+void crashUntilStored(GatewayFixture &fixture) {
+  const auto isStored = [&] {
+    const std::string body = storedQuarantines(fixture);
+    return !body.empty() && !parseQuarantineObject(body).Quarantines.empty();
+  };
+  for (int n = 0; n < MaxCalls && !isStored(); ++n) {
+    fixture.callAt(fixture.CallerAddress, "/n/1", "shared fatal");
+    fixture.callAt(fixture.CallerAddress, "/n/1", "shared other");
+    std::this_thread::sleep_for(CallInterval);
+  }
+  BOOST_REQUIRE(isStored());
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(prompt_crashes)
@@ -110,4 +130,61 @@
   BOOST_TEST(fixture.metric(count) == 1);
 }
 
+// All hosts are killed. Those that start again must not begin anew to crash
+// engines, and the first call that they get may be one that does.
+BOOST_AUTO_TEST_CASE(quarantines_outlast_all_processes) {
+  GatewayFixture fixture;
+  CrashingEngines engines(fixture, EngineCount, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart("fatal");
+  crashUntilStored(fixture);
+  const int reached = engines.reached("fatal");
+  fixture.restart();
+  fixture.callUntil(200, "key", "/n/1");
+  const HttpReply reply =
+      fixture.callAt(fixture.CallerAddress, "/n/1", "shared fatal");
+  BOOST_TEST(reply.Status == 400);
+  BOOST_TEST(engines.reached("fatal") == reached);
+  BOOST_TEST(fixture.metric("sorrelbay_quarantines{service=\"desk\"}") == 1);
+}
+
+// What a host has found out while the store was away is written later, and
+// holds meanwhile.
+BOOST_AUTO_TEST_CASE(quarantines_found_without_the_store_are_stored_later) {
+  GatewayFixture fixture;
+  CrashingEngines engines(fixture, EngineCount, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart("fatal");
+  fixture.Store.setUnreachable(true);
+  int rejected = 0;
+  for (int n = 0; n < MaxCalls && rejected < CallsAfterBound; ++n) {
+    const HttpReply reply =
+        fixture.callAt(fixture.CallerAddress, "/n/1", "shared fatal");
+    rejected += reply.Status == 400 ? 1 : 0;
+    std::this_thread::sleep_for(CallInterval);
+  }
+  BOOST_TEST(rejected == CallsAfterBound);
+  BOOST_TEST(storedQuarantines(fixture) == "");
+  fixture.Store.setUnreachable(false);
+  for (int n = 0; n < MaxCalls && storedQuarantines(fixture).empty(); ++n)
+    std::this_thread::sleep_for(CallInterval);
+  BOOST_TEST(storedQuarantines(fixture).find("fatal") != std::string::npos);
+}
+
+// Operators release a part after its upstreams were mended.
+BOOST_AUTO_TEST_CASE(operators_release_a_part) {
+  GatewayFixture fixture;
+  CrashingEngines engines(fixture, EngineCount, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart("fatal");
+  crashUntilStored(fixture);
+  const int reached = engines.reached("fatal");
+  CrashKnowledge stored = parseQuarantineObject(storedQuarantines(fixture));
+  BOOST_TEST(releaseQuarantines(stored.Quarantines, "fatal", now()) == 1);
+  fixture.Store.put(ResourceKind::Quarantines, QuarantineObjectName,
+                    renderQuarantineObject(stored));
+  for (int n = 0; n < MaxCalls && engines.reached("fatal") == reached; ++n) {
+    fixture.callAt(fixture.CallerAddress, "/n/1", "shared fatal");
+    std::this_thread::sleep_for(CallInterval);
+  }
+  BOOST_TEST(engines.reached("fatal") > reached);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Utilities/sorrelbay/Commands.h
+++ b/Utilities/sorrelbay/Commands.h
@@ -18,5 +18,6 @@
 void addKeysGenerate(CLI::App &parent);
 void addExplain(CLI::App &parent, ExitCode &exitCode);
 void addStatus(CLI::App &parent, ExitCode &exitCode);
+void addQuarantine(CLI::App &parent, ExitCode &exitCode);
 
 } // namespace sorrelbay
--- a/Utilities/sorrelbay/main.cpp
+++ b/Utilities/sorrelbay/main.cpp
@@ -23,6 +23,7 @@
   addKeysGenerate(*keys);
   addStatus(app, exitCode);
   addExplain(app, exitCode);
+  addQuarantine(app, exitCode);
 }
 
 ExitCode printError(const std::exception &error, ExitCode exitCode) {
