LibServing: Count calls that end with one crash as one failure

All calls that an upstream runs end with it, and each counted as a failure of its version. One call that crashes an upstream of a new version then makes the version look bad by as many failures as the upstream had calls, and what is rolled back stays so.

When the crash of their upstream is found meanwhile, those of one host become one. Failures of upstreams that run on count as before.

Ruled out: dropping the failures of crashes (a version that crashes by itself would be rolled out to the end).

Test: deferred_failures/calls_that_end_with_one_crash_are_one_failure (the function is new). upstream_cuts/* green, with the upstream named in its failures.

--- a/Libraries/LibServing/DeferredFailures.cpp
+++ b/Libraries/LibServing/DeferredFailures.cpp
@@ -1,5 +1,6 @@
 #include "LibServing/DeferredFailures.h"
 #include <algorithm>
+#include <utility>
 
 namespace sorrelbay {
 
@@ -20,6 +21,17 @@
              Held.end());
 }
 
+void DeferredFailures::mergeCrash(const UpstreamId &upstream) {
+  bool isFirst = true;
+  Held.erase(std::remove_if(Held.begin(), Held.end(),
+                            [&](const Deferred &it) {
+                              if (it.Send.Upstream != upstream)
+                                return false;
+                              return !std::exchange(isFirst, false);
+                            }),
+             Held.end());
+}
+
 std::vector<UnansweredSend>
 DeferredFailures::takeDue(const UpstreamReachability &paths, Instant now) {
   std::vector<UnansweredSend> out;
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -74,6 +74,7 @@
   };
   State.Crashes.setHooks(
       {[this](const UpstreamCrash &crash) {
+         State.Failures.mergeCrash(crash.Upstream);
          State.Quarantine.noteCrash(crash, State.Time.at(bootNow()));
          Fleet.publishPromptly();
        },
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -593,8 +593,9 @@
       !CurrentSend.WasSending)
     return;
   if (result == SendResult::Broken)
-    return State.Failures.add(
-        {Service, CurrentSend.OfVersion, Identity.Route->Name}, bootNow());
+    return State.Failures.add({Service, CurrentSend.OfVersion,
+                               Identity.Route->Name, CurrentSend.Replica},
+                              bootNow());
   UpstreamOutcome outcome = UpstreamOutcome::Failed;
   if (result == SendResult::Answered) {
     const bool isLate = Identity.Route->LatencyTarget > Duration::zero() &&
--- a/Tests/LibServing/TestSmallParts.cpp
+++ b/Tests/LibServing/TestSmallParts.cpp
@@ -1,4 +1,5 @@
 #include "LibServing/Allotment.h"
+#include "LibServing/DeferredFailures.h"
 #include "LibServing/FleetClock.h"
 #include "LibServing/StoreReachability.h"
 #include "LibServing/UsageCounts.h"
@@ -145,3 +146,26 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(deferred_failures)
+
+// An upstream of a new version crashes under one call, with all that it runs.
+// Counted one by one, these failures would roll the version back.
+BOOST_AUTO_TEST_CASE(calls_that_end_with_one_crash_are_one_failure) {
+  const ServiceId service("engines");
+  const Instant begun{seconds(100)};
+  DeferredFailures failures;
+  for (int n = 0; n < 20; ++n)
+    failures.add(
+        {service, VersionId("v2"), RouteId("r"), UpstreamId("crashed")}, begun);
+  for (int n = 0; n < 3; ++n)
+    failures.add({service, VersionId("v2"), RouteId("r"), UpstreamId("faulty")},
+                 begun);
+  failures.mergeCrash(UpstreamId("crashed"));
+  UpstreamReachability paths;
+  paths.noteConnect(service, UpstreamId("faulty"), true, 2,
+                    begun + milliseconds(1));
+  BOOST_TEST(failures.takeDue(paths, begun + seconds(2)).size() == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/UpstreamCutSimulation.cpp
+++ b/Tests/LibServing/UpstreamCutSimulation.cpp
@@ -469,7 +469,8 @@
   const bool isEvidence = !Plan.Measures.DefersFailures ||
                           !host.Paths.wasUnreachable(call.Service, call.SentAt);
   if (isEvidence)
-    host.Failures.add({call.Service, VersionId("v"), RouteId("r")}, Now);
+    host.Failures.add(
+        {call.Service, VersionId("v"), RouteId("r"), call.Upstream}, Now);
   finish(call, false);
 }
 
