sorrelbayd: End an answer after three engines were lost under it

A chat whose engine's connection is lost before the first token is sent on up to ten times, and its caller is told when to repeat it. A chat that crashes engines ends as many.

Change: after three different engines were lost before an answer's first token it fails with 502 `engines-lost`, without a time to return. Answers that have begun go on as before: an engine that is reclaimed is no evidence against a prompt.

--- a/Services/sorrelbayd/ModelCalls.cpp
+++ b/Services/sorrelbayd/ModelCalls.cpp
@@ -5,6 +5,7 @@
 #include "LibCaller/Problem.h"
 #include <algorithm>
 #include <cstdlib>
+#include <set>
 #include <utility>
 
 namespace sorrelbay {
@@ -14,6 +15,9 @@
 /// StreamRecovery sets the delay between attempts.
 static constexpr int MaxAttemptsWithoutToken = 10;
 static constexpr int MaxLostAttempts = 24;
+/// The maximum number of engines whose connections are lost before an answer's
+/// first token. A prompt under which engines crash must not end more.
+static constexpr std::size_t MaxEnginesLost = 3;
 static constexpr Duration ShortRetryAfter = milliseconds(500);
 /// How long an answer continues without a reader after its caller's connection
 /// broke.
@@ -218,7 +222,11 @@
                        : end == AttemptEnd::Moved              ? "moved"
                                                                : "failed";
   Counts.countCall(callRequest.OnRoute.Id.text(), result);
-  if (end != AttemptEnd::Whole && end != AttemptEnd::Moved)
+  if (end == AttemptEnd::EnginesLost)
+    answer.fail(std::make_shared<const Problem>(
+        502, "engines-lost", "each engine was lost that began the answer",
+        Outcome::Unknown));
+  else if (end != AttemptEnd::Whole && end != AttemptEnd::Moved)
     answer.fail(std::make_shared<const Problem>(
         503, "no-upstream", "no engine could complete the answer",
         Outcome::Unknown, ShortRetryAfter));
@@ -248,6 +256,7 @@
   Recovery.begin(answer, begin);
   std::optional<Redirect> target = Redirect{begin, ""};
   int attemptsWithoutToken = 0;
+  std::set<UpstreamId> lostEngines;
   for (int lostAttempts = 0; target && lostAttempts < MaxLostAttempts;) {
     const std::uint64_t before = answer.tokenCount();
     const AttemptEnd end = attempt(answer, *target, onProgress);
@@ -257,7 +266,11 @@
       return AttemptEnd::Moved;
     if (end == AttemptEnd::Whole || end == AttemptEnd::CallerDisconnected)
       return end;
-    if (end == AttemptEnd::Lost) {
+    if (end == AttemptEnd::ConnectionLost && answer.tokenCount() == 0)
+      lostEngines.insert(target->To);
+    if (lostEngines.size() >= MaxEnginesLost)
+      return AttemptEnd::EnginesLost;
+    if (end == AttemptEnd::Lost || end == AttemptEnd::ConnectionLost) {
       ++lostAttempts;
       attemptsWithoutToken =
           answer.tokenCount() > before ? 0 : attemptsWithoutToken + 1;
@@ -378,7 +391,7 @@
   } catch (const EngineConnectionLost &error) {
     span.setFailed(error.what());
     loss = AttemptLoss::Connection;
-    result = AttemptEnd::Lost;
+    result = AttemptEnd::ConnectionLost;
     noteFailure(answer, target.To);
   } catch (const EngineFailed &error) {
     span.setFailed(error.what());
@@ -387,7 +400,7 @@
   }
   answer.endAttempt();
   Counts.countAttempt(callRequest.Call.Model.text(), label);
-  if (result == AttemptEnd::Lost)
+  if (result == AttemptEnd::Lost || result == AttemptEnd::ConnectionLost)
     Recovery.lost(answer, target.To, loss);
   return result;
 }
--- a/Services/sorrelbayd/ModelCalls.h
+++ b/Services/sorrelbayd/ModelCalls.h
@@ -39,7 +39,18 @@
 private:
   /// Called after each token, on the thread that generates the answer.
   using OnProgress = std::function<void()>;
-  enum class AttemptEnd { Whole, Lost, Redirected, CallerDisconnected, Moved };
+  enum class AttemptEnd {
+    Whole,
+    Lost,
+    /// The connection to the engine was lost: it may have crashed.
+    ConnectionLost,
+    Redirected,
+    CallerDisconnected,
+    Moved,
+    /// Several engines were lost before the answer's first token, which may be
+    /// the prompt's fault.
+    EnginesLost,
+  };
 
   AnswerRequest prepare(const HttpRequest &request) const;
   std::shared_ptr<CallAdmission::CallSlot>
--- a/Tests/Fakes/FakeEngine.cpp
+++ b/Tests/Fakes/FakeEngine.cpp
@@ -1,5 +1,6 @@
 #include "FakeEngine.h"
 #include "LibBase/Hash.h"
+#include <cstdlib>
 #include <nlohmann/json.hpp>
 #include <thread>
 
@@ -116,6 +117,10 @@
   if (areFaultsActive)
     delayToFirstToken += activeOptions.AddedFirstTokenDelay;
   std::this_thread::sleep_for(delayToFirstToken);
+  const std::string &fatalText = activeOptions.FatalText;
+  if (!fatalText.empty() &&
+      streamJob.Messages.find(fatalText) != std::string::npos)
+    std::_Exit(1);
   const auto start = std::chrono::steady_clock::now();
   const auto send = [&](std::uint64_t n, const std::string &attempt) {
     const Json event = {
--- a/Tests/Fakes/FakeEngine.h
+++ b/Tests/Fakes/FakeEngine.h
@@ -38,6 +38,9 @@
   /// disables the fault.
   std::uint64_t TruncateAfter = 0;
   bool IsLeaving = false;
+  /// The process ends when it begins to answer a request whose messages contain
+  /// this text; empty for none.
+  std::string FatalText;
 };
 
 /// The text of token n of the response to these messages. It is the same on
--- a/Tests/Fakes/fake-engine-main.cpp
+++ b/Tests/Fakes/fake-engine-main.cpp
@@ -22,6 +22,8 @@
                  "response length in tokens if the caller sets no limit");
   app.add_option("--fail-share", options.FailShare,
                  "share of requests that fail with status 500, from 0 to 1");
+  app.add_option("--fatal-text", options.FatalText,
+                 "text of messages under which the process ends");
   CLI11_PARSE(app, argc, argv);
   options.TokenInterval = microseconds(tokenMicros);
   blockStopSignals();
