Tests: Cover the stored, reported and released quarantines

Crashes are logged and counted when they count, not on a host that has only lost its paths. The test of reports of earlier versions takes the new last field away first, and checks one value more for it.

--- a/Services/sorrelbayd/UpstreamCrashMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.cpp
@@ -112,9 +112,14 @@
     upstream.AliveAt = bootNow();
   if (!isRunning) {
     addSilentSends(id, upstream);
-    const UpstreamCrash crash = crashOf(upstream);
-    log(crash, upstream, bootNow());
-    Held.push_back({crash, bootNow()});
+    HeldCrash held;
+    held.Crash = crashOf(upstream);
+    held.OfVersion = upstream.Record.OfVersion;
+    held.IsSilent = !upstream.HasBrokenOff;
+    held.Calls = upstream.Lost.size();
+    held.AliveAt = upstream.AliveAt;
+    held.HeldSince = bootNow();
+    Held.push_back(std::move(held));
     reportHeld();
   }
   upstream.Lost.clear();
@@ -153,9 +158,9 @@
   return crash;
 }
 
-void UpstreamCrashMonitor::log(const UpstreamCrash &crash,
-                               const WatchedUpstream &upstream, Instant now) {
-  const char *manner = upstream.HasBrokenOff ? "reset" : "silence";
+void UpstreamCrashMonitor::log(const HeldCrash &held, Instant now) {
+  const UpstreamCrash &crash = held.Crash;
+  const char *manner = held.IsSilent ? "silence" : "reset";
   Counts.countUpstreamCrash(crash.Service.text(), manner);
   if (!LogBudget.take(now))
     return;
@@ -167,12 +172,12 @@
   LogLine(Severity::Warning, "upstream crashed")
       .field("upstream", crash.Upstream.text())
       .field("service", crash.Service.text())
-      .field("version", upstream.Record.OfVersion.text())
+      .field("version", held.OfVersion.text())
       .field("manner", manner)
-      .field("calls", static_cast<std::int64_t>(upstream.Lost.size()))
+      .field("calls", static_cast<std::int64_t>(held.Calls))
       .field("suspects", static_cast<std::int64_t>(crash.Suspects.size()))
       .field("parts", parts)
-      .field("silent_ms", toMilliseconds(now - upstream.AliveAt));
+      .field("silent_ms", toMilliseconds(now - held.AliveAt));
 }
 
 bool UpstreamCrashMonitor::isOpenOrRecent(const WatchedUpstream &upstream,
@@ -188,10 +193,12 @@
   std::vector<HeldCrash> held = std::move(Held);
   Held.clear();
   for (HeldCrash &it : held) {
-    if (!Paths.isUnreachable(it.Crash.Service))
+    if (!Paths.isUnreachable(it.Crash.Service)) {
+      log(it, now);
       Hooks.OnCrash(it.Crash);
-    else if (now - it.HeldSince < LongestHoldTime)
+    } else if (now - it.HeldSince < LongestHoldTime) {
       Held.push_back(std::move(it));
+    }
   }
 }
 
--- a/Services/sorrelbayd/UpstreamCrashMonitor.h
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.h
@@ -100,6 +100,11 @@
   /// A crash that is not reported yet.
   struct HeldCrash {
     UpstreamCrash Crash;
+    VersionId OfVersion;
+    bool IsSilent = false;
+    /// The calls that may have been its cause.
+    std::size_t Calls = 0;
+    Instant AliveAt{};
     Instant HeldSince{};
   };
 
@@ -107,8 +112,7 @@
   void onChecked(const UpstreamId &id, ConnectResult result);
   void reportHeld();
   UpstreamCrash crashOf(const WatchedUpstream &upstream) const;
-  void log(const UpstreamCrash &crash, const WatchedUpstream &upstream,
-           Instant now);
+  void log(const HeldCrash &held, Instant now);
   void addSilentSends(const UpstreamId &id, WatchedUpstream &upstream);
   static bool isOpenOrRecent(const WatchedUpstream &upstream, Instant now);
 
--- /dev/null
+++ b/Tests/LibOperator/TestQuarantineObject.cpp
@@ -0,0 +1,74 @@
+#include "LibOperator/QuarantineObject.h"
+#include <boost/test/unit_test.hpp>
+
+using namespace sorrelbay;
+
+namespace {
+
+const Instant Now{seconds(1000)};
+
+CrashKnowledge sampleKnowledge() {
+  CrashKnowledge out;
+  out.Quarantines[{ServiceId("engines"), {"a"}}] = {Now - seconds(60), {}, 3};
+  out.Quarantines[{ServiceId("engines"), {"a", "b"}}] = {Now - seconds(90),
+                                                         Now - seconds(80), 4};
+  UpstreamCrash crash;
+  crash.Upstream = UpstreamId("u");
+  crash.StartedMs = 7;
+  crash.Service = ServiceId("engines");
+  crash.At = Now - seconds(5);
+  crash.Suspects["c"] = {Now - seconds(6), 18446744073709551615UL};
+  out.Crashes.push_back(crash);
+  return out;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(quarantine_object)
+
+BOOST_AUTO_TEST_CASE(an_object_is_read_as_it_was_written) {
+  const CrashKnowledge written = sampleKnowledge();
+  const CrashKnowledge read =
+      parseQuarantineObject(renderQuarantineObject(written));
+  BOOST_CHECK(read.Quarantines == written.Quarantines);
+  BOOST_REQUIRE(read.Crashes.size() == 1);
+  BOOST_CHECK(read.Crashes[0].Upstream == written.Crashes[0].Upstream);
+  BOOST_TEST(read.Crashes[0].StartedMs == 7);
+  BOOST_CHECK(read.Crashes[0].At == written.Crashes[0].At);
+  BOOST_CHECK(read.Crashes[0].Suspects == written.Crashes[0].Suspects);
+}
+
+// Another program has written to the object.
+BOOST_AUTO_TEST_CASE(a_malformed_object_is_refused) {
+  for (const std::string body :
+       {"", "[]", "{}", R"({"quarantines":[{}],"crashes":[]})",
+        R"({"quarantines":[{"service":"s","parts":[],"declared_us":1,)"
+        R"("released_us":0,"crashes":3}],"crashes":[]})"})
+    BOOST_CHECK_THROW(parseQuarantineObject(body), QuarantineObjectMalformed);
+}
+
+// A part that stays in a quarantine of several would be rejected with them.
+BOOST_AUTO_TEST_CASE(a_part_is_released_wherever_it_is_named) {
+  QuarantineMarks marks = sampleKnowledge().Quarantines;
+  marks[{ServiceId("other"), {"a", "z"}}] = {Now - seconds(1), {}, 3};
+  BOOST_TEST(releaseQuarantines(marks, "a", Now) == 2);
+  for (const auto &[key, mark] : marks)
+    BOOST_TEST(!mark.isInForce());
+  BOOST_TEST(releaseQuarantines(marks, "a", Now) == 0);
+}
+
+// The operator's clock is behind that of the hosts.
+BOOST_AUTO_TEST_CASE(a_quarantine_of_the_future_is_released) {
+  QuarantineMarks marks;
+  marks[{ServiceId("engines"), {"a"}}] = {Now + seconds(60), {}, 3};
+  BOOST_TEST(releaseQuarantines(marks, "a", Now) == 1);
+  BOOST_TEST(!marks.begin()->second.isInForce());
+}
+
+BOOST_AUTO_TEST_CASE(the_table_lists_those_in_force_first) {
+  BOOST_TEST(renderQuarantineTable(sampleKnowledge().Quarantines, Now) ==
+             "engines a quarantined 60 s ago, 3 crashes\n"
+             "engines a+b released 80 s ago, 4 crashes\n");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibPeer/TestFleetReportCodec.cpp
+++ b/Tests/LibPeer/TestFleetReportCodec.cpp
@@ -59,6 +59,9 @@
         decodeFleetMessage(std::string(bytes.begin(), bytes.end())));
   };
   fields.erase(fields.size() - 1);
+  BOOST_TEST(decoded().Crashes.empty());
+  BOOST_TEST(decoded().RejectionLimits.size() == 1U);
+  fields.erase(fields.size() - 1);
   BOOST_TEST(decoded().RejectionLimits.empty());
   BOOST_TEST(decoded().RateLimits.size() == 2U);
   fields.erase(fields.size() - 1);
@@ -72,4 +75,29 @@
   BOOST_TEST(report.Members.front().RelayAddress.empty());
 }
 
+BOOST_AUTO_TEST_CASE(knowledge_of_crashes_is_transferred) {
+  FleetReport report;
+  UpstreamCrash crash;
+  crash.Upstream = UpstreamId("u");
+  crash.StartedMs = 7;
+  crash.Service = ServiceId("s");
+  crash.At = Instant(Duration(9000));
+  crash.Suspects["part"] = {Instant(Duration(8000)), 18446744073709551615UL};
+  report.Crashes.Crashes = {crash};
+  report.Crashes.SurvivedAt[{ServiceId("s"), "sound"}] =
+      Instant(Duration(7000));
+  report.Crashes.Quarantines[{ServiceId("s"), {"a", "b"}}] = {
+      Instant(Duration(6000)), Instant(Duration(5000)), 4};
+  const auto message = decodeFleetMessage(encodeFleetMessage(report));
+  const CrashKnowledge read = std::get<FleetReport>(message).Crashes;
+  BOOST_REQUIRE(read.Crashes.size() == 1U);
+  BOOST_CHECK(read.Crashes[0].Upstream == crash.Upstream);
+  BOOST_TEST(read.Crashes[0].StartedMs == 7);
+  BOOST_CHECK(read.Crashes[0].Service == crash.Service);
+  BOOST_CHECK(read.Crashes[0].At == crash.At);
+  BOOST_CHECK(read.Crashes[0].Suspects == crash.Suspects);
+  BOOST_CHECK(read.SurvivedAt == report.Crashes.SurvivedAt);
+  BOOST_CHECK(read.Quarantines == report.Crashes.Quarantines);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
