LibServing: Blame no part while another explains all its crashes

Cause: a part counted as a rival only with as many counted crashes. Repeats of one call count once, so that a fatal part whose calls are sent twice each has fewer than a sound part that waits beside them in different calls. The sound part was quarantined.

Change: any other part that is a suspect of all its crashes is a rival.

Test: a_part_beside_repeated_calls_stays_in_use.

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -346,7 +346,7 @@
       return std::find(theirs.begin(), theirs.end(), it) != theirs.end();
     };
     if (!(other == key) && other.Service == key.Service &&
-        found.Count >= own.Count && (own.HasSurvived || !found.HasSurvived) &&
+        (own.HasSurvived || !found.HasSurvived) &&
         std::all_of(own.Crashes.begin(), own.Crashes.end(), isShared))
       out.push_back(other);
   }
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -167,6 +167,21 @@
   BOOST_TEST(!isQuarantined(quarantine, {"victim", "third"}));
 }
 
+// A host has just started, and calls with the fatal part are sent twice each.
+// They are fewer than the calls with a part that waits beside them.
+BOOST_AUTO_TEST_CASE(a_part_beside_repeated_calls_stays_in_use) {
+  PromptQuarantine quarantine;
+  const std::uint64_t fatalCalls[] = {1, 1, 2, 2};
+  for (int n = 0; n < 4; ++n)
+    quarantine.noteCrash(
+        crashOf("u" + std::to_string(n), n + 0.5,
+                {{{"fatal"}, double(n), fatalCalls[n]},
+                 {{"sound"}, double(n), static_cast<std::uint64_t>(n + 10)}}),
+        at(n + 0.5));
+  quarantine.tick(at(6));
+  BOOST_TEST(!isQuarantined(quarantine, {"sound"}));
+}
+
 // The crashes that calls with a quarantined part caused are no evidence against
 // the parts of calls that ended with them.
 BOOST_AUTO_TEST_CASE(crashes_that_are_explained_count_no_more) {
