--- a/Libraries/LibOperator/CallTimeline.cpp
+++ b/Libraries/LibOperator/CallTimeline.cpp
@@ -54,6 +54,8 @@
     {"upstream_truncated",
      "the upstream's response was truncated; the call may have run"},
     {"deadline", "the deadline of the call passed"},
+    {"prompt_quarantined", "upstreams crash under a part of the call's prompt; "
+                           "see its line with the parts"},
     {"resume_failed", "the stream could not be resumed at another upstream"},
 };
 
--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -551,9 +551,11 @@
 
 CrashKnowledge PromptQuarantine::knowledge(Instant now) const {
   CrashKnowledge out;
-  for (const StoredCrash &it : Crashes)
-    if (it.Crash.At >= now - Settings.ReportTime)
-      out.Crashes.push_back(it.Crash);
+  const std::size_t old =
+      Crashes.size() - std::min(Crashes.size(), Settings.MaxReportedCrashes);
+  for (std::size_t n = old; n < Crashes.size(); ++n)
+    if (Crashes[n].Crash.At >= now - Settings.ReportTime)
+      out.Crashes.push_back(Crashes[n].Crash);
   for (const auto &[key, survival] : Survivals)
     if (survival.ReportUntil >= now)
       out.SurvivedAt[key] = survival.At;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -30,6 +30,8 @@
   /// Crashes and survivals are reported to other hosts for this time.
   Duration ReportTime = seconds(30);
   std::size_t MaxCrashes = 128;
+  /// Crashes in one report, the newest.
+  std::size_t MaxReportedCrashes = 16;
   /// Crashes that are to outlast all processes.
   std::size_t MaxDurableCrashes = 32;
   /// Suspects of one crash.
--- a/Tests/LibOperator/TestQuarantineObject.cpp
+++ b/Tests/LibOperator/TestQuarantineObject.cpp
@@ -40,10 +40,13 @@
 
 // Another program has written to the object.
 BOOST_AUTO_TEST_CASE(a_malformed_object_is_refused) {
-  for (const std::string body :
-       {"", "[]", "{}", R"({"quarantines":[{}],"crashes":[]})",
-        R"({"quarantines":[{"service":"s","parts":[],"declared_us":1,)"
-        R"("released_us":0,"crashes":3}],"crashes":[]})"})
+  const std::string withoutParts =
+      R"({"quarantines":[{"service":"s","parts":[],"declared_us":1,)"
+      R"("released_us":0,"crashes":3}],"crashes":[]})";
+  const std::string withoutFields = R"({"quarantines":[{}],"crashes":[]})";
+  for (const std::string &body :
+       {std::string(), std::string("[]"), std::string("{}"), withoutFields,
+        withoutParts})
     BOOST_CHECK_THROW(parseQuarantineObject(body), QuarantineObjectMalformed);
 }
 
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -11,6 +11,7 @@
 
 std::vector<PromptPart> promptOf(const std::vector<std::string> &parts) {
   std::vector<PromptPart> out;
+  out.reserve(parts.size() + 1);
   for (const std::string &it : parts)
     out.push_back({it, 100});
   out.push_back({"own", 10});
@@ -255,6 +256,7 @@
   PromptQuarantine quarantine(settings);
   for (int n = 0; n < 1000; ++n) {
     std::vector<EndedCall> calls;
+    calls.reserve(100);
     for (int i = 0; i < 100; ++i)
       calls.push_back({{"p" + std::to_string(n / 3) + "/" + std::to_string(i)},
                        double(n),
--- a/Tests/sorrelbayd/CrashingEngines.cpp
+++ b/Tests/sorrelbayd/CrashingEngines.cpp
@@ -38,10 +38,11 @@
 void CrashingEngines::listen(Engine &engine) {
   engine.Server = std::make_unique<AsyncHttpServer>(
       Fixture.UpstreamLoop, engine.Address,
-      AsyncHttpServerHooks{[] { return HttpLimits{}; },
-                           [this, &engine](std::shared_ptr<HttpExchange> it) {
-                             serve(engine, it);
-                           }});
+      AsyncHttpServerHooks{
+          [] { return HttpLimits{}; },
+          [this, &engine](const std::shared_ptr<HttpExchange> &it) {
+            serve(engine, it);
+          }});
 }
 
 void CrashingEngines::addFatalPart(const std::string &part) {
