sorrelbayd: Charge no team for a relayed call with a quarantined prompt

Cause: the host that relays a call gives its units back only for 503. A call that the other host rejects for its prompt gets 400 and did not run either.

Change: both are given back, as for a call that this host rejects itself.

--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -632,7 +632,7 @@
   const int status = CurrentSend.Head.Status;
   IsDone = true;
   Timer.cancel();
-  if (status == Unavailable)
+  if (status == Unavailable || status == BadRequest)
     Charge.giveBack(State);
   log("refused", status, CurrentSend.PeerResult.Cause.c_str());
   Response.finish(status,
