sorrelbayd: Find crashes under answers that have begun, too

Cause: a host looked whether an upstream had crashed only for calls that may have been the cause. One whose answers had all begun counted each of them as a failure of the upstream's version. And silence under which no call can have been the cause was reported as a crash without suspects.

Change: each call that breaks off has its upstream checked; a crash without suspects is not kept as evidence, and not reported if it is only silence.

Test: prompt_crashes/a_crash_under_answers_that_have_begun_is_found, red without the change (no crash counted by the host of the answer).

--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -106,7 +106,8 @@
 /// Adds the crash, or its suspects to what is known of it. Returns whether
 /// anything was new.
 bool PromptQuarantine::addCrash(const UpstreamCrash &crash, Instant now) {
-  if (crash.At < now - Settings.Retention || crash.At > now + MaxClockError)
+  if (crash.Suspects.empty() || crash.At < now - Settings.Retention ||
+      crash.At > now + MaxClockError)
     return false;
   if (StoredCrash *known = findCrash(crash))
     return addSuspects(known->Crash, crash, now);
--- a/Services/sorrelbayd/UpstreamCrashMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.cpp
@@ -80,11 +80,13 @@
                         now - send.SentAt >= SilenceLimit &&
                         now - upstream.AliveAt >= SilenceLimit;
   const bool isLost = result == WatchedEnd::BrokenOff || isSilent;
-  if (send.IsPastBegin || !isLost || upstream.Lost.size() >= MaxLostSends)
+  if (!isLost)
     return;
   upstream.HasBrokenOff =
       upstream.HasBrokenOff || result == WatchedEnd::BrokenOff;
-  upstream.Lost.push_back({send.CallHash, std::move(send.Prompt), send.SentAt});
+  if (!send.IsPastBegin && upstream.Lost.size() < MaxLostSends)
+    upstream.Lost.push_back(
+        {send.CallHash, std::move(send.Prompt), send.SentAt});
   check(upstream, now);
 }
 
@@ -110,22 +112,30 @@
   const bool isRunning = result == ConnectResult::Connected;
   if (isRunning)
     upstream.AliveAt = bootNow();
-  if (!isRunning) {
-    addSilentSends(id, upstream);
-    HeldCrash held;
-    held.Crash = crashOf(upstream);
-    held.OfVersion = upstream.Record.OfVersion;
-    held.IsSilent = !upstream.HasBrokenOff;
-    held.Calls = upstream.Lost.size();
-    held.AliveAt = upstream.AliveAt;
-    held.HeldSince = bootNow();
-    Held.push_back(std::move(held));
-    reportHeld();
-  }
+  else
+    hold(id, upstream);
   upstream.Lost.clear();
   upstream.HasBrokenOff = false;
 }
 
+/// Reports the crash of the upstream, at once if this host reaches its service.
+/// Silence under which no call can have been the cause is not reported.
+void UpstreamCrashMonitor::hold(const UpstreamId &id,
+                                WatchedUpstream &upstream) {
+  addSilentSends(id, upstream);
+  HeldCrash held;
+  held.Crash = crashOf(upstream);
+  held.OfVersion = upstream.Record.OfVersion;
+  held.IsSilent = !upstream.HasBrokenOff;
+  held.Calls = upstream.Lost.size();
+  held.AliveAt = upstream.AliveAt;
+  held.HeldSince = bootNow();
+  if (held.IsSilent && held.Crash.Suspects.empty())
+    return;
+  Held.push_back(std::move(held));
+  reportHeld();
+}
+
 /// Adds the calls that still wait for the upstream, which does not run.
 void UpstreamCrashMonitor::addSilentSends(const UpstreamId &id,
                                           WatchedUpstream &upstream) {
--- a/Services/sorrelbayd/UpstreamCrashMonitor.h
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.h
@@ -86,6 +86,7 @@
     std::vector<PromptPart> Prompt;
     Instant SentAt{};
   };
+  /// An upstream and, since the last check, what has been lost there.
   struct WatchedUpstream {
     ReplicaRecord Record;
     /// When the upstream last sent anything, or accepted a connection.
@@ -94,6 +95,7 @@
     bool IsChecking = false;
     int OpenSends = 0;
     std::vector<LostSend> Lost;
+    /// A connection to it was closed or reset under a call.
     bool HasBrokenOff = false;
   };
 
@@ -110,6 +112,7 @@
 
   void check(WatchedUpstream &upstream, Instant now);
   void onChecked(const UpstreamId &id, ConnectResult result);
+  void hold(const UpstreamId &id, WatchedUpstream &upstream);
   void reportHeld();
   UpstreamCrash crashOf(const WatchedUpstream &upstream) const;
   void log(const HeldCrash &held, Instant now);
--- a/Tests/sorrelbayd/CrashingEngines.cpp
+++ b/Tests/sorrelbayd/CrashingEngines.cpp
@@ -74,7 +74,13 @@
   const HttpHeaders headers = {
       {"X-Call", headerValue(exchange->request().Headers, "X-Call")},
       {"Content-Type", "text/event-stream"}};
-  if (!isFatal(headerValue(exchange->request().Headers, "X-Parts")))
+  const std::string parts = headerValue(exchange->request().Headers, "X-Parts");
+  if (parts.find("endless") != std::string::npos) {
+    exchange->begin(200, headers, std::nullopt);
+    exchange->write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    return engine.Endless.push_back(exchange);
+  }
+  if (!isFatal(parts))
     return exchange->respond(200, headers,
                              "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n"
                              "data: c\n\n");
@@ -93,6 +99,7 @@
 void CrashingEngines::crash(Engine &engine) {
   ++Crashes;
   engine.Server.reset();
+  engine.Endless.clear();
   engine.Timer->expires_after(RestartTime);
   engine.Timer->async_wait([this, &engine](boost::system::error_code ec) {
     if (!ec)
--- a/Tests/sorrelbayd/CrashingEngines.h
+++ b/Tests/sorrelbayd/CrashingEngines.h
@@ -22,7 +22,8 @@
 /// Engines of a fixture that crash when they begin to answer a call whose
 /// prompt has a certain part, each on a port of its own. A crash closes all
 /// connections; the engine listens again after a while. Other calls are
-/// answered with a stream of three events.
+/// answered with a stream of three events, or of two that does not end if their
+/// prompt has the part "endless".
 class CrashingEngines {
 public:
   /// Registers the engines in place of the fixture's upstream.
@@ -42,6 +43,8 @@
     std::string Address;
     std::unique_ptr<AsyncHttpServer> Server;
     std::unique_ptr<boost::asio::steady_timer> Timer;
+    /// The responses that do not end.
+    std::vector<std::shared_ptr<HttpExchange>> Endless;
   };
 
   void listen(Engine &engine);
--- a/Tests/sorrelbayd/TestPromptCrashes.cpp
+++ b/Tests/sorrelbayd/TestPromptCrashes.cpp
@@ -130,6 +130,29 @@
   BOOST_TEST(fixture.metric(count) == 1);
 }
 
+// An engine crashes while it answers calls of a host that did not send the one
+// that crashed it. Unless that host finds the crash, each of its calls is a
+// failure of the engine's version.
+BOOST_AUTO_TEST_CASE(a_crash_under_answers_that_have_begun_is_found) {
+  const std::string count = "sorrelbay_upstream_crashes_total{"
+                            "manner=\"reset\",service=\"desk\"}";
+  GatewayFixture fixture;
+  const auto second = fixture.addHost("second", true);
+  CrashingEngines engines(fixture, 1, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart("fatal");
+  std::thread streaming([&] {
+    BOOST_CHECK_THROW(
+        fixture.callAt(fixture.CallerAddress, "/n/1", "shared endless"),
+        HttpOutcomeUnknown);
+  });
+  std::this_thread::sleep_for(10 * CallInterval);
+  fixture.callAt(second->CallerAddress, "/n/1", "shared fatal");
+  streaming.join();
+  for (int n = 0; n < MaxCalls && fixture.metric(count) == 0; ++n)
+    std::this_thread::sleep_for(CallInterval);
+  BOOST_TEST(fixture.metric(count) == 1);
+}
+
 // All hosts are killed. Those that start again must not begin anew to crash
 // engines, and the first call that they get may be one that does.
 BOOST_AUTO_TEST_CASE(quarantines_outlast_all_processes) {
