--- a/Libraries/LibServing/DeferredFailures.h
+++ b/Libraries/LibServing/DeferredFailures.h
@@ -24,9 +24,9 @@
   void add(const UnansweredSend &send, Instant now);
   /// Drops the failures of a service that is unreachable from this host.
   void discard(const ServiceId &service);
-  /// The upstream has crashed. The failures of the calls that ended with it count
-  /// as one: a version must not look bad because its upstream was busy when one
-  /// call crashed it.
+  /// The upstream has crashed. The failures of the calls that ended with it
+  /// count as one: a version must not look bad because its upstream was busy
+  /// when one call crashed it.
   void mergeCrash(const UpstreamId &upstream);
   /// Removes and returns the failures that count by now.
   std::vector<UnansweredSend> takeDue(const UpstreamReachability &paths,
--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -220,7 +220,7 @@
   return true;
 }
 
-void PromptQuarantine::merge(const QuarantineMarks &marks, Instant /*now*/) {
+void PromptQuarantine::merge(const QuarantineMarks &marks) {
   bool hasChanged = false;
   for (const auto &[key, mark] : marks)
     hasChanged = mergeMark(key, mark) || hasChanged;
@@ -236,7 +236,7 @@
     hasChanged = noteSurvivedAt(key, std::min(at, now), now) || hasChanged;
   if (hasChanged)
     ++Revision;
-  merge(other.Quarantines, now);
+  merge(other.Quarantines);
   dropExcess();
 }
 
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -85,7 +85,7 @@
                     const std::vector<PromptPart> &prompt, Instant now);
   /// Adds what another host or the store knows.
   void merge(const CrashKnowledge &other, Instant now);
-  void merge(const QuarantineMarks &marks, Instant now);
+  void merge(const QuarantineMarks &marks);
   /// Declares the quarantines that are due and drops what is old. To be called
   /// several times a second.
   void tick(Instant now);
--- a/Tests/LibServing/TestPromptQuarantine.cpp
+++ b/Tests/LibServing/TestPromptQuarantine.cpp
@@ -238,7 +238,7 @@
   BOOST_TEST(isQuarantined(other, {"fatal"}));
   QuarantineMarks released = quarantine.quarantines();
   released.begin()->second.ReleasedAt = at(5);
-  quarantine.merge(released, at(5));
+  quarantine.merge(released);
   quarantine.merge(other.knowledge(at(6)), at(6));
   quarantine.tick(at(7));
   BOOST_TEST(!isQuarantined(quarantine, {"fatal"}));
--- a/Utilities/sorrelbay/ExitCode.h
+++ b/Utilities/sorrelbay/ExitCode.h
@@ -17,8 +17,8 @@
   Unknown = 5,
   /// `status --watch`: a rollout was rolled back.
   RolledBack = 6,
-  /// `explain`: no log mentions the call. `quarantine release`: no quarantine in
-  /// force names the part.
+  /// `explain`: no log mentions the call. `quarantine release`: no quarantine
+  /// in force names the part.
   NotFound = 7,
 };
 
