--- a/Libraries/LibServing/PromptQuarantine.cpp
+++ b/Libraries/LibServing/PromptQuarantine.cpp
@@ -378,8 +378,8 @@
 }
 
 /// Declares the quarantine of the part, together with the parts that can't be
-/// told from it. Those that never came in the same call are quarantined by
-/// themselves. Returns false if it is too early for that.
+/// distinguished from it. Those that never came in the same call are
+/// quarantined by themselves. Returns false if it is too early for that.
 bool PromptQuarantine::declareWithRivals(const PromptPartKey &key,
                                          const EvidenceByPart &all,
                                          Instant now) {
@@ -429,7 +429,7 @@
   return unproven;
 }
 
-/// Takes parts out of quarantines of several that have turned out to be sound.
+/// Takes parts out of quarantines of several that are found to be sound.
 void PromptQuarantine::narrow(Instant now) {
   const EvidenceByPart all = evidence(true, now);
   QuarantineMarks several;
--- a/Libraries/LibServing/PromptQuarantine.h
+++ b/Libraries/LibServing/PromptQuarantine.h
@@ -16,7 +16,7 @@
   /// no other part explains, after which a part is quarantined.
   int Crashes = 3;
   /// The same for parts with which calls survived before, and for parts that
-  /// can't be told apart although they never came in the same call.
+  /// can't be distinguished although they never came in the same call.
   int CertainCrashes = 5;
   /// A crash counts once other hosts have had this time to report what it ended
   /// there.
@@ -52,7 +52,7 @@
 };
 
 /// Finds the parts of prompts under which upstreams crash, from the crashes and
-/// the answers that all hosts saw, and tells which calls are not to be sent.
+/// the answers that all hosts saw, and decides which calls are not to be sent.
 ///
 /// All calls that an upstream runs end with it, so a single crash says little
 /// about a part. A part is suspected by the crashes of upstreams to which it
