sorrelbayd: Log what all attempts for one request have in common

`upstream crashed` lines name the calls that were lost with their events, and `upstream crash dropped` says that a crash was not counted. No logic is changed.

--- a/Libraries/LibServing/ServingCall.h
+++ b/Libraries/LibServing/ServingCall.h
@@ -34,6 +34,9 @@
   /// If the caller resumes a stream, the id of the last event that it received;
   /// empty otherwise.
   std::string LastEventId;
+  /// What all attempts for the same request have in common (callFingerprint);
+  /// empty until the call's team is known.
+  std::string Fingerprint;
 };
 
 /// One send of a call: its upstream and the parameters sent with it.
--- a/Services/sorrelbayd/CallIntake.h
+++ b/Services/sorrelbayd/CallIntake.h
@@ -28,6 +28,9 @@
   const ServingRoute *Route = nullptr;
   /// Null if the route needs no key.
   const ServingTeam *Team = nullptr;
+
+  /// Empty if the route needs no key.
+  TeamId teamName() const { return Team ? Team->Name : TeamId(); }
 };
 
 /// Finds the call's route and team. Returns why the call is refused if it has
--- a/Services/sorrelbayd/CallLog.cpp
+++ b/Services/sorrelbayd/CallLog.cpp
@@ -71,11 +71,17 @@
   if (!budget.take(now))
     return;
   LogLine line(isGood ? Severity::Info : Severity::Warning, "call");
-  line.field("id", record.Id)
+  line.field("id", record.Call->Id)
       .field("outcome", record.Outcome)
       .field("status", static_cast<std::int64_t>(record.Status))
       .field("cause", record.Cause)
       .field("ms", toMilliseconds(now - record.ReceivedAt));
+  if (!isGood && !record.Call->Fingerprint.empty())
+    line.field("fingerprint", record.Call->Fingerprint);
+  if (!record.Call->LastEventId.empty())
+    line.field("resumed_after", record.Call->LastEventId);
+  if (record.Events != 0)
+    line.field("events", static_cast<std::int64_t>(record.Events));
   if (record.Route)
     line.field("route", record.Route->Name.text());
   if (record.Team)
--- a/Services/sorrelbayd/CallLog.h
+++ b/Services/sorrelbayd/CallLog.h
@@ -9,7 +9,7 @@
 
 /// A call that has ended, as far as logs and metrics show it.
 struct CallRecord {
-  std::string Id;
+  const ServingCall *Call = nullptr;
   const char *Outcome = "";
   int Status = 0;
   /// Why it was not answered by an upstream; empty if it was.
@@ -29,6 +29,8 @@
   Duration Waited{};
   /// The last send of the call.
   const CallSend *LastSend = nullptr;
+  /// The complete events of the response that its caller got.
+  std::size_t Events = 0;
   /// The upstream's stream ended inside an event.
   bool EndedInsideEvent = false;
   /// The host that the call was relayed from; empty if it was not.
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -5,6 +5,7 @@
 #include "LibBase/LogLine.h"
 #include "LibHttp/TimerExpiry.h"
 #include "LibPeer/PeerFailures.h"
+#include "LibServing/CallFingerprint.h"
 #include "QuarantineLog.h"
 #include <algorithm>
 
@@ -62,6 +63,8 @@
   if (const auto refusal =
           identifyCall(State, {Call, Plan.get(), ReceivedAt}, Identity))
     return refuse(*refusal);
+  Call.Fingerprint =
+      callFingerprint(Call, Identity.teamName(), Exchange->request().Body);
   const ServingRoute &route = *Identity.Route;
   const Duration waitLimit = std::min(
       Call.WaitLimit.value_or(DefaultWaitLimit),
@@ -251,8 +254,7 @@
   attempt.Replica = chosen->Id;
   attempt.Address = replica->Address;
   attempt.WaitLimit = RetryState->deadline() - now;
-  if (Identity.Team)
-    attempt.Team = Identity.Team->Name;
+  attempt.Team = Identity.teamName();
   attempt.Priority = Upstreams->priority();
   attempt.ResumeAfter = Response.lastEventId();
   CurrentSend.Replica = chosen->Id;
@@ -279,8 +281,7 @@
   HasAskedForPlace = true;
   PlaceRequest request;
   request.Service = Service;
-  if (Identity.Team)
-    request.Call.OfTeam = Identity.Team->Name;
+  request.Call.OfTeam = Identity.teamName();
   request.Call.Priority = Upstreams->priority();
   request.Call.ArrivedAt = ReceivedAt;
   request.Call.Deadline = RetryState->deadline();
@@ -515,9 +516,8 @@
 void GatewayCall::onBody(std::string_view bytes) {
   if (!isRelaying())
     Sends->noteReceived(CurrentSend);
-  if (!CurrentSend.HasFirstByte) {
+  if (!CurrentSend.HasFirstByte)
     noteFirstByte();
-  }
   if (CurrentSend.IsDiscarded)
     return;
   Response.append(bytes);
@@ -790,7 +790,7 @@
 
 void GatewayCall::log(const char *outcome, int status, const char *cause) {
   CallRecord record;
-  record.Id = Call.Id;
+  record.Call = &Call;
   record.Outcome = outcome;
   record.Status = status;
   record.Cause = cause;
@@ -805,6 +805,7 @@
   record.FailedConnects = FailedConnects;
   record.Waited = Waited;
   record.LastSend = &CurrentSend;
+  record.Events = Response.completeEvents();
   record.EndedInsideEvent = Response.isInsideEvent();
   if (Relayed)
     record.RelayedFrom = Relayed->From;
--- a/Services/sorrelbayd/UpstreamCrashMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.cpp
@@ -23,7 +23,7 @@
 constexpr Duration LongestHoldTime = seconds(5);
 /// Lost sends of an upstream that are kept until it is known whether it runs.
 constexpr std::size_t MaxLostSends = 64;
-/// Suspected parts that a log line names.
+/// Suspected parts, and calls, that a log line names.
 constexpr std::size_t MaxLoggedParts = 8;
 
 } // namespace
@@ -39,6 +39,7 @@
   send.Upstream = upstream.Id;
   send.CallHash = call.Id.empty() ? id : stableHash(call.Id);
   send.Prompt = call.Prompt;
+  send.Fingerprint = call.Fingerprint;
   send.SentAt = bootNow();
   send.Withdraw = std::move(withdraw);
   WatchedUpstream &watched = Upstreams[upstream.Id];
@@ -59,6 +60,7 @@
   Send &send = it->second;
   WatchedUpstream &upstream = Upstreams[send.Upstream];
   upstream.AliveAt = bootNow();
+  send.Events = events;
   if (send.IsPastBegin || events < EventsPastBegin)
     return;
   send.IsPastBegin = true;
@@ -84,6 +86,7 @@
     return;
   upstream.HasBrokenOff =
       upstream.HasBrokenOff || result == WatchedEnd::BrokenOff;
+  noteLostCall(upstream, send);
   if (!send.IsPastBegin && upstream.Lost.size() < MaxLostSends)
     upstream.Lost.push_back(
         {send.CallHash, std::move(send.Prompt), send.SentAt});
@@ -115,6 +118,7 @@
   else
     hold(id, upstream);
   upstream.Lost.clear();
+  upstream.LostCalls.clear();
   upstream.HasBrokenOff = false;
 }
 
@@ -128,6 +132,7 @@
   held.OfVersion = upstream.Record.OfVersion;
   held.IsSilent = !upstream.HasBrokenOff;
   held.Calls = upstream.Lost.size();
+  held.LostCalls = upstream.LostCalls;
   held.AliveAt = upstream.AliveAt;
   held.HeldSince = bootNow();
   if (held.IsSilent && held.Crash.Suspects.empty())
@@ -136,13 +141,22 @@
   reportHeld();
 }
 
+void UpstreamCrashMonitor::noteLostCall(WatchedUpstream &upstream,
+                                        const Send &send) {
+  if (upstream.LostCalls.size() < MaxLostSends)
+    upstream.LostCalls[send.Fingerprint] = send.Events;
+}
+
 /// Adds the calls that still wait for the upstream, which does not run.
 void UpstreamCrashMonitor::addSilentSends(const UpstreamId &id,
                                           WatchedUpstream &upstream) {
-  for (const auto &[sendId, send] : Sends)
-    if (send.Upstream == id && !send.IsPastBegin &&
-        upstream.Lost.size() < MaxLostSends)
+  for (const auto &[sendId, send] : Sends) {
+    if (send.Upstream != id)
+      continue;
+    noteLostCall(upstream, send);
+    if (!send.IsPastBegin && upstream.Lost.size() < MaxLostSends)
       upstream.Lost.push_back({send.CallHash, send.Prompt, send.SentAt});
+  }
 }
 
 /// The crash with the calls that may have been its cause. A silent upstream can
@@ -174,6 +188,12 @@
   Counts.countUpstreamCrash(crash.Service.text(), manner);
   if (!LogBudget.take(now))
     return;
+  std::string calls;
+  std::size_t namedCalls = 0;
+  for (const auto &[fingerprint, events] : held.LostCalls)
+    if (namedCalls++ < MaxLoggedParts)
+      calls += (calls.empty() ? "" : ",") + fingerprint + "/" +
+               std::to_string(events);
   std::string parts;
   std::size_t named = 0;
   for (const auto &[part, send] : crash.Suspects)
@@ -185,6 +205,8 @@
       .field("version", held.OfVersion.text())
       .field("manner", manner)
       .field("calls", static_cast<std::int64_t>(held.Calls))
+      .field("lost", static_cast<std::int64_t>(held.LostCalls.size()))
+      .field("fingerprints", calls)
       .field("suspects", static_cast<std::int64_t>(crash.Suspects.size()))
       .field("parts", parts)
       .field("silent_ms", toMilliseconds(now - held.AliveAt));
@@ -208,6 +230,12 @@
       Hooks.OnCrash(it.Crash);
     } else if (now - it.HeldSince < LongestHoldTime) {
       Held.push_back(std::move(it));
+    } else if (LogBudget.take(now)) {
+      LogLine(Severity::Warning, "upstream crash dropped")
+          .field("upstream", it.Crash.Upstream.text())
+          .field("service", it.Crash.Service.text())
+          .field("why", "service_unreachable")
+          .field("held_ms", toMilliseconds(now - it.HeldSince));
     }
   }
 }
--- a/Services/sorrelbayd/UpstreamCrashMonitor.h
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.h
@@ -75,7 +75,9 @@
     UpstreamId Upstream;
     std::uint64_t CallHash = 0;
     std::vector<PromptPart> Prompt;
+    std::string Fingerprint;
     Instant SentAt{};
+    std::size_t Events = 0;
     bool IsPastBegin = false;
     std::function<void()> Withdraw;
   };
@@ -95,6 +97,8 @@
     bool IsChecking = false;
     int OpenSends = 0;
     std::vector<LostSend> Lost;
+    /// The calls that were lost there, with the events that each had got.
+    std::map<std::string, std::size_t> LostCalls;
     /// A connection to it was closed or reset under a call.
     bool HasBrokenOff = false;
   };
@@ -106,6 +110,7 @@
     bool IsSilent = false;
     /// The calls that may have been its cause.
     std::size_t Calls = 0;
+    std::map<std::string, std::size_t> LostCalls;
     Instant AliveAt{};
     Instant HeldSince{};
   };
@@ -116,6 +121,7 @@
   void reportHeld();
   UpstreamCrash crashOf(const WatchedUpstream &upstream) const;
   void log(const HeldCrash &held, Instant now);
+  static void noteLostCall(WatchedUpstream &upstream, const Send &send);
   void addSilentSends(const UpstreamId &id, WatchedUpstream &upstream);
   static bool isOpenOrRecent(const WatchedUpstream &upstream, Instant now);
 
