Tests: Show a call that ends one engine after the other

Three hosts, twelve engines on sockets, and one caller that sends a call again to the next host with a new id, at once or after a pause, or resumes its stream; engines crash before the first byte, inside the first event or after three; with and without a prompt. Crashed engines come back under another id, as they do on the platform: entries of dead engines would make hosts take the service for unreachable, which is another matter.

--- a/Tests/sorrelbayd/CrashingEngines.cpp
+++ b/Tests/sorrelbayd/CrashingEngines.cpp
@@ -5,14 +5,16 @@
 
 namespace sorrelbay {
 
-/// The time until an engine begins to write, and until a crashed one listens
-/// again.
+/// The time until an engine begins to write.
 static constexpr Duration PrefillTime = milliseconds(15);
+/// The time until a crashed engine listens again.
 static constexpr Duration RestartTime = milliseconds(150);
+static constexpr const char *Events =
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n";
 
 CrashingEngines::CrashingEngines(GatewayFixture &fixture, int count,
-                                 CrashMoment moment)
-    : Fixture(fixture), Moment(moment) {
+                                 CrashMoment moment, RestartId restartId)
+    : Fixture(fixture), Moment(moment), Restarts(restartId) {
   Fixture.onUpstream([&] {
     for (int n = 0; n < count; ++n) {
       Engines.push_back(std::make_unique<Engine>());
@@ -25,8 +27,7 @@
     }
   });
   for (std::size_t n = 0; n < Engines.size(); ++n)
-    Fixture.Store.put(ResourceKind::Replicas, "e" + std::to_string(n),
-                      Engines[n]->Address + " ready");
+    registerEngine(*Engines[n], "e" + std::to_string(n));
   Fixture.Store.remove(ResourceKind::Replicas, "r1");
   Fixture.waitUntilSeen(ResourceKind::Replicas);
 }
@@ -45,6 +46,11 @@
           }});
 }
 
+void CrashingEngines::registerEngine(Engine &engine, const std::string &id) {
+  engine.Id = id;
+  Fixture.Store.put(ResourceKind::Replicas, id, engine.Address + " ready");
+}
+
 void CrashingEngines::addFatalPart(const std::string &part) {
   const std::lock_guard<std::mutex> lock(Mutex);
   FatalParts.push_back(part);
@@ -80,14 +86,16 @@
     exchange->write("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     return engine.Endless.push_back(exchange);
   }
-  if (!isFatal(parts))
-    return exchange->respond(200, headers,
-                             "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\n"
-                             "data: c\n\n");
+  if (!isFatal(parts + ' ' + exchange->request().Body))
+    return exchange->respond(200, headers, Events);
   if (Moment == CrashMoment::InsideFirstEvent) {
     exchange->begin(200, headers, std::nullopt);
     exchange->write("id: 1\nda");
   }
+  if (Moment == CrashMoment::AfterEvents) {
+    exchange->begin(200, headers, std::nullopt);
+    exchange->write(Events);
+  }
   engine.Timer->expires_after(PrefillTime);
   engine.Timer->async_wait(
       [this, &engine, exchange](boost::system::error_code ec) {
@@ -100,10 +108,15 @@
   ++Crashes;
   engine.Server.reset();
   engine.Endless.clear();
+  if (Restarts == RestartId::New)
+    Fixture.Store.remove(ResourceKind::Replicas, engine.Id);
   engine.Timer->expires_after(RestartTime);
   engine.Timer->async_wait([this, &engine](boost::system::error_code ec) {
-    if (!ec)
-      listen(engine);
+    if (ec)
+      return;
+    listen(engine);
+    if (Restarts == RestartId::New)
+      registerEngine(engine, engine.Id + "r");
   });
 }
 
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -113,7 +113,8 @@
     std::istringstream text(parts);
     for (std::string part; text >> part;)
       call.Prompt.push_back({part, 10});
-    call.Prompt.push_back({"own" + call.Id, 10});
+    const std::string own = headerValue(request.Headers, "X-Own");
+    call.Prompt.push_back({own.empty() ? "own" + call.Id : own, 10});
   }
   return call;
 }
@@ -479,29 +480,40 @@
 HttpReply GatewayFixture::callAt(const std::string &address,
                                  const std::string &path,
                                  const std::string &parts) {
-  return send(address, "key", path, parts);
+  CallerRequest request;
+  request.Path = path;
+  request.Parts = parts;
+  return callAt(address, request);
 }
 
 HttpReply GatewayFixture::call(const std::string &key,
                                const std::string &path) {
-  return send(CallerAddress, key, path);
+  CallerRequest request;
+  request.Key = key;
+  request.Path = path;
+  return callAt(CallerAddress, request);
 }
 
-HttpReply GatewayFixture::send(const std::string &address,
-                               const std::string &key, const std::string &path,
-                               const std::string &parts) const {
+HttpReply GatewayFixture::callAt(const std::string &address,
+                                 const CallerRequest &request) {
   static std::atomic<int> lastId{0};
   HttpCall call;
   call.Method = "POST";
-  call.Path = path;
-  call.Body = "please";
+  call.Path = request.Path;
+  call.Body = request.Body;
   call.Headers = {{"Host", "test.example"},
-                  {"X-Call", "id" + std::to_string(++lastId)},
-                  {"X-Key", key}};
+                  {"X-Call", request.Id.empty()
+                                 ? "id" + std::to_string(++lastId)
+                                 : request.Id},
+                  {"X-Key", request.Key}};
   if (PromptTokens != 0)
     call.Headers.push_back({"X-Tokens", std::to_string(PromptTokens)});
-  if (!parts.empty())
-    call.Headers.push_back({"X-Parts", parts});
+  if (!request.Parts.empty())
+    call.Headers.push_back({"X-Parts", request.Parts});
+  if (!request.OwnPart.empty())
+    call.Headers.push_back({"X-Own", request.OwnPart});
+  if (!request.LastEventId.empty())
+    call.Headers.push_back({"X-After", request.LastEventId});
   return sendOnce(address, call);
 }
 
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -52,6 +52,21 @@
   std::array<std::atomic<int>, ResourceKindCount> Watches{};
 };
 
+/// A call as its caller sends it.
+struct CallerRequest {
+  std::string Path = "/a/1";
+  std::string Key = "key";
+  /// The parts of the prompt that calls can share, separated by spaces.
+  std::string Parts;
+  /// The last part of the prompt; one that no other call has if it is empty.
+  std::string OwnPart;
+  std::string Body = "please";
+  /// The id of the attempt; a new one if it is empty.
+  std::string Id;
+  /// Resumes a stream after that event.
+  std::string LastEventId;
+};
+
 /// A further gateway of a fixture, which reaches the upstream over a path that
 /// can be cut.
 struct GatewayHost {
@@ -87,6 +102,7 @@
   /// which are separated by spaces, and one of its own.
   HttpReply callAt(const std::string &address, const std::string &path,
                    const std::string &parts = "");
+  HttpReply callAt(const std::string &address, const CallerRequest &request);
   /// The addresses that the host names to callers, separated by spaces.
   static std::string lookUp(const Gateway &host);
   /// Ends the gateway's process and starts another, which knows only what the
@@ -121,8 +137,6 @@
   std::string CallerAddress;
 
 private:
-  HttpReply send(const std::string &address, const std::string &key,
-                 const std::string &path, const std::string &parts = "") const;
   GatewayHooks hooks(boost::asio::io_context &loop,
                      const std::string &upstreamAddress);
 
