--- a/Libraries/LibServing/CallFingerprint.cpp
+++ b/Libraries/LibServing/CallFingerprint.cpp
@@ -6,7 +6,7 @@
 
 namespace sorrelbay {
 
-/// No other call's can be found on purpose within these.
+/// Too many for a caller to find another request with a given fingerprint.
 static constexpr std::size_t FingerprintBytes = 10;
 
 /// Appends the text with its length, so that no two lists of texts are the
