sorrelbayd: Open the check of an upstream after the call has gone on

Cause, read in its log and the code: since calls without prompts are watched a lost call opens the check of its upstream at once, which counts among the connections that the host may have to that address, and in the test all upstreams share one. The resumed call then finds none left, unless one is idle. Now the call takes its connection first.

--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -62,7 +62,8 @@
                         const QuarantineMark &mark) {
                    logQuarantineChange(*this, change, key, mark);
                  }),
-      Crashes(Client, Time, Paths, Counts), Random(std::random_device()()) {}
+      Crashes(Loop, Client, Time, Paths, Counts),
+      Random(std::random_device()()) {}
 
 void GatewayState::noteStoreCall(const char *call, ResourceKind kind,
                                  std::optional<StoreFailure> failure) {
--- a/Services/sorrelbayd/UpstreamCrashMonitor.cpp
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/Hash.h"
 #include "LibBase/LogLine.h"
 #include <algorithm>
+#include <boost/asio/post.hpp>
 
 namespace sorrelbay {
 
@@ -97,10 +98,13 @@
     return;
   upstream.IsChecking = true;
   upstream.CheckedAt = now;
-  Client.openIdle(upstream.Record.Address,
-                  [this, id = upstream.Record.Id](ConnectResult result) {
-                    onChecked(id, result);
-                  });
+  // A call that goes on at another upstream takes its connection first.
+  boost::asio::post(
+      Loop, [this, address = upstream.Record.Address, id = upstream.Record.Id] {
+        Client.openIdle(address, [this, id](ConnectResult result) {
+          onChecked(id, result);
+        });
+      });
 }
 
 void UpstreamCrashMonitor::onChecked(const UpstreamId &id,
--- a/Services/sorrelbayd/UpstreamCrashMonitor.h
+++ b/Services/sorrelbayd/UpstreamCrashMonitor.h
@@ -9,6 +9,7 @@
 #include "LibServing/UpstreamCrash.h"
 #include "LibServing/UpstreamReachability.h"
 #include "Metrics.h"
+#include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -53,9 +54,10 @@
   /// Identifies a watched send; 0 for none.
   using SendId = std::uint64_t;
 
-  UpstreamCrashMonitor(AsyncHttpClient &client, const FleetClock &time,
+  UpstreamCrashMonitor(boost::asio::io_context &loop, AsyncHttpClient &client,
+                       const FleetClock &time,
                        const UpstreamReachability &paths, Metrics &counts)
-      : Client(client), Time(time), Paths(paths), Counts(counts) {}
+      : Loop(loop), Client(client), Time(time), Paths(paths), Counts(counts) {}
 
   void setHooks(UpstreamCrashHooks hooks) { Hooks = std::move(hooks); }
   /// The call is sent to the upstream now. `withdraw` is called if the call is
@@ -133,6 +135,7 @@
   void addSilentSends(const UpstreamId &id, WatchedUpstream &upstream);
   static bool isOpenOrRecent(const WatchedUpstream &upstream, Instant now);
 
+  boost::asio::io_context &Loop;
   AsyncHttpClient &Client;
   const FleetClock &Time;
   const UpstreamReachability &Paths;
