LibServing: Answer questions about roles and reports without walks

Cause: with 985 hosts an ordinary host asks a dozen times a tick which role it has, and each answer walked all known hosts. A heartbeat of a collector, which is not counted there, made the merger determine anew which reports count, so that it copied and sorted the names of all hosts a dozen times a second. Each report moved the work at every upstream off and on again, and each host reported every team of the fleet, also those that it had never served.

Ruled out: caching answers for a tick, as messages arrive in between and would read roles that are a tick old.

Change: HostRanking keeps the hosts of each zone by rank, and answers look at the first live ones. A source that is not counted is looked at again at the next tick, not with each report. ReplicaTable applies the upstreams whose work differs. A team that a known process reports for the first time has used nothing before, so that zeros need not be sent.

Conclusion: what a host pays for a question does not grow with the fleet.

--- a/Libraries/LibServing/AddressLookup.cpp
+++ b/Libraries/LibServing/AddressLookup.cpp
@@ -56,7 +56,7 @@
     add(self);
   else
     out.LeftOut.push_back(self.Host);
-  for (const KnownMember &it : view.members()) {
+  for (const auto &[host, it] : view.members()) {
     if (it.Member.IsLeaving)
       continue;
     if (it.Member.IsReady && view.isAnswering(it, now))
--- a/Libraries/LibServing/FleetReportMerger.cpp
+++ b/Libraries/LibServing/FleetReportMerger.cpp
@@ -37,10 +37,11 @@
     else
       Tables.Usage.noteOthers(window, counts);
   }
-  const FleetReport *known = View.reportOf(sourceOf(report));
-  if (known && CountedReports.count(sourceOf(report)) != 0)
+  const SourceId source = sourceOf(report);
+  const FleetReport *known = View.reportOf(source);
+  if (known && CountedReports.count(source) != 0)
     applyReport(*known, now);
-  else
+  else if (UncountedSources.count(source) == 0)
     recount(self, now);
 }
 
@@ -59,8 +60,13 @@
   const bool isAlreadyCharged =
       isSum && HasCountedSum && CountedReports.count(source) == 0;
   HasCountedSum = HasCountedSum || isSum;
-  const bool isOlder =
-      isAlreadyCharged || report.Uptime > now - ProcessStartedAt + MaxStartSkew;
+  FleetReport &known = CountedReports[source];
+  // A team that the process has not reported before has used nothing until
+  // then.
+  const bool isKnownProcess = known.Incarnation == report.Incarnation;
+  const bool isOlder = isAlreadyCharged ||
+                       (!isKnownProcess &&
+                        report.Uptime > now - ProcessStartedAt + MaxStartSkew);
   for (const auto &[team, used] : report.Used) {
     PeerUsage use;
     use.Incarnation = report.Incarnation;
@@ -76,7 +82,7 @@
     Tables.RateLimiters[team].notePeer(source, use, now);
   }
   Tables.Time.notePeer(source, fromEpochMilliseconds(report.FleetTimeMs), now);
-  FleetReport &known = CountedReports[source];
+  known.Incarnation = report.Incarnation;
   known.Scope = report.Scope;
   known.Reporter = report.Reporter;
   known.Zone = report.Zone;
@@ -92,6 +98,7 @@
 }
 
 void FleetReportMerger::recount(const FleetMember &self, Instant now) {
+  ++Recounts;
   Tables.Replicas.statements().setServingHosts(self.Host,
                                                View.servingHosts(self, now));
   Tables.Replicas.statements().setSendingHosts(View.sendingHosts());
@@ -114,6 +121,7 @@
     removeSource(it->first);
     it = CountedReports.erase(it);
   }
+  UncountedSources = View.sourcesExcept(countedSources);
 }
 
 void FleetReportMerger::converge(Instant now) {
@@ -128,7 +136,8 @@
   report.RateLimits = Tables.Replicas.statements().ownRateLimits(now);
   report.RejectionLimits = Tables.Replicas.statements().ownRejectionLimits(now);
   for (const auto &[team, limiter] : Tables.RateLimiters) {
-    report.Used[team] = limiter.used();
+    if (limiter.used() != 0)
+      report.Used[team] = limiter.used();
     if (const auto level = limiter.settledLevel())
       report.Levels[team] = *level;
   }
--- a/Libraries/LibServing/FleetReportMerger.h
+++ b/Libraries/LibServing/FleetReportMerger.h
@@ -43,6 +43,8 @@
   void take(const FleetReport &report, const FleetMember &self, Instant now);
   /// Determines again which sources are counted.
   void recount(const FleetMember &self, Instant now);
+  /// How often that was determined.
+  int recounts() const { return Recounts; }
   /// Moves the levels of the teams' rate limiters towards those of other hosts;
   /// to be called a few times a second.
   void converge(Instant now);
@@ -62,7 +64,10 @@
   SourceHook OnSource;
   /// The sources whose reports are in the tables.
   std::map<SourceId, FleetReport> CountedReports;
+  /// The sources that were not counted when it was last determined which are.
+  std::set<SourceId> UncountedSources;
   bool HasCountedSum = false;
+  int Recounts = 0;
   /// What was last reported of crashes, and when.
   std::uint64_t ReportedCrashRevision = 0;
   Instant CrashesReportedAt{};
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -22,33 +22,38 @@
   return SourceId("host " + report.Reporter.text());
 }
 
-/// The order in which hosts become the aggregator: the largest first, hosts
-/// that can't reach the store last. While the store is down no host can reach
-/// it; one of them must still report to other zones, or each zone would grant
-/// the whole of a team's allotment.
-static bool ranksBefore(const FleetMember &a, const FleetMember &b) {
-  if (a.IsStoreUnreachable != b.IsStoreUnreachable)
-    return b.IsStoreUnreachable;
-  return a.Capacity != b.Capacity ? a.Capacity > b.Capacity : a.Host < b.Host;
-}
-
 FleetView::FleetView(FleetViewSettings settings)
     : Settings(std::move(settings)) {}
 
 void FleetView::noteRegistered(const std::vector<FleetMember> &members) {
   HasRegistered = true;
   Registered.clear();
+  RegisteredByZone.clear();
   for (const FleetMember &it : members)
     if (it.Host != Settings.Self)
       Registered[it.Host] = it;
-  updateKnownHostCount();
-}
-
-void FleetView::updateKnownHostCount() {
-  KnownHostCount = 1 + Registered.size();
+  for (const auto &[host, it] : Registered)
+    RegisteredByZone[it.Zone].push_back(it);
+  for (auto &[zone, hosts] : RegisteredByZone)
+    std::sort(hosts.begin(), hosts.end(),
+              [](const FleetMember &a, const FleetMember &b) {
+                return rankOf(a) < rankOf(b);
+              });
+  updateAllHosts();
+}
+
+void FleetView::updateAllHosts() {
+  std::vector<HostId> hosts{Settings.Self};
+  hosts.reserve(1 + Registered.size() + Known.size());
+  for (const auto &[host, it] : Registered)
+    hosts.push_back(host);
   for (const auto &[host, it] : Known)
     if (Registered.count(host) == 0)
-      ++KnownHostCount;
+      hosts.push_back(host);
+  KnownHostCount = hosts.size();
+  std::sort(hosts.begin(), hosts.end());
+  if (HasRegistered)
+    AllHosts = std::move(hosts);
 }
 
 bool FleetView::isAggregatedByZone() const {
@@ -158,13 +163,13 @@
     if (!isOwnReport && !isOfSum)
       continue;
     KnownMember &known = Known[it.Host];
-    if (isOwnReport)
-      known = {it, now, now};
-    else if (now - known.LastReportAt >= Settings.AggregatorTimeout)
-      known = {it, now, known.LastReportAt};
+    if (!isOwnReport && now - known.LastReportAt < Settings.AggregatorTimeout)
+      continue;
+    known = {it, now, isOwnReport ? now : known.LastReportAt};
+    Ranking.set(it);
   }
   if (Known.size() != before)
-    updateKnownHostCount();
+    updateAllHosts();
   if (report.Scope == ReportScope::Host || report.Members.empty())
     return;
   // A sum lists all running hosts of the zones that it covers.
@@ -221,52 +226,51 @@
     }
     removedHosts.push_back(it->first);
     Reports.erase(SourceId("host " + it->first.text()));
+    Ranking.erase(it->first);
     it = Known.erase(it);
   }
   if (!removedHosts.empty())
-    updateKnownHostCount();
+    updateAllHosts();
   for (auto it = Reports.begin(); it != Reports.end();)
     it = now - it->second.At < Settings.RemovalTimeout ? std::next(it)
                                                        : Reports.erase(it);
   return removedHosts;
 }
 
-/// The candidates for aggregator, of one zone or of all, highest-ranked first.
-std::vector<FleetMember> FleetView::ranked(const ZoneId *zone, Duration silence,
-                                           Instant now) const {
-  std::vector<FleetMember> out;
-  for (const auto &[host, it] : Known) {
-    const bool isOfGroup = !zone || it.Member.Zone == *zone;
-    if (isOfGroup && isLive(it, silence, now) && !it.Member.IsLeaving)
-      out.push_back(it.Member);
-  }
-  std::sort(out.begin(), out.end(), ranksBefore);
-  return out;
+HostRanking::Predicate FleetView::isLiveHost(Duration silence,
+                                             Instant now) const {
+  return [this, silence, now](const HostId &host) {
+    return isLive(Known.at(host), silence, now);
+  };
 }
 
-std::size_t FleetView::rankInGroup(const FleetMember &self, Instant now) const {
-  const bool hasZoneSums = isAggregatedByZone();
-  return static_cast<std::size_t>(
-      std::count_if(Known.begin(), Known.end(), [&](const auto &known) {
-        const KnownMember &it = known.second;
-        const bool isOfGroup = !hasZoneSums || it.Member.Zone == Settings.Zone;
-        return isOfGroup && !it.Member.IsLeaving &&
-               isLive(it, Settings.AggregatorTimeout, now) &&
-               ranksBefore(it.Member, self);
-      }));
-}
-
-/// The host's rank in the whole fleet. Updates about hosts of other zones
-/// arrive about once a second, so those get the longer silence limit.
-std::size_t FleetView::rankInFleet(const FleetMember &self, Instant now) const {
-  const auto others =
-      std::count_if(Known.begin(), Known.end(), [&](const auto &known) {
-        const KnownMember &it = known.second;
-        return it.Member.Zone != Settings.Zone && !it.Member.IsLeaving &&
-               isAnswering(it, now) && ranksBefore(it.Member, self);
-      });
-  return rankInGroup(self, now) +
-         (isAggregatedByZone() ? static_cast<std::size_t>(others) : 0);
+/// The number of live hosts of the group that rank before this one, at most
+/// `limit`.
+std::size_t FleetView::rankInGroup(const FleetMember &self, std::size_t limit,
+                                   Instant now) const {
+  const auto isLive = isLiveHost(Settings.AggregatorTimeout, now);
+  if (isAggregatedByZone())
+    return Ranking.countBefore(Settings.Zone, rankOf(self), limit, isLive);
+  std::size_t before = 0;
+  for (const ZoneId &zone : Ranking.zones())
+    before += Ranking.countBefore(zone, rankOf(self), limit - before, isLive);
+  return before;
+}
+
+/// The host's rank in the whole fleet, at most `limit`. Updates about hosts of
+/// other zones arrive about once a second, so those get the longer silence
+/// limit.
+std::size_t FleetView::rankInFleet(const FleetMember &self, std::size_t limit,
+                                   Instant now) const {
+  std::size_t before = rankInGroup(self, limit, now);
+  if (!isAggregatedByZone())
+    return before;
+  for (const ZoneId &zone : Ranking.zones())
+    if (zone != Settings.Zone)
+      before += Ranking.countBefore(
+          zone, rankOf(self), limit - before,
+          [&](const HostId &host) { return isAnswering(Known.at(host), now); });
+  return before;
 }
 
 /// Before the first reports arrive every host would rank itself first.
@@ -279,13 +283,13 @@
 
 bool FleetView::aggregates(const FleetMember &self, Instant now) const {
   return hasContactedOthers(now) && !self.IsLeaving &&
-         rankInGroup(self, now) == 0;
+         rankInGroup(self, 1, now) == 0;
 }
 
 bool FleetView::isAmongFirst(const FleetMember &self, std::size_t count,
                              Instant now) const {
   return hasContactedOthers(now) && !self.IsLeaving &&
-         rankInFleet(self, now) < count;
+         rankInFleet(self, count, now) < count;
 }
 
 /// A host that has only just started has seen few others; until then it also
@@ -294,16 +298,17 @@
 bool FleetView::collects(const FleetMember &self, Instant now) const {
   if (!isAggregatedByZone() || aggregates(self, now))
     return true;
-  std::size_t before = rankInGroup(self, now);
+  const std::size_t limit = Settings.CollectorsPerZone;
+  std::size_t before = rankInGroup(self, limit, now);
   if (now - Settings.ProcessStartedAt < Settings.StartupPeriod)
-    for (const FleetMember &it : unseenHostsOf(Settings.Zone, now))
-      if (ranksBefore(it, self))
+    for (const HostId &it : unseenHostsOf(Settings.Zone, limit, now))
+      if (rankOf(Registered.at(it)) < rankOf(self))
         ++before;
-  return !self.IsLeaving && before < Settings.CollectorsPerZone;
+  return !self.IsLeaving && before < limit;
 }
 
 bool FleetView::isFleetLeader(const FleetMember &self, Instant now) const {
-  return aggregates(self, now) && rankInFleet(self, now) == 0;
+  return aggregates(self, now) && rankInFleet(self, 1, now) == 0;
 }
 
 std::vector<HostId> FleetView::reportPeers(const FleetMember &self,
@@ -311,25 +316,18 @@
   if (collects(self, now))
     return groupPeers();
   std::vector<HostId> out = collectors(now);
-  const auto unseenHosts = unseenHostsOf(Settings.Zone, now);
-  if (now - Settings.ProcessStartedAt >= Settings.StartupPeriod) {
-    const auto some = firstAndRotatingHost(unseenHosts, now);
-    out.insert(out.end(), some.begin(), some.end());
-    return out;
-  }
-  for (std::size_t n = 0;
-       n < unseenHosts.size() && n < Settings.CollectorsPerZone; ++n)
-    out.push_back(unseenHosts[n].Host);
+  const bool isStarting =
+      now - Settings.ProcessStartedAt < Settings.StartupPeriod;
+  const std::vector<HostId> unseen =
+      isStarting ? unseenHostsOf(Settings.Zone, Settings.CollectorsPerZone, now)
+                 : firstAndRotatingHost(Settings.Zone, now);
+  out.insert(out.end(), unseen.begin(), unseen.end());
   return out;
 }
 
 std::vector<HostId> FleetView::collectors(Instant now) const {
-  std::vector<HostId> out;
-  const auto live = ranked(&Settings.Zone, Settings.AggregatorTimeout, now);
-  for (std::size_t n = 0; n < live.size() && n < Settings.CollectorsPerZone;
-       ++n)
-    out.push_back(live[n].Host);
-  return out;
+  return Ranking.first(Settings.Zone, Settings.CollectorsPerZone,
+                       isLiveHost(Settings.AggregatorTimeout, now));
 }
 
 std::vector<HostId> FleetView::groupPeers() const {
@@ -346,74 +344,71 @@
 
 std::vector<HostId> FleetView::otherAggregators(Instant now) const {
   std::set<ZoneId> zones;
-  for (const auto &[host, it] : Registered)
-    zones.insert(it.Zone);
-  for (const auto &[host, it] : Known)
-    zones.insert(it.Member.Zone);
+  for (const auto &[zone, hosts] : RegisteredByZone)
+    zones.insert(zone);
+  for (const ZoneId &zone : Ranking.zones())
+    zones.insert(zone);
   zones.erase(Settings.Zone);
   std::set<HostId> out;
-  const auto addFirst = [&](const std::vector<FleetMember> &hosts) {
-    for (std::size_t n = 0; n < hosts.size() && n < Settings.AggregatorsPerZone;
-         ++n)
-      out.insert(hosts[n].Host);
-  };
+  const auto isLive = isLiveHost(Settings.SilenceLimit * 2, now);
+  const std::size_t count = Settings.AggregatorsPerZone;
   for (const ZoneId &zone : zones) {
-    auto rankedHosts = ranked(&zone, Settings.SilenceLimit * 2, now);
-    addFirst(rankedHosts);
     // A host that can reach the store again becomes the aggregator before other
-    // zones receive its report. Without this, its zone would miss the reports
-    // sent in the meantime.
-    for (FleetMember &it : rankedHosts)
-      it.IsStoreUnreachable = false;
-    std::sort(rankedHosts.begin(), rankedHosts.end(), ranksBefore);
-    addFirst(rankedHosts);
-    const auto unseenHosts =
-        firstAndRotatingHost(unseenHostsOf(zone, now), now);
-    out.insert(unseenHosts.begin(), unseenHosts.end());
+    // zones receive its report. Without the second list, its zone would miss
+    // the reports sent in the meantime.
+    for (const std::vector<HostId> &hosts :
+         {Ranking.first(zone, count, isLive),
+          Ranking.firstIfReached(zone, count, isLive),
+          firstAndRotatingHost(zone, now)})
+      out.insert(hosts.begin(), hosts.end());
   }
   return {out.begin(), out.end()};
 }
 
-/// The registered hosts of the zone that have not been seen recently, in the
-/// order in which they would aggregate.
-std::vector<FleetMember> FleetView::unseenHostsOf(const ZoneId &zone,
-                                                  Instant now) const {
-  std::vector<FleetMember> hosts;
-  for (const auto &[host, it] : Registered) {
-    const auto known = Known.find(host);
-    const bool isRecentlySeen =
-        known != Known.end() && isAnswering(known->second, now);
-    if (it.Zone == zone && !isRecentlySeen)
-      hosts.push_back(it);
+/// The registered hosts of the zone that have not been seen recently, at most
+/// `count`, in the order in which they would aggregate.
+std::vector<HostId> FleetView::unseenHostsOf(const ZoneId &zone,
+                                             std::size_t count,
+                                             Instant now) const {
+  std::vector<HostId> hosts;
+  const auto registered = RegisteredByZone.find(zone);
+  if (registered == RegisteredByZone.end())
+    return hosts;
+  for (const FleetMember &it : registered->second) {
+    if (hosts.size() >= count)
+      break;
+    const auto known = Known.find(it.Host);
+    if (known == Known.end() || !isAnswering(known->second, now))
+      hosts.push_back(it.Host);
   }
-  std::sort(hosts.begin(), hosts.end(), ranksBefore);
   return hosts;
 }
 
-/// The highest-ranked host, plus one of the others in rotation. Otherwise two
-/// zones whose aggregators know only lower-ranked hosts of each other would
-/// never connect; and hosts that exited long ago stay registered in the store,
-/// so the first alone is not enough.
-std::vector<HostId>
-FleetView::firstAndRotatingHost(const std::vector<FleetMember> &unseenHosts,
-                                Instant now) {
-  if (unseenHosts.empty())
+/// The highest-ranked unseen host, plus one of the others in rotation.
+/// Otherwise two zones whose aggregators know only lower-ranked hosts of each
+/// other would never connect; and hosts that exited long ago stay registered in
+/// the store, so the first alone is not enough.
+std::vector<HostId> FleetView::firstAndRotatingHost(const ZoneId &zone,
+                                                    Instant now) const {
+  const std::vector<HostId> unseen =
+      unseenHostsOf(zone, Registered.size(), now);
+  if (unseen.empty())
     return {};
   const auto turn =
       static_cast<std::size_t>(toSeconds(now.time_since_epoch())) %
-      unseenHosts.size();
-  std::vector<HostId> out{unseenHosts.front().Host};
+      unseen.size();
+  std::vector<HostId> out{unseen.front()};
   if (turn != 0)
-    out.push_back(unseenHosts[turn].Host);
+    out.push_back(unseen[turn]);
   return out;
 }
 
-std::string FleetView::peerAddressOf(const HostId &host) const {
+const FleetMember *FleetView::memberOf(const HostId &host) const {
   const auto known = Known.find(host);
   if (known != Known.end())
-    return known->second.Member.PeerAddress;
+    return &known->second.Member;
   const auto registered = Registered.find(host);
-  return registered == Registered.end() ? "" : registered->second.PeerAddress;
+  return registered == Registered.end() ? nullptr : &registered->second;
 }
 
 std::vector<const FleetReport *> FleetView::counted(const FleetMember &self,
@@ -441,6 +436,15 @@
   return out;
 }
 
+std::set<SourceId>
+FleetView::sourcesExcept(const std::set<SourceId> &some) const {
+  std::set<SourceId> out;
+  for (const auto &[source, storedReport] : Reports)
+    if (some.count(source) == 0)
+      out.insert(source);
+  return out;
+}
+
 static void addTo(DemandByService &sum, const DemandByService &demand) {
   for (const auto &[service, rate] : demand)
     sum[service] += rate;
@@ -554,25 +558,6 @@
          (it != Known.end() && it->second.Member.Zone == Settings.Zone);
 }
 
-std::vector<KnownMember> FleetView::members() const {
-  std::vector<KnownMember> out;
-  out.reserve(Known.size());
-  for (const auto &[host, it] : Known)
-    out.push_back(it);
-  return out;
-}
-
-std::vector<HostId> FleetView::allHosts() const {
-  if (!HasRegistered)
-    return {};
-  std::set<HostId> out{Settings.Self};
-  for (const auto &[host, it] : Registered)
-    out.insert(host);
-  for (const auto &[host, it] : Known)
-    out.insert(host);
-  return {out.begin(), out.end()};
-}
-
 std::vector<HostId> FleetView::servingHosts(const FleetMember &self,
                                             Instant now) const {
   std::vector<HostId> out;
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -3,6 +3,7 @@
 #include "LibBase/Identifier.h"
 #include "LibBase/Time.h"
 #include "LibServing/FleetReport.h"
+#include "LibServing/HostRanking.h"
 #include "LibServing/UsageAggregator.h"
 #include <deque>
 #include <map>
@@ -97,14 +98,16 @@
   std::vector<HostId> collectors(Instant now) const;
   /// The hosts of other zones that receive this zone's sum.
   std::vector<HostId> otherAggregators(Instant now) const;
-  /// The address on which a host accepts connections from peers; empty if
-  /// unknown.
-  std::string peerAddressOf(const HostId &host) const;
+  /// What is known of another host, at least by its registration; null if it is
+  /// not known.
+  const FleetMember *memberOf(const HostId &host) const;
 
   /// The reports that are counted here; they cover each host's work exactly
   /// once.
   std::vector<const FleetReport *> counted(const FleetMember &self,
                                            Instant now) const;
+  /// The sources of all reports that are held, without the given ones.
+  std::set<SourceId> sourcesExcept(const std::set<SourceId> &some) const;
   /// The sum over this host's zone including its own report, and the sum over
   /// the other zones. The caller fills in usage and rollouts.
   FleetReport zoneReport(const FleetReport &own, Instant now) const;
@@ -118,10 +121,10 @@
   /// Whether the host is this one or is known to be in this host's zone.
   bool isOfOwnZone(const HostId &host) const;
   /// All other known hosts.
-  std::vector<KnownMember> members() const;
+  const std::map<HostId, KnownMember> &members() const { return Known; }
   /// All registered or known hosts including this one, also silent ones; empty
   /// until the registered hosts have been read from the store.
-  std::vector<HostId> allHosts() const;
+  const std::vector<HostId> &allHosts() const { return AllHosts; }
   /// The hosts that serve callers and reach all upstreams, as far as they were
   /// seen recently; this one is included if it does.
   std::vector<HostId> servingHosts(const FleetMember &self, Instant now) const;
@@ -145,6 +148,8 @@
   /// not been seen recently.
   double silentFraction(Instant now) const;
   const FleetViewSettings &settings() const { return Settings; }
+  /// The number of hosts that answers about roles have looked at so far.
+  std::size_t hostsVisited() const { return Ranking.visits(); }
 
 private:
   struct StoredReport {
@@ -161,28 +166,33 @@
     DemandByService ShortDemand;
   };
 
-  void updateKnownHostCount();
+  void updateAllHosts();
   bool isForThisHost(const FleetReport &report) const;
   void subtractOwnContribution(FleetReport &sum) const;
   bool isLive(const KnownMember &it, Duration silence, Instant now) const;
   void updateKnownMembers(const FleetReport &report, Instant now);
   bool hasContactedOthers(Instant now) const;
   Duration silenceLimitOf(const KnownMember &it) const;
-  std::vector<FleetMember> ranked(const ZoneId *zone, Duration silence,
-                                  Instant now) const;
-  std::vector<FleetMember> unseenHostsOf(const ZoneId &zone, Instant now) const;
-  static std::vector<HostId>
-  firstAndRotatingHost(const std::vector<FleetMember> &unseenHosts,
-                       Instant now);
-  std::size_t rankInGroup(const FleetMember &self, Instant now) const;
-  std::size_t rankInFleet(const FleetMember &self, Instant now) const;
+  std::vector<HostId> unseenHostsOf(const ZoneId &zone, std::size_t count,
+                                    Instant now) const;
+  std::vector<HostId> firstAndRotatingHost(const ZoneId &zone,
+                                           Instant now) const;
+  HostRanking::Predicate isLiveHost(Duration silence, Instant now) const;
+  std::size_t rankInGroup(const FleetMember &self, std::size_t limit,
+                          Instant now) const;
+  std::size_t rankInFleet(const FleetMember &self, std::size_t limit,
+                          Instant now) const;
 
   FleetViewSettings Settings;
   std::map<HostId, FleetMember> Registered;
+  /// The same by zone, in the order in which they would aggregate.
+  std::map<ZoneId, std::vector<FleetMember>> RegisteredByZone;
   bool HasRegistered = false;
   std::map<HostId, KnownMember> Known;
+  HostRanking Ranking;
   /// The number of hosts that are registered or known, including this one.
   std::size_t KnownHostCount = 1;
+  std::vector<HostId> AllHosts;
   std::map<SourceId, StoredReport> Reports;
   /// The contributions of this host's last reports, oldest first.
   std::deque<OwnContribution> OwnContributions;
--- a/Libraries/LibServing/OutstandingWork.h
+++ b/Libraries/LibServing/OutstandingWork.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "LibBase/Identifier.h"
 #include <cstdint>
+#include <map>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -23,8 +26,26 @@
     return {a.Calls + b.Calls, a.PromptTokens + b.PromptTokens,
             a.Tokens + b.Tokens};
   }
+  friend OutstandingWork operator-(const OutstandingWork &a,
+                                   const OutstandingWork &b) {
+    return {a.Calls - b.Calls, a.PromptTokens - b.PromptTokens,
+            a.Tokens - b.Tokens};
+  }
 };
 
+/// An upstream whose work differs between two reports.
+struct WorkChange {
+  UpstreamId Upstream;
+  OutstandingWork Before;
+  OutstandingWork Now;
+};
+
+/// The upstreams whose work differs between the reports. Those that a report
+/// leaves out have none.
+std::vector<WorkChange>
+changesOfWork(const std::map<UpstreamId, OutstandingWork> &before,
+              const std::map<UpstreamId, OutstandingWork> &now);
+
 /// What one call adds to an upstream's work in progress.
 struct CallCost {
   /// Prompt tokens that the upstream is expected to prefill, without cached
--- a/Libraries/LibServing/RelayPeers.cpp
+++ b/Libraries/LibServing/RelayPeers.cpp
@@ -25,7 +25,7 @@
                                             Instant now) const {
   std::vector<std::pair<std::uint64_t, RelayPeer>> ranked;
   const std::uint64_t ownHash = stableHash(view.settings().Self.text());
-  for (const KnownMember &it : view.members())
+  for (const auto &[host, it] : view.members())
     if (reaches(it, service, view, now))
       ranked.push_back({stableHash(it.Member.Host.text(), ownHash),
                         {it.Member.Host, it.Member.RelayAddress}});
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -40,9 +40,7 @@
     const auto it = open.find(record.Id);
     if (it == open.end())
       continue;
-    entry.Peers.Calls += it->second.Calls;
-    entry.Peers.PromptTokens += it->second.PromptTokens;
-    entry.Peers.Tokens += it->second.Tokens;
+    entry.Peers = entry.Peers + it->second;
   }
   Entries.emplace(record.Id, entry);
 }
@@ -441,23 +439,12 @@
 void ReplicaTable::notePeer(const SourceId &peer,
                             std::map<UpstreamId, OutstandingWork> open) {
   std::map<UpstreamId, OutstandingWork> &known = PeerWork[peer];
-  for (const auto &[id, work] : known) {
-    const auto it = Entries.find(id);
-    if (it == Entries.end())
-      continue;
-    it->second.Peers.Calls -= work.Calls;
-    it->second.Peers.PromptTokens -= work.PromptTokens;
-    it->second.Peers.Tokens -= work.Tokens;
+  for (const WorkChange &it : changesOfWork(known, open)) {
+    const auto entry = Entries.find(it.Upstream);
+    if (entry != Entries.end())
+      entry->second.Peers = entry->second.Peers + it.Now - it.Before;
   }
   known = std::move(open);
-  for (const auto &[id, work] : known) {
-    const auto it = Entries.find(id);
-    if (it == Entries.end())
-      continue;
-    it->second.Peers.Calls += work.Calls;
-    it->second.Peers.PromptTokens += work.PromptTokens;
-    it->second.Peers.Tokens += work.Tokens;
-  }
 }
 
 void ReplicaTable::forgetPeer(const SourceId &peer) {
--- a/Services/sorrelbayd/DutyLease.cpp
+++ b/Services/sorrelbayd/DutyLease.cpp
@@ -69,7 +69,7 @@
 }
 
 void DutyLease::noteReportedHolders(Instant now) {
-  for (const KnownMember &it : State.Fleet.members()) {
+  for (const auto &[host, it] : State.Fleet.members()) {
     if (it.Member.LeaseRevision == 0)
       continue;
     HighestFencingToken = std::max(HighestFencingToken, it.Member.FencingToken);
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -112,12 +112,15 @@
 }
 
 void GatewayFleet::updateLinks(Instant now) {
+  std::vector<HostId> peers = State.Fleet.reportPeers(self(), now);
+  if (State.Fleet.isAggregatedByZone() && aggregates(now)) {
+    const auto others = State.Fleet.otherAggregators(now);
+    peers.insert(peers.end(), others.begin(), others.end());
+  }
   std::map<HostId, std::string> wanted;
-  for (const HostId &it : State.Fleet.reportPeers(self(), now))
-    wanted[it] = State.Fleet.peerAddressOf(it);
-  if (State.Fleet.isAggregatedByZone() && aggregates(now))
-    for (const HostId &it : State.Fleet.otherAggregators(now))
-      wanted[it] = State.Fleet.peerAddressOf(it);
+  for (const HostId &it : peers)
+    if (const FleetMember *member = State.Fleet.memberOf(it))
+      wanted[it] = member->PeerAddress;
   Link->keep(wanted, now);
 }
 
--- a/Services/sorrelbayd/OperatorRequestWatch.cpp
+++ b/Services/sorrelbayd/OperatorRequestWatch.cpp
@@ -91,7 +91,7 @@
     return;
   const AddressLookup lookup =
       lookUpAddresses(State.Self(), State.Fleet, now, held);
-  const std::vector<HostId> known = State.Fleet.allHosts();
+  const std::vector<HostId> &known = State.Fleet.allHosts();
   const auto contains = [](const std::vector<HostId> &all, const HostId &host) {
     return std::find(all.begin(), all.end(), host) != all.end();
   };
--- a/Services/sorrelbayd/ReservedEngines.cpp
+++ b/Services/sorrelbayd/ReservedEngines.cpp
@@ -33,7 +33,7 @@
 /// The age of the oldest report among the hosts whose demand counts.
 Duration ReservedEngines::oldestReportAge(Instant now) const {
   Duration oldest{};
-  for (const KnownMember &it : State.Fleet.members())
+  for (const auto &[host, it] : State.Fleet.members())
     if (State.Fleet.isAnswering(it, now))
       oldest = std::max(oldest, now - it.LastSeenAt);
   return oldest;
--- a/Tests/LibServing/FleetSimulation.cpp
+++ b/Tests/LibServing/FleetSimulation.cpp
@@ -251,7 +251,7 @@
 /// The lease is kept in the store; a response may be lost after the write was
 /// applied.
 void FleetSimulation::stepLease(Host &host) {
-  for (const KnownMember &it : host.View->members())
+  for (const auto &[name, it] : host.View->members())
     if (it.Member.LeaseRevision != 0)
       host.Lease->noteReported(
           {IncarnationId(it.Member.Host.text()), it.Member.LeaseRevision}, Now);
--- a/Tests/LibServing/TestFleetView.cpp
+++ b/Tests/LibServing/TestFleetView.cpp
@@ -294,7 +294,7 @@
   BOOST_TEST(fleet.aggregators() == 4);
   // Callers are not sent to the failed host.
   for (std::size_t n = 1; n < 80; ++n)
-    for (const KnownMember &it : fleet.Views[n].members())
+    for (const auto &[host, it] : fleet.Views[n].members())
       if (it.Member.Host == fleet.Members[0].Host)
         BOOST_TEST(!fleet.Views[n].isAnswering(it, fleet.Now));
 }
