LibObjectApi, platform: Read further pages of a first list cheaply

Each of 985 hosts lists 3,000 upstreams and 985 hosts, page by page, the hosts three times, and asks again for each kind in which it seems to have missed something: the store has one revision for all kinds, so that the registration of 985 hosts looked like a gap in the plan.

Ruled out: a first view from peers alone, since a host has to find them; it stays open as the next step.

Change: the first page of a first list is the latest, further ones may be old and cost a tenth; a watch from the oldest page brings the view up to date before it counts as confirmed. A list of one page, as in all small deployments, is read as before. A later list, which decides what is gone, is always the latest. Relays begin at the revision at which the kind last changed, so that hosts whose view is older than the leader's last call, but not older than the last change, ask nobody.

Three tests failed before: a_first_list_that_may_be_old_*, a_later_list_is_the_latest, relays_begin_where_the_kind_last_changed.

--- a/Libraries/LibObjectApi/InstrumentedStore.cpp
+++ b/Libraries/LibObjectApi/InstrumentedStore.cpp
@@ -23,9 +23,10 @@
 ResourceStore instrumentedStore(const ResourceStore &store,
                                 const StoreCallHook &onCall) {
   ResourceStore out;
-  out.List = [store, onCall](ResourceKind kind,
+  out.List = [store, onCall](ResourceKind kind, ListFreshness freshness,
                              StoreCallback<ResourceListing> done) {
-    store.List(kind, withHook(onCall, "list", kind, std::move(done)));
+    store.List(kind, freshness,
+               withHook(onCall, "list", kind, std::move(done)));
   };
   out.Watch = [store, onCall](ResourceKind kind, std::uint64_t after,
                               Duration waitLimit,
--- a/Libraries/LibObjectApi/ResourceStore.h
+++ b/Libraries/LibObjectApi/ResourceStore.h
@@ -53,10 +53,22 @@
   std::uint64_t Revision = 0;
 };
 
+/// Which state of the store a listing has to show.
+enum class ListFreshness {
+  /// The state at the time of the call.
+  Latest,
+  /// The same for the first page; further pages may be seconds old. They cost
+  /// less, and a listing that has only one page is the latest in any case.
+  FirstPageLatest,
+};
+
 /// All objects of a kind as of a revision of the store.
 struct ResourceListing {
   std::vector<Resource> Objects;
   std::uint64_t AtRevision = 0;
+  /// Whether it shows the state at the time of the call. Otherwise it may be
+  /// older, and a watch from `AtRevision` returns what has changed since.
+  bool IsLatest = true;
 };
 
 struct ResourceChange {
@@ -120,7 +132,9 @@
 /// counted and billed. A callback runs exactly once, on the loop's thread and
 /// never from inside the call, at the latest a margin after the wait limit.
 struct ResourceStore {
-  std::function<void(ResourceKind, StoreCallback<ResourceListing>)> List;
+  std::function<void(ResourceKind, ListFreshness,
+                     StoreCallback<ResourceListing>)>
+      List;
   /// Waits for changes after the revision, at most for the wait limit.
   std::function<void(ResourceKind, std::uint64_t after, Duration waitLimit,
                      StoreCallback<ResourceChanges>)>
--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -96,6 +96,9 @@
   /// ends unless they are registered again.
   std::set<std::string> DeferredRemovals;
   std::uint64_t AtRevision = 0;
+  /// From this revision to AtRevision the kind has not changed. Hosts whose
+  /// view is anywhere in between miss nothing.
+  std::uint64_t UnchangedSince = 0;
   Instant LastSuccess{};
   Instant DeferRemovalsUntil{};
   /// No call to the store is in flight or scheduled.
@@ -112,28 +115,38 @@
   const Instant begun = Hooks.Now();
   Schedule.noteQuery(begun);
   MustList = false;
-  Store.List(Kind, [self = shared_from_this(),
-                    begun](const StoreResult<ResourceListing> &result) {
-    if (self->IsStopped)
-      return;
-    if (!result.Got)
-      return self->retry(result.Failure, true);
-    self->succeeded(begun);
-    const ResourceChanges changes = self->changesTo(*result.Got);
-    const std::uint64_t from = self->AtRevision;
-    self->apply(changes);
-    self->AtRevision = result.Got->AtRevision;
-    // A new list is as current as relayed changes.
-    self->Schedule.noteUpdate(self->Hooks.Now());
-    self->HasGap = false;
-    self->confirm(begun);
-    // The other hosts' revisions are also too old to watch from, so the changes
-    // are relayed to them.
-    if (self->HasListed)
-      self->Hooks.OnWatched(from, changes, begun);
-    self->HasListed = true;
-    self->queryIfNeeded(self->Hooks.Now());
-  });
+  // A first list need not be the latest, since a watch from it returns what
+  // has changed since. Later ones also show which known objects are gone.
+  const auto freshness =
+      HasListed ? ListFreshness::Latest : ListFreshness::FirstPageLatest;
+  Store.List(Kind, freshness,
+             [self = shared_from_this(),
+              begun](const StoreResult<ResourceListing> &result) {
+               if (self->IsStopped)
+                 return;
+               if (!result.Got)
+                 return self->retry(result.Failure, true);
+               self->succeeded(begun);
+               const ResourceChanges changes = self->changesTo(*result.Got);
+               const std::uint64_t from = self->AtRevision;
+               self->apply(changes);
+               self->AtRevision = result.Got->AtRevision;
+               self->UnchangedSince = self->AtRevision;
+               if (!result.Got->IsLatest) {
+                 self->HasListed = true;
+                 return self->watch(self->Settings.FirstWaitLimit);
+               }
+               // A new list is as current as relayed changes.
+               self->Schedule.noteUpdate(self->Hooks.Now());
+               self->HasGap = false;
+               self->confirm(begun);
+               // The other hosts' revisions are also too old to watch from, so
+               // the changes are relayed to them.
+               if (self->HasListed)
+                 self->Hooks.OnWatched(from, changes, begun);
+               self->HasListed = true;
+               self->queryIfNeeded(self->Hooks.Now());
+             });
 }
 
 /// Returns the changes that lead from the known objects to the listed ones.
@@ -173,9 +186,13 @@
                 if (self->HasGap)
                   self->Schedule.noteUpdate(self->Hooks.Now());
                 self->HasGap = false;
+                const std::uint64_t unchangedSince =
+                    std::min(from, self->UnchangedSince);
+                if (!result.Got->Changes.empty())
+                  self->UnchangedSince = result.Got->AtRevision;
                 self->apply(*result.Got);
                 self->confirm(begun);
-                self->Hooks.OnWatched(from, *result.Got, begun);
+                self->Hooks.OnWatched(unchangedSince, *result.Got, begun);
                 if (result.Got->Changes.empty())
                   self->queryIfNeeded(self->Hooks.Now());
                 else
@@ -283,6 +300,8 @@
   // and forth endlessly.
   const bool isNewer =
       relayed.Changes.AtRevision > AtRevision || begun > Schedule.confirmedAt();
+  if (!relayed.Changes.Changes.empty())
+    UnchangedSince = relayed.Changes.AtRevision;
   apply(relayed.Changes);
   confirm(begun);
   if (isNewer)
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -271,12 +271,15 @@
 }
 
 /// Registers this host unless the store holds the same entry already, possibly
-/// from an earlier process at the same address.
-void GatewayFleet::registerIfMissing(const std::vector<FleetMember> &members) {
+/// from an earlier process at the same address. A listing that is not the
+/// latest may show an entry that has been removed since.
+void GatewayFleet::registerIfMissing(const std::vector<FleetMember> &members,
+                                     bool isLatest) {
   if (IsRegistered || State.isStopping())
     return;
   const FleetMember self = this->self();
   IsRegistered =
+      isLatest &&
       std::any_of(members.begin(), members.end(), [&](const FleetMember &it) {
         return it.Host == self.Host && it.Zone == self.Zone &&
                it.PeerAddress == self.PeerAddress &&
@@ -338,7 +341,7 @@
 void GatewayFleet::lookUpPeers() {
   if (State.isStopping())
     return;
-  State.Hooks.Store.List(ResourceKind::Hosts,
+  State.Hooks.Store.List(ResourceKind::Hosts, ListFreshness::FirstPageLatest,
                          [this](const StoreResult<ResourceListing> &result) {
                            if (!result.Got)
                              return;
@@ -349,7 +352,7 @@
                                members.push_back(member);
                            }
                            State.Fleet.noteRegistered(members);
-                           registerIfMissing(members);
+                           registerIfMissing(members, result.Got->IsLatest);
                          });
   const Instant now = bootNow();
   const bool usesRelayedReports =
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -67,7 +67,8 @@
   void sendOwnReport(const FleetReport &own, Instant now);
   void publishAggregates(const FleetReport &own, Instant now);
   void updateLinks(Instant now);
-  void registerIfMissing(const std::vector<FleetMember> &members);
+  void registerIfMissing(const std::vector<FleetMember> &members,
+                         bool isLatest);
   void registerHost();
   void lookUpPeers();
 
--- a/Tests/LibObjectApi/TestResourceWatcher.cpp
+++ b/Tests/LibObjectApi/TestResourceWatcher.cpp
@@ -16,12 +16,13 @@
 /// started a watch because no changes were relayed after its list.
 struct WatcherFixture {
   explicit WatcherFixture(bool isPolling, ResourceWatcherSettings settings = {},
-                          bool isFresh = false)
+                          bool isFresh = false, bool isLatest = true)
       : IsPolling(isPolling) {
     ResourceStore store;
-    store.List = [this](ResourceKind,
+    store.List = [this](ResourceKind, ListFreshness freshness,
                         const StoreCallback<ResourceListing> &done) {
       ++Lists;
+      Freshness = freshness;
       CompleteList = done;
     };
     store.Watch = [this](ResourceKind, std::uint64_t after, Duration waitLimit,
@@ -48,7 +49,7 @@
         Loop, store, ResourceKind::Replicas, settings, hooks);
     Watcher->start();
     StoreResult<ResourceListing> listing;
-    listing.Got = ResourceListing{{{"a", "1", "", 5}}, 10};
+    listing.Got = ResourceListing{{{"a", "1", "", 5}}, 10, isLatest};
     CompleteList(listing);
     if (!isFresh)
       Watcher->tick(bootNow() + settings.WaitLimit * settings.MaxSilentWaits +
@@ -83,6 +84,7 @@
   StoreCallback<ResourceListing> CompleteList;
   StoreCallback<ResourceChanges> CompleteWatch;
   int Lists = 0;
+  ListFreshness Freshness = ListFreshness::Latest;
   int Watches = 0;
   std::uint64_t After = 0;
   std::map<std::string, std::string> Seen;
@@ -382,7 +384,8 @@
   boost::asio::io_context loop;
   int calls = 0;
   ResourceStore store;
-  store.List = [&](ResourceKind, const StoreCallback<ResourceListing> &done) {
+  store.List = [&](ResourceKind, ListFreshness,
+                   const StoreCallback<ResourceListing> &done) {
     ++calls;
     boost::asio::post(loop, [done] {
       done(StoreResult<ResourceListing>{{}, StoreFailure::Unavailable});
@@ -400,4 +403,52 @@
   BOOST_TEST(calls <= 4);
 }
 
+// Thousands of entries take several pages, which each of a thousand hosts reads
+// when all start at once. Pages that may be old cost a tenth; a host that took
+// them for the latest would send calls to upstreams that are gone.
+BOOST_AUTO_TEST_CASE(a_first_list_that_may_be_old_is_brought_up_to_date) {
+  WatcherFixture fixture(false, {}, true, false);
+  BOOST_TEST((fixture.Freshness == ListFreshness::FirstPageLatest));
+  BOOST_TEST((fixture.Confirmed == Instant{}));
+  BOOST_REQUIRE(fixture.Watches == 1);
+  BOOST_TEST(fixture.After == 10U);
+  BOOST_TEST(
+      (fixture.LastWaitLimit == ResourceWatcherSettings{}.FirstWaitLimit));
+  fixture.CompleteWatch({ResourceChanges{{{{"a", "2", "", 12}, false}}, 12},
+                         StoreFailure::Unavailable});
+  BOOST_TEST((fixture.Confirmed != Instant{}));
+  BOOST_TEST(fixture.Seen.at("a") == "2");
+}
+
+// A list after lost history decides which objects are gone. If it were old, it
+// would remove what has just been registered.
+BOOST_AUTO_TEST_CASE(a_later_list_is_the_latest) {
+  WatcherFixture fixture(true);
+  fixture.CompleteWatch({{}, StoreFailure::HistoryGone});
+  fixture.Loop.run_for(milliseconds(50));
+  BOOST_REQUIRE(fixture.Lists == 2);
+  BOOST_TEST((fixture.Freshness == ListFreshness::Latest));
+}
+
+// The store has one revision for all kinds. If hosts that start missed
+// something with each of its changes, all of them would query the store for
+// kinds that have not changed at all.
+BOOST_AUTO_TEST_CASE(relays_begin_where_the_kind_last_changed) {
+  WatcherFixture fixture(true);
+  const auto complete = [&](std::vector<ResourceChange> changes,
+                            std::uint64_t asOf) {
+    fixture.CompleteWatch(
+        {ResourceChanges{std::move(changes), asOf}, StoreFailure::Unavailable});
+  };
+  using Relay = std::pair<std::uint64_t, std::uint64_t>;
+  complete({}, 20);
+  BOOST_TEST((fixture.Relayed.back() == Relay{10, 20}));
+  complete({}, 30);
+  BOOST_TEST((fixture.Relayed.back() == Relay{10, 30}));
+  complete({{{"b", "1", "", 35}, false}}, 40);
+  BOOST_TEST((fixture.Relayed.back() == Relay{10, 40}));
+  complete({}, 50);
+  BOOST_TEST((fixture.Relayed.back() == Relay{40, 50}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibObjectApi/TestViewFreshness.cpp
+++ b/Tests/LibObjectApi/TestViewFreshness.cpp
@@ -23,7 +23,7 @@
 struct ReceivingHost {
   explicit ReceivingHost(const ResourceWatcherSettings &settings) {
     ResourceStore store;
-    store.List = [this](ResourceKind,
+    store.List = [this](ResourceKind, ListFreshness,
                         const StoreCallback<ResourceListing> &done) {
       CompleteList = done;
     };
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -229,7 +229,7 @@
 
 ResourceStore FakeStore::hooks(boost::asio::io_context &loop) {
   ResourceStore out;
-  out.List = [this, &loop](ResourceKind kind,
+  out.List = [this, &loop](ResourceKind kind, ListFreshness,
                            const StoreCallback<ResourceListing> &done) {
     StoreResult<ResourceListing> result;
     const std::lock_guard<std::mutex> lock(Mutex);
