LibPeer, sorrelbayd: Send what has changed in reports, at a stated pace

Cause: each report was sent whole. A sum over 985 hosts takes 110 KB and is sent eight times a second to each host: 0.9 MB a second and 55 ms of decoding on an eighth of a core. An aggregator sent each of them to 164 hosts, 144 MB a second over a link of 125 MB, so that its send queues grew without end: the six largest processes held 107 MB after 18 minutes on. Every message was parsed into a tree of JSON values first.

Ruled out: compression, which costs the processor time that is scarce; larger intervals alone, which make what hosts know old at any size.

Change: ReportStreamWriter encodes each report as the step from the one before, with keys that both sides number as they appear; the values of a message are grouped by type and decoded by nlohmann's SAX interface into columns without a tree. ReportOutbox knows which version each connection has, and sends the steps that it lacks, or the whole state. A receiver that finds a gap asks the sender, which answers at once; nobody asks the store. Nothing is added to a connection on which 128 KiB wait: its reports arrive later as one. SumSchedule sends a sum when the bytes of those before it are paid for, at the latest after 0.5 s, and members, usage and paces once a second. A host of the zone is told which of its own reports the sum includes, not those of all. Hosts that do not say that they accept updates get whole reports as before; the test of earlier versions takes out the new field of a member first, and checks the ones before it besides. FleetCost counts messages, bytes, values and time; the log shows them every ten seconds.

--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -1,20 +1,15 @@
 #include "LibPeer/FleetReportCodec.h"
 #include "LibPeer/CrashKnowledgeJson.h"
 #include "LibPeer/PeerFailures.h"
+#include "LibPeer/ReportStream.h"
 #include <nlohmann/json.hpp>
 
 namespace sorrelbay {
 
 using nlohmann::json;
 
-/// Must be changed whenever the format changes incompatibly, so that hosts of
-/// different versions do not misread each other.
-static constexpr int FormatNumber = 6;
-
 namespace {
 
-enum class MessageKind { Report, ChangeRelay };
-
 std::string toBytes(const json &message) {
   const auto bytes = json::to_cbor(message);
   return {bytes.begin(), bytes.end()};
@@ -24,23 +19,17 @@
   json unreachable = json::array();
   for (const ServiceId &service : it.UnreachableServices)
     unreachable.push_back(service.text());
-  return {it.Host.text(),
-          it.Zone.text(),
-          it.PeerAddress,
-          it.CallerAddress,
-          it.IsReady,
-          it.IsLeaving,
-          it.IsStoreUnreachable,
-          it.HoldsDuties,
-          it.LeaseRevision,
-          it.FencingToken,
-          it.Capacity,
-          it.RelayAddress,
-          unreachable};
+  return {it.Host.text(),        it.Zone.text(),   it.PeerAddress,
+          it.CallerAddress,      it.IsReady,       it.IsLeaving,
+          it.IsStoreUnreachable, it.HoldsDuties,   it.LeaseRevision,
+          it.FencingToken,       it.Capacity,      it.RelayAddress,
+          unreachable,           it.AcceptsUpdates};
 }
 
-/// The number of fields of a member before there were relayed calls.
+/// The number of fields of a member before there were relayed calls, and before
+/// there were updates of reports.
 constexpr std::size_t MemberFieldsWithoutRelays = 11;
+constexpr std::size_t MemberFieldsWithoutUpdates = 13;
 
 FleetMember memberFromJson(const json &from) {
   FleetMember out;
@@ -61,6 +50,8 @@
     for (const json &service : from.at(12))
       out.UnreachableServices.insert(ServiceId(service.get<std::string>()));
   }
+  if (from.size() > MemberFieldsWithoutUpdates)
+    from.at(13).get_to(out.AcceptsUpdates);
   return out;
 }
 
@@ -200,8 +191,8 @@
   json included = json::array();
   for (const auto &[host, sequence] : report.Included)
     included.push_back({host.text(), sequence});
-  return toBytes({FormatNumber,
-                  static_cast<int>(MessageKind::Report),
+  return toBytes({FleetFormatNumber,
+                  static_cast<int>(FleetMessageKind::Report),
                   static_cast<int>(report.Scope),
                   report.Reporter.text(),
                   report.Zone.text(),
@@ -230,7 +221,8 @@
   for (const ResourceChange &it : relayedChanges.Changes.Changes)
     changes.push_back({it.Object.Name, it.Object.Body, it.Object.Status,
                        it.Object.Revision, it.IsRemoved});
-  return toBytes({FormatNumber, static_cast<int>(MessageKind::ChangeRelay),
+  return toBytes({FleetFormatNumber,
+                  static_cast<int>(FleetMessageKind::RelayedChanges),
                   static_cast<int>(relayedChanges.Kind), relayedChanges.From,
                   relayedChanges.Changes.AtRevision, relayedChanges.IsTruncated,
                   relayedChanges.Age.count(), relayedChanges.Echo, changes});
@@ -239,11 +231,11 @@
 FleetMessage decodeFleetMessage(const std::string &bytes) {
   try {
     const json messageFields = json::from_cbor(bytes);
-    if (messageFields.at(0).get<int>() != FormatNumber)
+    if (messageFields.at(0).get<int>() != FleetFormatNumber)
       throw PeerMessageRefused(
           "fleet message has an unsupported format number");
     if (messageFields.at(1).get<int>() ==
-        static_cast<int>(MessageKind::ChangeRelay))
+        static_cast<int>(FleetMessageKind::RelayedChanges))
       return relayedChangesFromJson(messageFields);
     return fleetReportFromJson(messageFields);
   } catch (const json::exception &error) {
--- a/Libraries/LibPeer/PeerSocket.cpp
+++ b/Libraries/LibPeer/PeerSocket.cpp
@@ -228,6 +228,14 @@
   post([this, connection] { Implementation->Events.Closed(connection); });
 }
 
+std::size_t PeerSocket::backlog(ConnectionId connection) const {
+  const auto it = Implementation->OpenConnections.find(connection);
+  if (it == Implementation->OpenConnections.end())
+    return 0;
+  return it->second.Accepted ? it->second.Accepted->get_buffered_amount()
+                             : it->second.Initiated->get_buffered_amount();
+}
+
 void PeerSocket::close(ConnectionId connection) {
   const auto it = Implementation->OpenConnections.find(connection);
   if (it == Implementation->OpenConnections.end())
--- a/Libraries/LibPeer/PeerSocket.h
+++ b/Libraries/LibPeer/PeerSocket.h
@@ -64,6 +64,8 @@
 
   ConnectionId connect(const std::string &address);
   void send(ConnectionId connection, const std::string &bytes);
+  /// The number of unsent bytes on the connection.
+  std::size_t backlog(ConnectionId connection) const;
   void close(ConnectionId connection);
   /// Raises the limit on received messages to MaxPeerMessageBytes.
   void raiseMessageLimit(ConnectionId connection);
--- a/Libraries/LibServing/FleetReport.h
+++ b/Libraries/LibServing/FleetReport.h
@@ -50,16 +50,18 @@
   std::string RelayAddress;
   /// Services none of whose upstreams the host can reach.
   std::set<ServiceId> UnreachableServices;
+  /// The host accepts reports that contain only what has changed.
+  bool AcceptsUpdates = false;
 
   friend bool operator==(const FleetMember &a, const FleetMember &b) {
     return std::tie(a.Host, a.Zone, a.PeerAddress, a.CallerAddress, a.IsReady,
                     a.IsLeaving, a.IsStoreUnreachable, a.HoldsDuties,
                     a.LeaseRevision, a.FencingToken, a.Capacity, a.RelayAddress,
-                    a.UnreachableServices) ==
+                    a.UnreachableServices, a.AcceptsUpdates) ==
            std::tie(b.Host, b.Zone, b.PeerAddress, b.CallerAddress, b.IsReady,
                     b.IsLeaving, b.IsStoreUnreachable, b.HoldsDuties,
                     b.LeaseRevision, b.FencingToken, b.Capacity, b.RelayAddress,
-                    b.UnreachableServices);
+                    b.UnreachableServices, b.AcceptsUpdates);
   }
 };
 
--- a/Libraries/LibServing/UpstreamRateLimit.h
+++ b/Libraries/LibServing/UpstreamRateLimit.h
@@ -19,6 +19,9 @@
   /// the response that named a limit, or of the send whose response named none.
   /// The newest statement applies.
   Instant At{};
+  friend bool operator==(const LimitStatement &a, const LimitStatement &b) {
+    return a.PerSecond == b.PerSecond && a.At == b.At;
+  }
 };
 
 using LimitStatements = std::map<UpstreamId, LimitStatement>;
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -21,9 +21,6 @@
 /// the peers of its group.
 constexpr Duration RareLookupInterval = seconds(60);
 constexpr int FirstLookupCount = 3;
-/// Interval of the reports that list all members and carry slowly changing
-/// data.
-constexpr Duration FullReportInterval = seconds(1);
 /// Most bytes of relayed changes in one message. Larger sets are split, since
 /// one message would delay the reports behind it; a single object that is
 /// larger is fetched by each host.
@@ -70,8 +67,8 @@
   hooks.OnRelayedChanges = [this](const RelayedChanges &relayed) {
     Hooks.OnRelayedChanges(relayed);
   };
-  Link =
-      std::make_unique<FleetLink>(State.Loop, State.Settings.PeerListen, hooks);
+  Link = std::make_unique<FleetLink>(State.Loop, State.Settings.PeerListen,
+                                     State.Settings.Host, hooks);
 }
 
 void GatewayFleet::start() { lookUpPeers(); }
@@ -82,6 +79,7 @@
   self.Zone = State.Settings.Zone;
   self.PeerAddress = Link->address();
   self.Capacity = State.Settings.Cores;
+  self.AcceptsUpdates = true;
   return self;
 }
 
@@ -109,6 +107,7 @@
   ReportMerger.converge(now);
   updateLinks(now);
   publish(now);
+  CostLog.log(Link->cost(), now);
 }
 
 void GatewayFleet::updateLinks(Instant now) {
@@ -117,10 +116,10 @@
     const auto others = State.Fleet.otherAggregators(now);
     peers.insert(peers.end(), others.begin(), others.end());
   }
-  std::map<HostId, std::string> wanted;
+  std::map<HostId, FleetLink::PeerEndpoint> wanted;
   for (const HostId &it : peers)
     if (const FleetMember *member = State.Fleet.memberOf(it))
-      wanted[it] = member->PeerAddress;
+      wanted[it] = {member->PeerAddress, member->AcceptsUpdates};
   Link->keep(wanted, now);
 }
 
@@ -142,7 +141,7 @@
       State.Fleet.reportPeers(own.Members.front(), now);
   if (!State.Fleet.isAggregatedByZone() ||
       !State.Fleet.collects(own.Members.front(), now)) {
-    Link->send(peers, encodeFleetMessage(own));
+    Link->sendReport(ReportStream::Own, peers, own);
     return;
   }
   const std::vector<HostId> collectors = State.Fleet.collectors(now);
@@ -154,49 +153,46 @@
   heartbeat.Levels.clear();
   heartbeat.Usage.clear();
   heartbeat.Moves.clear();
-  Link->send(collectors, encodeFleetMessage(own));
-  Link->send(without(peers, collectors), encodeFleetMessage(heartbeat));
+  Link->sendReport(ReportStream::Own, collectors, own);
+  Link->sendReport(ReportStream::Heartbeat, without(peers, collectors),
+                   heartbeat);
 }
 
 /// Sends this zone's sum to other zones' aggregators, and that sum and the sum
-/// of the other zones to this zone. Members, usage and rollout knowledge are
-/// large and change slowly; they are included once a second, or when a member
-/// has changed.
+/// of the other zones to this zone.
 void GatewayFleet::publishAggregates(const FleetReport &own, Instant now) {
-  FleetReport zone = State.Fleet.zoneReport(own, now);
-  FleetReport others = State.Fleet.othersReport(own, now);
-  const bool isFullReport = now - MembersSentAt >= FullReportInterval ||
-                            SentMembers[zone.Scope] != zone.Members ||
-                            SentMembers[others.Scope] != others.Members;
-  if (isFullReport) {
-    MembersSentAt = now;
-    SentMembers[zone.Scope] = zone.Members;
-    SentMembers[others.Scope] = others.Members;
-  }
-  for (FleetReport *it : {&zone, &others}) {
-    // A host that receives only sums would otherwise follow a single host's
-    // clock.
-    it->FleetTimeMs = toEpochMilliseconds(State.Time.at(now));
-    it->Usage.clear();
-    it->Moves.clear();
-    if (!isFullReport) {
-      it->Members.clear();
-      continue;
-    }
-    it->Moves = Hooks.EncodedRollouts(it->Scope);
-    ReportMerger.fillUsage(*it);
-  }
-  Link->send(State.Fleet.otherAggregators(now), encodeFleetMessage(zone));
+  const FleetReport zone = State.Fleet.zoneReport(own, now);
   const std::vector<HostId> collectors = State.Fleet.collectors(now);
-  Link->send(collectors, encodeFleetMessage(others));
-  others.Moves.clear();
-  Link->send(without(State.Fleet.groupPeers(), collectors),
-             encodeFleetMessage(others));
-  FleetReport ownZone = State.Fleet.ownZoneReport(zone);
+  const std::vector<HostId> group = State.Fleet.groupPeers();
+  publishSum(ReportStream::Zone, State.Fleet.otherAggregators(now), zone, now);
+  const FleetReport others = State.Fleet.othersReport(own, now);
+  publishSum(ReportStream::OtherZonesWithMoves, collectors, others, now);
+  publishSum(ReportStream::OtherZones, without(group, collectors), others, now);
+  publishSum(ReportStream::OwnZone, group, State.Fleet.ownZoneReport(zone),
+             now);
+}
+
+void GatewayFleet::publishSum(ReportStream stream,
+                              const std::vector<HostId> &to, FleetReport sum,
+                              Instant now) {
+  if (!Sums.isDue(stream, sum, now))
+    return;
+  // A host that receives only sums would otherwise follow a single host's
+  // clock.
+  sum.FleetTimeMs = toEpochMilliseconds(State.Time.at(now));
+  sum.Usage.clear();
+  sum.Moves.clear();
+  if (Sums.renewsSlowParts(stream, sum, now)) {
+    ReportMerger.fillUsage(sum);
+    if (stream != ReportStream::OtherZones)
+      sum.Moves = Hooks.EncodedRollouts(sum.Scope);
+  }
   // All hosts need rollout steps and vetoes at once; only hosts that decide
   // need the evidence.
-  ownZone.Moves = Hooks.EncodedRollouts(ownZone.Scope);
-  Link->send(State.Fleet.groupPeers(), encodeFleetMessage(ownZone));
+  if (stream == ReportStream::OwnZone)
+    sum.Moves = Hooks.EncodedRollouts(sum.Scope);
+  Link->sendReport(stream, to, sum);
+  Sums.noteSent(stream, Link->stepBytes(stream), now);
 }
 
 void GatewayFleet::publishPromptly() {
@@ -260,13 +256,13 @@
   RelayedChanges last = std::move(parts.back());
   parts.pop_back();
   for (const RelayedChanges &it : parts)
-    Link->send(peers, encodeFleetMessage(it));
+    Link->send(peers, it);
   for (const HostId &it : peers) {
     // A host that has not sent a report yet has no clock to echo and cannot
     // determine the age of the changes.
     const auto echo = PeerClocks.find(it);
     last.Echo = echo == PeerClocks.end() ? 0 : echo->second;
-    Link->send({it}, encodeFleetMessage(last));
+    Link->send({it}, last);
   }
 }
 
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "FleetCostLog.h"
 #include "GatewayState.h"
 #include "LibPeer/FleetLink.h"
+#include "LibPeer/SumSchedule.h"
 #include "LibServing/FleetReportMerger.h"
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -60,12 +62,16 @@
   }
   FleetMember self() const;
   std::string address() const { return Link->address(); }
+  /// What the messages between hosts have cost this one.
+  const FleetCost &cost() const { return Link->cost(); }
 
 private:
   void applyReport(const FleetReport &report);
   FleetReport ownReport(Instant now);
   void sendOwnReport(const FleetReport &own, Instant now);
   void publishAggregates(const FleetReport &own, Instant now);
+  void publishSum(ReportStream stream, const std::vector<HostId> &to,
+                  FleetReport sum, Instant now);
   void updateLinks(Instant now);
   void registerIfMissing(const std::vector<FleetMember> &members,
                          bool isLatest);
@@ -83,9 +89,8 @@
   FleetReportMerger ReportMerger;
   std::uint64_t Sequence = 0;
   Instant PublishedAt{};
-  /// When a report last listed all members, and which ones it listed.
-  Instant MembersSentAt{};
-  std::map<ReportScope, std::vector<FleetMember>> SentMembers;
+  SumSchedule Sums;
+  FleetCostLog CostLog;
   /// Each peer's boot clock in its last report, in microseconds. It is sent
   /// back with relayed changes.
   std::map<HostId, std::int64_t> PeerClocks;
--- a/Tests/LibPeer/TestFleetReportCodec.cpp
+++ b/Tests/LibPeer/TestFleetReportCodec.cpp
@@ -20,6 +20,7 @@
   member.Capacity = 2;
   member.RelayAddress = "10.0.0.1:7615";
   member.UnreachableServices = {ServiceId("a"), ServiceId("b")};
+  member.AcceptsUpdates = true;
   report.Members = {member};
   return report;
 }
@@ -67,6 +68,10 @@
   BOOST_TEST(decoded().RejectionLimits.empty());
   BOOST_TEST(decoded().RateLimits.size() == 2U);
   fields.erase(fields.size() - 1);
+  BOOST_TEST(decoded().Members.front().AcceptsUpdates);
+  member.erase(member.size() - 1);
+  BOOST_TEST(!decoded().Members.front().AcceptsUpdates);
+  BOOST_TEST(!decoded().Members.front().RelayAddress.empty());
   member.erase(member.size() - 2);
   member.erase(member.size() - 1);
   const FleetReport report = decoded();
