sorrelbayd: Encode relayed changes once for all hosts

Cause: the last part of relayed changes, up to 48 KB, was encoded anew for each of 164 hosts, only because it sends back each receiver's clock.

Change: the changes go to all as one encoding; a message without changes follows that confirms each receiver's view. Its order on a connection is kept.

--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -253,16 +253,30 @@
     peers.insert(peers.end(), others.begin(), others.end());
   }
   std::vector<RelayedChanges> parts = splitIntoParts(relayed, MaxRelayedBytes);
-  RelayedChanges last = std::move(parts.back());
-  parts.pop_back();
+  RelayedChanges confirmation = parts.back();
+  if (relayed.IsTruncated || confirmation.Changes.Changes.empty()) {
+    parts.pop_back();
+  } else {
+    confirmation.From = confirmation.Changes.AtRevision;
+    confirmation.Changes.Changes.clear();
+    parts.back().Echo = 0;
+  }
   for (const RelayedChanges &it : parts)
     Link->send(peers, it);
+  confirmRelayedChanges(confirmation, peers);
+}
+
+/// Sends the last message of a relay, which confirms each receiver's view. It
+/// differs for each of them and holds no changes, so that these are encoded
+/// once for all.
+void GatewayFleet::confirmRelayedChanges(RelayedChanges confirmation,
+                                         const std::vector<HostId> &peers) {
   for (const HostId &it : peers) {
     // A host that has not sent a report yet has no clock to echo and cannot
     // determine the age of the changes.
     const auto echo = PeerClocks.find(it);
-    last.Echo = echo == PeerClocks.end() ? 0 : echo->second;
-    Link->send({it}, last);
+    confirmation.Echo = echo == PeerClocks.end() ? 0 : echo->second;
+    Link->send({it}, confirmation);
   }
 }
 
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -72,6 +72,8 @@
   void publishAggregates(const FleetReport &own, Instant now);
   void publishSum(ReportStream stream, const std::vector<HostId> &to,
                   FleetReport sum, Instant now);
+  void confirmRelayedChanges(RelayedChanges confirmation,
+                             const std::vector<HostId> &peers);
   void updateLinks(Instant now);
   void registerIfMissing(const std::vector<FleetMember> &members,
                          bool isLatest);
