sorrelbayd, docs: Show what messages between hosts cost

Cause: neither the log nor the metrics said what a host spends on what it knows of others, so that the baseline could not be split by role and kind.

--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -171,6 +171,7 @@
     State.Counts.setUpstreamConnectionCounts(State.Client.counts());
     State.Counts.setBundleGeneration(State.Plan ? State.Plan->plan().Version
                                                 : 0);
+    State.Counts.setFleetCost(Fleet.cost());
     setUpstreamLoadMetrics(State, bootNow());
     if (State.Plan)
       for (const ServingService &it : State.Plan->plan().Services) {
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -42,6 +42,9 @@
   Family<Histogram> &Waits;
   Family<Counter> &WaitRefusals;
   Family<Gauge> &UpstreamLoads;
+  Family<Counter> &FleetMessages;
+  Family<Counter> &FleetBytes;
+  Family<Counter> &FleetWork;
   Counter &Tokens;
   Counter &Resumes;
   Counter &Recomputed;
@@ -155,6 +158,15 @@
                         .Help("Upstreams that are slow, or contradicted, by "
                               "what they state, by service and state.")
                         .Register(Registry)),
+      FleetMessages(counterFamily(
+          Registry, "sorrelbay_fleet_messages_total",
+          "Messages between entry hosts, by direction and kind.")),
+      FleetBytes(
+          counterFamily(Registry, "sorrelbay_fleet_bytes_total",
+                        "Bytes of these messages, by direction and kind.")),
+      FleetWork(counterFamily(
+          Registry, "sorrelbay_fleet_seconds_total",
+          "Time spent on these messages: encode, decode and merge.")),
       Tokens(counterFamily(Registry, "sorrelbay_tokens_total",
                            "Tokens given to callers.")
                  .Add({})),
@@ -342,6 +354,27 @@
   raiseTo(All->PeerSilentLinks, counts.SilenceTimeouts);
 }
 
+void Metrics::setFleetCost(const FleetCost &cost) {
+  for (std::size_t n = 0; n < FleetMessageKindCount; ++n) {
+    const std::string kind = toText(static_cast<FleetMessageKind>(n));
+    for (const auto &[direction, traffic] :
+         {std::pair("sent", cost.Sent[n]),
+          std::pair("received", cost.Received[n])}) {
+      const prometheus::Labels labels{{"direction", direction}, {"kind", kind}};
+      raiseTo(All->FleetMessages.Add(labels),
+              static_cast<std::uint64_t>(traffic.Messages));
+      raiseTo(All->FleetBytes.Add(labels),
+              static_cast<std::uint64_t>(traffic.Bytes));
+    }
+  }
+  for (const auto &[work, spent] :
+       {std::pair("encode", cost.Encoding), std::pair("decode", cost.Decoding),
+        std::pair("merge", cost.Merging)}) {
+    Counter &counter = All->FleetWork.Add({{"work", work}});
+    counter.Increment(toSeconds(spent) - counter.Value());
+  }
+}
+
 std::string Metrics::render() const {
   return prometheus::TextSerializer().Serialize(All->Registry.Collect());
 }
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -2,6 +2,7 @@
 
 #include "LibBase/Time.h"
 #include "LibHttp/AsyncHttpClient.h"
+#include "LibPeer/FleetCost.h"
 #include "LibPeer/MeshCounts.h"
 #include <cstdint>
 #include <memory>
@@ -93,6 +94,8 @@
   void countWaitRefusal(const std::string &service, const std::string &cause);
   void setBundleGeneration(std::uint64_t generation);
   void setPeerCounts(const MeshCounts &counts);
+  /// Sets what the messages between entry hosts have cost.
+  void setFleetCost(const FleetCost &cost);
   /// Renders all metrics in Prometheus' text format.
   std::string render() const;
 
