LibServing: Fill the own zone's usage into the sum over it

Cause: since each stream of sums is completed on its own, the sum over the receivers' own zone was filled with the usage of the other zones: fillUsage knew two scopes only.

Change: the sum over the other zones carries theirs, all others the own zone's. host_ranking/sums_carry_the_usage_of_what_they_cover guards it.

--- a/Libraries/LibServing/FleetReportMerger.cpp
+++ b/Libraries/LibServing/FleetReportMerger.cpp
@@ -152,9 +152,9 @@
 }
 
 void FleetReportMerger::fillUsage(FleetReport &sum) const {
-  sum.Usage =
-      newestWindows(sum.Scope == ReportScope::Zone ? Tables.Usage.ownZone()
-                                                   : Tables.Usage.otherZones());
+  sum.Usage = newestWindows(sum.Scope == ReportScope::OtherZones
+                                ? Tables.Usage.otherZones()
+                                : Tables.Usage.ownZone());
 }
 
 } // namespace sorrelbay
--- a/Tests/LibServing/TestHostRanking.cpp
+++ b/Tests/LibServing/TestHostRanking.cpp
@@ -80,6 +80,25 @@
   std::uint64_t Sequence = 0;
 };
 
+/// The tables of the host that reports are merged into.
+struct HostTables {
+  explicit HostTables(OrdinaryHost &host)
+      : Usage(IncarnationId("me"), host.Self.Zone, seconds(5)),
+        Time(host.Now, host.Now), Merger(*host.View,
+                                         {Replicas, Demand, Limiters, Usage,
+                                          Time, Quarantine, ShortDemand},
+                                         host.Now - seconds(60)) {}
+
+  ReplicaTable Replicas;
+  EngineDemand Demand;
+  EngineDemand ShortDemand;
+  std::map<TeamId, TeamRateLimiter> Limiters;
+  UsageCounts Usage;
+  FleetClock Time;
+  PromptQuarantine Quarantine;
+  FleetReportMerger Merger;
+};
+
 /// Delivers that many heartbeats of each collector of the host's zone.
 void takeHeartbeats(OrdinaryHost &host, FleetReportMerger &merger, int rounds) {
   for (int n = 0; n < rounds; ++n)
@@ -180,4 +199,23 @@
   BOOST_TEST(merger.recounts() == before);
 }
 
+// The holder of the duties may get its own zone as a sum. If that carried the
+// usage of the other zones, the teams' usage would be reported wrong.
+BOOST_AUTO_TEST_CASE(sums_carry_the_usage_of_what_they_cover) {
+  OrdinaryHost host(60);
+  HostTables tables(host);
+  const TeamId team("t");
+  tables.Usage.noteHost(host.Self.Zone, IncarnationId("me"), 7, {{team, 4}});
+  tables.Usage.noteZone(ZoneId("another"), 7, {{team, 100}});
+  FleetReport sum;
+  for (const ReportScope scope : {ReportScope::Zone, ReportScope::OwnZone}) {
+    sum.Scope = scope;
+    tables.Merger.fillUsage(sum);
+    BOOST_TEST(sum.Usage.at(7).at(team) == 4);
+  }
+  sum.Scope = ReportScope::OtherZones;
+  tables.Merger.fillUsage(sum);
+  BOOST_TEST(sum.Usage.at(7).at(team) == 100);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
