sorrelbayd: Leave out a first lookup of hosts once sums arrive

Cause: each host lists all hosts three times in its first seconds, two pages each at 985 hosts, also when its zone's aggregator has found it meanwhile.

Change: the second or third of these lookups is left out while the zone's sum arrives and this host is registered. Hosts of a small fleet get no sums.

--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -348,9 +348,7 @@
   return out;
 }
 
-void GatewayFleet::lookUpPeers() {
-  if (State.isStopping())
-    return;
+void GatewayFleet::listPeers() {
   State.Hooks.Store.List(ResourceKind::Hosts, ListFreshness::FirstPageLatest,
                          [this](const StoreResult<ResourceListing> &result) {
                            if (!result.Got)
@@ -364,7 +362,20 @@
                            State.Fleet.noteRegistered(members);
                            registerIfMissing(members, result.Got->IsLatest);
                          });
+}
+
+/// Lists the registered hosts now and again later. While the first lookups
+/// follow each other quickly, one is left out if sums already arrive, which
+/// list all hosts.
+void GatewayFleet::lookUpPeers() {
+  if (State.isStopping())
+    return;
   const Instant now = bootNow();
+  const bool isCoveredBySums = PeerLookups > 0 &&
+                               PeerLookups < FirstLookupCount && IsRegistered &&
+                               State.Fleet.hasRecentZoneSum(now);
+  if (!isCoveredBySums)
+    listPeers();
   const bool usesRelayedReports =
       State.Fleet.isAggregatedByZone() && !aggregates(now);
   const Duration later =
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -79,6 +79,7 @@
                          bool isLatest);
   void registerHost();
   void lookUpPeers();
+  void listPeers();
 
   GatewayState &State;
   GatewayFleetHooks Hooks;
