LibPeer, LibServing: Send no reports and heartbeats that say nothing new

An aggregator sends no heartbeats: its sums show that it is running, and are what its zone knows of it. Relayed changes of less than 2 KB take one message again.

Ruled out: fewer heartbeats of the other collectors, as a host that takes one for gone becomes a collector itself for a moment.

TestLibServing fleet_view/* and host_ranking/* pass.

--- a/Libraries/LibPeer/SumSchedule.cpp
+++ b/Libraries/LibPeer/SumSchedule.cpp
@@ -24,9 +24,10 @@
            {OtherZonesBytesPerSecond, LongestSumPause}},
           {ReportStream::OwnZone, {OwnZoneBytesPerSecond, LongestSumPause}}} {}
 
-bool SumSchedule::isDue(ReportStream stream, const FleetReport &sum,
-                        Instant now) const {
-  return Pacers.at(stream).isDue(now) || !sum.Crashes.empty();
+bool SumSchedule::takeTurn(ReportStream stream, const FleetReport &sum,
+                           Instant now) {
+  const bool isPaidFor = Pacers.at(stream).isDue(now) || !sum.Crashes.empty();
+  return isPaidFor && Repeats[stream].isNeeded(sum, now);
 }
 
 bool SumSchedule::renewsSlowParts(ReportStream stream, FleetReport &sum,
--- a/Libraries/LibPeer/SumSchedule.h
+++ b/Libraries/LibPeer/SumSchedule.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibPeer/RepeatFilter.h"
 #include "LibPeer/ReportPacer.h"
 #include "LibPeer/ReportStream.h"
 #include <map>
@@ -15,9 +16,9 @@
 public:
   SumSchedule();
 
-  /// Whether the stream's next report is to be sent now. What is known of
-  /// crashes is sent at once.
-  bool isDue(ReportStream stream, const FleetReport &sum, Instant now) const;
+  /// Whether the stream's next report is to be sent now. It then counts as
+  /// sent. What is known of crashes is sent at once.
+  bool takeTurn(ReportStream stream, const FleetReport &sum, Instant now);
   /// Whether the report renews the slow parts: once a second, or when a member
   /// has changed. Otherwise its members and usage are taken out, and its paces
   /// are replaced by those that were last sent.
@@ -35,6 +36,7 @@
   };
 
   std::map<ReportStream, ReportPacer> Pacers;
+  std::map<ReportStream, RepeatFilter> Repeats;
   std::map<ReportStream, SlowParts> Sent;
 };
 
--- a/Libraries/LibServing/FleetView.cpp
+++ b/Libraries/LibServing/FleetView.cpp
@@ -90,6 +90,7 @@
       now - storedReport.At < Settings.AggregatorTimeout)
     return false;
   updateKnownMembers(report, now);
+  noteReporter(report, now);
   if (report.Scope == ReportScope::Host && report.Zone == Settings.Zone)
     ZoneUsed.note(source,
                   {report.Incarnation, report.Used, {}, CounterBaseline::Zero},
@@ -163,7 +164,10 @@
     if (!isOwnReport && !isOfSum)
       continue;
     KnownMember &known = Known[it.Host];
-    if (!isOwnReport && now - known.LastReportAt < Settings.AggregatorTimeout)
+    const bool isOutranked =
+        !isOwnReport && it.Host != report.Reporter &&
+        now - known.LastReportAt < Settings.AggregatorTimeout;
+    if (isOutranked)
       continue;
     known = {it, now, isOwnReport ? now : known.LastReportAt};
     Ranking.set(it);
@@ -187,6 +191,13 @@
   }
 }
 
+/// A sum shows that its reporter, the zone's aggregator, is running.
+void FleetView::noteReporter(const FleetReport &report, Instant now) {
+  const auto known = Known.find(report.Reporter);
+  if (report.Scope != ReportScope::Host && known != Known.end())
+    known->second.LastSeenAt = known->second.LastReportAt = now;
+}
+
 /// How long a host may be silent before it counts as unreachable. Updates about
 /// hosts that are known from sums pass through one or two other hosts and
 /// arrive less often.
--- a/Libraries/LibServing/FleetView.h
+++ b/Libraries/LibServing/FleetView.h
@@ -171,6 +171,7 @@
   void subtractOwnContribution(FleetReport &sum) const;
   bool isLive(const KnownMember &it, Duration silence, Instant now) const;
   void updateKnownMembers(const FleetReport &report, Instant now);
+  void noteReporter(const FleetReport &report, Instant now);
   bool hasContactedOthers(Instant now) const;
   Duration silenceLimitOf(const KnownMember &it) const;
   std::vector<HostId> unseenHostsOf(const ZoneId &zone, std::size_t count,
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -25,6 +25,9 @@
 /// one message would delay the reports behind it; a single object that is
 /// larger is fetched by each host.
 constexpr std::size_t MaxRelayedBytes = 48UL * 1024;
+/// Changes of at least this size are encoded once for all receivers; a message
+/// that differs for each of them follows. Smaller ones take a single message.
+constexpr std::size_t MinSharedBytes = 2UL * 1024;
 
 void logSource(const FleetReport &report, bool counts) {
   LogLine(Severity::Info, counts ? "peer counted" : "peer no longer counted")
@@ -42,6 +45,13 @@
   return hosts;
 }
 
+std::size_t sizeOf(const RelayedChanges &relayed) {
+  std::size_t bytes = 0;
+  for (const ResourceChange &it : relayed.Changes.Changes)
+    bytes += it.Object.Body.size() + it.Object.Status.size();
+  return bytes;
+}
+
 bool hasLargeObject(const ResourceChanges &changes) {
   return std::any_of(changes.Changes.begin(), changes.Changes.end(),
                      [](const ResourceChange &it) {
@@ -139,9 +149,10 @@
 void GatewayFleet::sendOwnReport(const FleetReport &own, Instant now) {
   const std::vector<HostId> peers =
       State.Fleet.reportPeers(own.Members.front(), now);
-  if (!State.Fleet.isAggregatedByZone() ||
-      !State.Fleet.collects(own.Members.front(), now)) {
-    Link->sendReport(ReportStream::Own, peers, own);
+  const bool isAggregated = State.Fleet.isAggregatedByZone();
+  if (!isAggregated || !State.Fleet.collects(own.Members.front(), now)) {
+    if (!isAggregated || OwnRepeats.isNeeded(own, now))
+      Link->sendReport(ReportStream::Own, peers, own);
     return;
   }
   const std::vector<HostId> collectors = State.Fleet.collectors(now);
@@ -154,6 +165,9 @@
   heartbeat.Usage.clear();
   heartbeat.Moves.clear();
   Link->sendReport(ReportStream::Own, collectors, own);
+  // The sums of an aggregator show that it is running.
+  if (State.Fleet.aggregates(own.Members.front(), now))
+    return;
   Link->sendReport(ReportStream::Heartbeat, without(peers, collectors),
                    heartbeat);
 }
@@ -175,7 +189,7 @@
 void GatewayFleet::publishSum(ReportStream stream,
                               const std::vector<HostId> &to, FleetReport sum,
                               Instant now) {
-  if (!Sums.isDue(stream, sum, now))
+  if (!Sums.takeTurn(stream, sum, now))
     return;
   // A host that receives only sums would otherwise follow a single host's
   // clock.
@@ -254,7 +268,9 @@
   }
   std::vector<RelayedChanges> parts = splitIntoParts(relayed, MaxRelayedBytes);
   RelayedChanges confirmation = parts.back();
-  if (relayed.IsTruncated || confirmation.Changes.Changes.empty()) {
+  const bool isSmall =
+      parts.size() == 1 && sizeOf(confirmation) < MinSharedBytes;
+  if (relayed.IsTruncated || isSmall) {
     parts.pop_back();
   } else {
     confirmation.From = confirmation.Changes.AtRevision;
@@ -266,9 +282,8 @@
   confirmRelayedChanges(confirmation, peers);
 }
 
-/// Sends the last message of a relay, which confirms each receiver's view. It
-/// differs for each of them and holds no changes, so that these are encoded
-/// once for all.
+/// Sends the last message of a relay, which confirms each receiver's view and
+/// differs for each of them. It holds few changes or none.
 void GatewayFleet::confirmRelayedChanges(RelayedChanges confirmation,
                                          const std::vector<HostId> &peers) {
   for (const HostId &it : peers) {
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -93,6 +93,7 @@
   std::uint64_t Sequence = 0;
   Instant PublishedAt{};
   SumSchedule Sums;
+  RepeatFilter OwnRepeats;
   FleetCostLog CostLog;
   /// Each peer's boot clock in its last report, in microseconds. It is sent
   /// back with relayed changes.
--- a/Tests/LibPeer/FleetCostModel.cpp
+++ b/Tests/LibPeer/FleetCostModel.cpp
@@ -173,7 +173,7 @@
 
 void FleetCostModel::publish(ReportStream stream, FleetReport sum,
                              std::size_t receivers) {
-  if (!Sums.isDue(stream, sum, Now))
+  if (!Sums.takeTurn(stream, sum, Now))
     return;
   Sums.renewsSlowParts(stream, sum, Now);
   SumOutbox.add(stream, sum);
--- a/Tests/LibServing/TestHostRanking.cpp
+++ b/Tests/LibServing/TestHostRanking.cpp
@@ -218,4 +218,19 @@
   BOOST_TEST(sum.Usage.at(7).at(team) == 100);
 }
 
+// An aggregator sends its sums instead of heartbeats. A host that knew it by
+// its members' list only would keep what was listed first.
+BOOST_AUTO_TEST_CASE(the_reporter_of_a_sum_is_known_by_it) {
+  OrdinaryHost host(60);
+  FleetMember &aggregator = host.Members[(host.Members.size() - 1) % 6];
+  const auto known = [&] { return host.View->members().at(aggregator.Host); };
+  BOOST_TEST((known().LastReportAt == host.Now));
+  aggregator.IsStoreUnreachable = true;
+  host.receiveSums();
+  BOOST_TEST(known().Member.IsStoreUnreachable);
+  aggregator.IsStoreUnreachable = false;
+  host.receiveSums();
+  BOOST_TEST(!known().Member.IsStoreUnreachable);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
