sorrelbayd: Count rollout steps as news of the own zone's sum

Cause: a sum without other news waits up to half a second, and the steps and vetoes of rollouts were filled in after that was decided; all hosts need them at once.

Change: the own zone's sum has them before its turn is decided, so that a change of them makes it due.

--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -182,8 +182,11 @@
   const FleetReport others = State.Fleet.othersReport(own, now);
   publishSum(ReportStream::OtherZonesWithMoves, collectors, others, now);
   publishSum(ReportStream::OtherZones, without(group, collectors), others, now);
-  publishSum(ReportStream::OwnZone, group, State.Fleet.ownZoneReport(zone),
-             now);
+  FleetReport ownZone = State.Fleet.ownZoneReport(zone);
+  // All hosts need rollout steps and vetoes at once; only hosts that decide
+  // need the evidence.
+  ownZone.Moves = Hooks.EncodedRollouts(ownZone.Scope);
+  publishSum(ReportStream::OwnZone, group, ownZone, now);
 }
 
 void GatewayFleet::publishSum(ReportStream stream,
@@ -195,16 +198,15 @@
   // clock.
   sum.FleetTimeMs = toEpochMilliseconds(State.Time.at(now));
   sum.Usage.clear();
-  sum.Moves.clear();
-  if (Sums.renewsSlowParts(stream, sum, now)) {
+  const bool renewsSlowParts = Sums.renewsSlowParts(stream, sum, now);
+  if (renewsSlowParts)
     ReportMerger.fillUsage(sum);
-    if (stream != ReportStream::OtherZones)
-      sum.Moves = Hooks.EncodedRollouts(sum.Scope);
-  }
-  // All hosts need rollout steps and vetoes at once; only hosts that decide
-  // need the evidence.
-  if (stream == ReportStream::OwnZone)
+  const bool hasEvidence = stream == ReportStream::Zone ||
+                           stream == ReportStream::OtherZonesWithMoves;
+  if (hasEvidence && renewsSlowParts)
     sum.Moves = Hooks.EncodedRollouts(sum.Scope);
+  else if (stream != ReportStream::OwnZone)
+    sum.Moves.clear();
   Link->sendReport(stream, to, sum);
   Sums.noteSent(stream, Link->stepBytes(stream), now);
 }
