sorrelbayd: Log few of many changes of upstreams

Cause: each host logged each upstream that came, left or went. At the start of the whole fleet that are 985 times 4,700 lines and more: of 151,635 lines that 57 hosts wrote in the first 10 s, 150,358 were these. It grows with hosts times upstreams, and took more of a host's time than learning of the changes.

Ruled out: logging at the leader only, as a host that learns of a change late must be found by its own log.

Change: UpstreamChangeLog writes 20 lines a second at a host, 2,000 at the fleet leader, which learns of the changes first, and how many were left out. The changes of a small fleet are all logged as before.

--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -207,7 +207,8 @@
   ResourceWatcherHooks replicas;
   replicas.OnObject = [this](const Resource &object) { applyReplica(object); };
   replicas.OnRemoved = [this](const std::string &name) {
-    LogLine(Severity::Info, "upstream gone").field("upstream", name);
+    UpstreamChanges.noteGone(UpstreamId(name), Fleet.isFleetLeader(bootNow()),
+                             bootNow());
     if (const ReplicaRecord *it = State.Replicas.find(UpstreamId(name)))
       State.Client.forget(it->Address);
     State.Replicas.remove(UpstreamId(name));
@@ -352,14 +353,8 @@
     const ReplicaRecord record = State.Hooks.ReadReplica(object);
     const ReplicaRecord *known = State.Replicas.find(record.Id);
     if (!known || known->IsLeaving != record.IsLeaving)
-      LogLine(Severity::Info,
-              record.IsLeaving ? "upstream leaves" : "upstream ready")
-          .field("upstream", record.Id.text())
-          .field("service", record.OfService.text())
-          .field("address", record.Address)
-          .field("zone", record.InZone.text())
-          .field("cold_ms", toMilliseconds(record.ColdDuration))
-          .field("revision", static_cast<std::int64_t>(object.Revision));
+      UpstreamChanges.noteState(record, object.Revision,
+                                Fleet.isFleetLeader(bootNow()), bootNow());
     std::optional<Instant> startedAt;
     if (record.StartedMs != 0 &&
         (!known || known->StartedMs != record.StartedMs))
@@ -421,6 +416,7 @@
   Fleet.tick(now);
   State.logStoreCalls(now);
   State.LoadLog.log(now);
+  UpstreamChanges.logLeftOut(now);
 }
 
 void Gateway::updateRetryBudgets() {
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -12,6 +12,7 @@
 #include "RelaySecret.h"
 #include "ReplicaOrders.h"
 #include "ReservedEngines.h"
+#include "UpstreamChangeLog.h"
 #include "UpstreamMonitor.h"
 #include "UsageReporter.h"
 #include <boost/asio/executor_work_guard.hpp>
@@ -89,6 +90,7 @@
   GatewayRollouts ServiceRollouts;
   GatewayFleet Fleet;
   UpstreamMonitor Upstreams;
+  UpstreamChangeLog UpstreamChanges;
   ReservedEngines Reserved;
   RelaySecret Secret;
   QuarantineStore StoredQuarantines;
