--- a/Tests/LibServing/TestHostRanking.cpp
+++ b/Tests/LibServing/TestHostRanking.cpp
@@ -115,9 +115,8 @@
 
 BOOST_AUTO_TEST_CASE(hosts_rank_by_store_size_and_name) {
   HostRanking ranking;
-  std::vector<FleetMember> members;
-  for (int n = 0; n < 3; ++n)
-    members.push_back(memberOf(n, 1));
+  std::vector<FleetMember> members{memberOf(0, 1), memberOf(1, 1),
+                                   memberOf(2, 1)};
   members[1].Capacity = 2;
   members[0].IsStoreUnreachable = true;
   for (const FleetMember &it : members)
