review: Record what was sent and answered in case 1

The record of review/1 had only what ran and what was lost; the issue asks for what was sent and answered, too. Checks and bounds are the same.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,4 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" cut-replica "$(cd "$(dirname "$0")" && pwd)"
+# Writes record.txt in this folder.
+folder=$(cd "$(dirname "$0")" && pwd)
+exec "$folder/../run-case.sh" cut-replica "$folder/record.txt"
--- a/review/standins/cut-replica.cc
+++ b/review/standins/cut-replica.cc
@@ -225,10 +225,14 @@
       return;
     sleepMs(std::max(0, static_cast<int>(at - nowMs())));
     one.Id = newId();
+    record.line("sent     " + one.Id + " large quote to " +
+                hosts[one.Host]->host().Name + ", kept channel");
     channel->send(
         textOf(Kinds[0], one.Id, static_cast<int>(Kinds[0].MaxTokens)));
     one.Got = channel->readReply(Kinds[0].DeadlineMs);
     one.EndedAt = nowMs();
+    record.line("answered " + one.Id + " " + std::to_string(one.Got.Status) +
+                (one.Got.IsWhole ? "" : ", not whole"));
     const std::lock_guard<std::mutex> lock(sentMutex);
     sent.push_back(one);
   };
@@ -262,9 +266,13 @@
       one.IsKept = isKept;
       const int own = std::max(
           1, static_cast<int>(std::min(tokens(random), kind.MaxTokens)));
+      record.line("sent     " + one.Id + " " + kind.Path + " to " +
+                  hosts[at]->host().Name + (isKept ? ", kept channel" : ""));
       channel->send(textOf(kind, one.Id, own));
       one.Got = channel->readReply(kind.DeadlineMs);
       one.EndedAt = nowMs();
+      record.line("answered " + one.Id + " " + std::to_string(one.Got.Status) +
+                  (one.Got.IsWhole ? "" : ", not whole"));
       isKept = one.Got.IsWhole && one.Got.header("Connection") != "close";
       if (!isKept)
         channel.reset();
