LibServing: Keep the work at an upstream over its registrations

Removal dropped it along with calls that were still running; their first bytes were then taken off the new entry, whose prompt tokens became negative. EnginePlacement::bestOf allows costs up to 1.15 times the least plus 12: below the least if that is negative enough, so that no candidate qualified and a null pointer was read. Reports carried the negative figure to the other hosts.

Ruled out: an empty list of candidates (both callers check it), and a pointer that outlives its entry (none is kept over a turn of the event loop). Logs could not tell these apart: `upstream ready` and `upstream gone` now name the open calls and their prompt tokens.

Change: WorkTable keeps the work by upstream id whether it is registered or not, never below zero, and nothing of an upstream whose last call has ended. The choice of an engine takes any costs, also negative ones and those that are not finite. The counts since an upstream's last statement of its load are cleared with its last call.

--- a/Libraries/LibServing/EnginePlacement.cpp
+++ b/Libraries/LibServing/EnginePlacement.cpp
@@ -9,6 +9,8 @@
 /// The share of a conversation's common parts that its affinity upstream is
 /// assumed to have cached.
 static constexpr double AffinityCachedShare = 0.97;
+/// The most prompt tokens that an engine is taken to have to prefill.
+static constexpr std::int64_t MaxTokensAhead = 1'000'000'000'000;
 /// Time constant of the average of the time for each prompt token.
 static constexpr Duration SteadyTimeConstant = seconds(60);
 
@@ -61,12 +63,17 @@
         model.slownessOf(it.State->Record->Id, now) * it.State->StatedSlowness;
     it.TokensToPrefill = tokensToPrefill(
         it, request, it.HashRank == highestRank, out.size(), now);
-    it.TokensAhead = static_cast<double>(work.PromptTokens);
+    it.TokensAhead = static_cast<double>(
+        std::clamp<std::int64_t>(work.PromptTokens, 0, MaxTokensAhead));
     it.Wait = slowness * model.prefillTime(it.TokensAhead);
     const double prefillCost = slowness * model.prefillTime(it.TokensToPrefill);
     it.FirstToken = slowness * model.base() + it.Wait + prefillCost;
     it.Cost = it.Wait + Settings.PrefillWeight * prefillCost +
-              slowness * (model.base() + Settings.OpenCallWeight * work.Calls);
+              slowness * (model.base() +
+                          Settings.OpenCallWeight * std::max(0, work.Calls));
+    // A cost that can't be compared counts as the highest.
+    if (!std::isfinite(it.Cost))
+      it.Cost = std::numeric_limits<double>::max();
   }
   return out;
 }
@@ -74,17 +81,20 @@
 /// The candidate with the lowest cost, or the first in the conversation's
 /// rendezvous hashing order among those within the cost tolerance: hosts
 /// receive reports of each other's sends late, and would otherwise all choose
-/// the same upstream at the same time.
+/// the same upstream at the same time. There must be a candidate.
 const EnginePlacement::Candidate &
 EnginePlacement::bestOf(const std::vector<const Candidate *> &all) const {
-  double least = std::numeric_limits<double>::max();
+  const Candidate *cheapest = all.front();
   for (const Candidate *it : all)
-    least = std::min(least, it->Cost);
+    if (it->Cost < cheapest->Cost)
+      cheapest = it;
   const double allowed =
-      least * (1 + Settings.CostToleranceShare) + Settings.CostTolerance;
-  const Candidate *best = nullptr;
+      cheapest->Cost +
+      Settings.CostToleranceShare * std::max(0.0, cheapest->Cost) +
+      Settings.CostTolerance;
+  const Candidate *best = cheapest;
   for (const Candidate *it : all)
-    if (it->Cost <= allowed && (!best || it->HashRank > best->HashRank))
+    if (it->Cost <= allowed && it->HashRank > best->HashRank)
       best = it;
   return *best;
 }
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -36,12 +36,7 @@
   Entry entry;
   entry.Record = record;
   entry.ColdUntil = coldUntil;
-  for (const auto &[peer, open] : PeerWork) {
-    const auto it = open.find(record.Id);
-    if (it == open.end())
-      continue;
-    entry.Peers = entry.Peers + it->second;
-  }
+  entry.Work = Work.of(record.Id);
   Entries.emplace(record.Id, entry);
 }
 
@@ -169,10 +164,11 @@
 }
 
 UpstreamRoom ReplicaTable::roomFor(const Entry &entry) {
-  return {entry.Record.Slots, entry.Own.Calls, entry.Peers.Calls};
+  return {entry.Record.Slots, entry.Work->Own.Calls, entry.Work->Peers.Calls};
 }
 
 void ReplicaTable::forgetOldStatements(Instant now) {
+  Work.forgetIdle();
   Statements.forgetUnregistered(
       [this](const UpstreamId &id) { return Entries.count(id) != 0; }, now);
 }
@@ -302,7 +298,7 @@
   desks.reserve(eligible.size());
   for (const Entry *it : eligible)
     desks.push_back({it->Record.Id, it->Record.InZone, it->Record.Slots,
-                     it->Own.Calls + it->Peers.Calls,
+                     it->Work->total().Calls,
                      Loads.expected(it->Record.Id, now)});
   return eligible[chooseDesk(desks,
                              {request.OwnZone, request.Hosts, request.Seed,
@@ -323,8 +319,8 @@
   std::vector<EngineState> out;
   out.reserve(engines.size());
   for (const Entry *it : engines)
-    out.push_back({&it->Record, it->Own + it->Peers,
-                   Loads.slownessOf(it->Record.Id, now)});
+    out.push_back(
+        {&it->Record, it->Work->total(), Loads.slownessOf(it->Record.Id, now)});
   return out;
 }
 
@@ -380,40 +376,30 @@
 void ReplicaTable::noteSent(const UpstreamId &id, const CallCost &work,
                             Instant now) {
   const auto it = Entries.find(id);
-  if (it == Entries.end())
-    return;
-  Entry &entry = it->second;
-  entry.Health.noteSent();
-  if (isCold(entry, now))
-    entry.ColdLimiter.note(now);
-  Statements.noteSent(id, roomFor(entry), now);
+  if (it != Entries.end()) {
+    Entry &entry = it->second;
+    entry.Health.noteSent();
+    if (isCold(entry, now))
+      entry.ColdLimiter.note(now);
+    Statements.noteSent(id, roomFor(entry), now);
+  }
   Loads.noteStarted(id, now);
-  ++it->second.Own.Calls;
-  it->second.Own.PromptTokens += work.PromptTokens;
-  it->second.Own.Tokens += work.Tokens;
-}
-
-void ReplicaTable::noteFirstByte(const UpstreamId &id, const CallCost &work) {
-  const auto it = Entries.find(id);
-  if (it != Entries.end())
-    it->second.Own.PromptTokens -= work.PromptTokens;
+  Work.noteSent(id, work);
 }
 
 void ReplicaTable::noteEnded(const UpstreamId &id, const CallCost &work,
                              bool hadFirstByte, SendResult result,
                              Instant now) {
+  const bool isLast = Work.noteEnded(id, work, hadFirstByte);
+  if (result == SendResult::Rejected)
+    Statements.noteRejected(id, now);
+  Loads.noteEnded(id, result == SendResult::Rejected, now);
+  if (isLast)
+    Loads.noteIdle(id);
   const auto it = Entries.find(id);
   if (it == Entries.end())
     return;
   Entry &entry = it->second;
-  entry.Own.Calls = std::max(0, entry.Own.Calls - 1);
-  if (!hadFirstByte)
-    entry.Own.PromptTokens -= work.PromptTokens;
-  entry.Own.Tokens = std::max<std::int64_t>(0, entry.Own.Tokens - work.Tokens);
-  entry.Own.PromptTokens = std::max<std::int64_t>(0, entry.Own.PromptTokens);
-  if (result == SendResult::Rejected)
-    Statements.noteRejected(id, now);
-  Loads.noteEnded(id, result == SendResult::Rejected, now);
   entry.Health.noteResult(result, othersFailureShare(entry), Settings.Health,
                           now);
 }
@@ -436,37 +422,6 @@
       entry.Health = {};
 }
 
-void ReplicaTable::notePeer(const SourceId &peer,
-                            std::map<UpstreamId, OutstandingWork> open) {
-  std::map<UpstreamId, OutstandingWork> &known = PeerWork[peer];
-  for (const WorkChange &it : changesOfWork(known, open)) {
-    const auto entry = Entries.find(it.Upstream);
-    if (entry != Entries.end())
-      entry->second.Peers = entry->second.Peers + it.Now - it.Before;
-  }
-  known = std::move(open);
-}
-
-void ReplicaTable::forgetPeer(const SourceId &peer) {
-  notePeer(peer, {});
-  PeerWork.erase(peer);
-}
-
-std::map<UpstreamId, OutstandingWork> ReplicaTable::ownWork() const {
-  std::map<UpstreamId, OutstandingWork> out;
-  for (const auto &[id, entry] : Entries)
-    if (entry.Own.Calls != 0)
-      out[id] = entry.Own;
-  return out;
-}
-
-OutstandingWork ReplicaTable::workAt(const UpstreamId &id) const {
-  const auto it = Entries.find(id);
-  if (it == Entries.end())
-    return {};
-  return it->second.Own + it->second.Peers;
-}
-
 bool ReplicaTable::isEjected(const UpstreamId &id, Instant now) const {
   const auto it = Entries.find(id);
   return it != Entries.end() && it->second.Health.isEjected(now);
@@ -481,9 +436,10 @@
         entry.Health.isEjected(now) || isEvacuated(entry.Record.InZone) ||
         (keeps && Held.count(id) != 0))
       continue;
-    out.Calls += entry.Own.Calls + entry.Peers.Calls;
-    out.PromptTokens += entry.Own.PromptTokens + entry.Peers.PromptTokens;
-    out.Tokens += entry.Own.Tokens + entry.Peers.Tokens;
+    const OutstandingWork work = entry.Work->total();
+    out.Calls += work.Calls;
+    out.PromptTokens += work.PromptTokens;
+    out.Tokens += work.Tokens;
     out.CallSlots += entry.Record.Slots;
     ++out.Replicas;
   }
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -4,13 +4,13 @@
 #include "LibBase/Time.h"
 #include "LibServing/ColdShare.h"
 #include "LibServing/EnginePlacement.h"
-#include "LibServing/OutstandingWork.h"
 #include "LibServing/ReplicaRecord.h"
 #include "LibServing/ReplicaRequest.h"
 #include "LibServing/UpstreamHealth.h"
 #include "LibServing/UpstreamLoadView.h"
 #include "LibServing/UpstreamStatements.h"
 #include "LibServing/VersionPreference.h"
+#include "LibServing/WorkTable.h"
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -106,7 +106,7 @@
   /// What they state about their load.
   UpstreamLoadView &loads() { return Loads; }
   /// Drops the statements of upstreams that have not been registered for a
-  /// while.
+  /// while, and the records of their work once they have none.
   void forgetOldStatements(Instant now);
   /// Why `choose` finds no upstream for the request. Upstreams that the call
   /// has already been sent to count as well.
@@ -129,7 +129,9 @@
   void notePrompt(const UpstreamId &id, const std::vector<PromptPart> &prompt,
                   Instant now);
   /// Records that the first byte arrived: the prompt has been prefilled.
-  void noteFirstByte(const UpstreamId &id, const CallCost &work);
+  void noteFirstByte(const UpstreamId &id, const CallCost &work) {
+    Work.noteFirstByte(id, work);
+  }
   /// Updates the estimate of the upstream's speed by a time to first token.
   void noteFirstToken(const UpstreamId &id, const FirstTokenSample &seen,
                       Instant now);
@@ -150,16 +152,20 @@
   /// Replaces the work in progress at all upstreams that a peer reported
   /// before.
   void notePeer(const SourceId &peer,
-                std::map<UpstreamId, OutstandingWork> open);
-  void forgetPeer(const SourceId &peer);
+                std::map<UpstreamId, OutstandingWork> open) {
+    Work.notePeer(peer, std::move(open));
+  }
+  void forgetPeer(const SourceId &peer) { Work.notePeer(peer, {}); }
   /// Forgets the failures of the service's upstreams and ends their ejections,
   /// because this host had lost its paths to them.
   void resetHealth(const ServiceId &service);
 
   /// This host's work in progress, for its reports.
-  std::map<UpstreamId, OutstandingWork> ownWork() const;
+  std::map<UpstreamId, OutstandingWork> ownWork() const { return Work.own(); }
   /// The work in progress of all hosts at the upstream.
-  OutstandingWork workAt(const UpstreamId &id) const;
+  OutstandingWork workAt(const UpstreamId &id) const {
+    return Work.totalAt(id);
+  }
   bool isEjected(const UpstreamId &id, Instant now) const;
   /// Work in progress of all hosts at the service's available upstreams, and
   /// the slots of these.
@@ -175,8 +181,7 @@
 private:
   struct Entry {
     ReplicaRecord Record;
-    OutstandingWork Own;
-    OutstandingWork Peers;
+    std::shared_ptr<const UpstreamWork> Work;
     UpstreamHealth Health;
     Instant ColdUntil{};
     /// The upstream counts as cold until a view of the store that is newer than
@@ -214,7 +219,7 @@
 
   ReplicaTableSettings Settings;
   std::map<UpstreamId, Entry> Entries;
-  std::map<SourceId, std::map<UpstreamId, OutstandingWork>> PeerWork;
+  WorkTable Work;
   EnginePlacement Engines;
   std::map<ServiceId, double> ColdRates;
   HostId Self;
--- a/Libraries/LibServing/UpstreamLoadView.cpp
+++ b/Libraries/LibServing/UpstreamLoadView.cpp
@@ -71,6 +71,14 @@
     --it.OwnCallsSince;
 }
 
+void UpstreamLoadView::noteIdle(const UpstreamId &id) {
+  const auto found = Upstreams.find(id);
+  if (found == Upstreams.end())
+    return;
+  found->second.OpenSince.clear();
+  found->second.Responding = 0;
+}
+
 /// Checks whether calls that were open well before a statement and well after
 /// it are more than it stated.
 void UpstreamLoadView::checkOpenCalls(const UpstreamId &id, Upstream &it,
--- a/Libraries/LibServing/UpstreamLoadView.h
+++ b/Libraries/LibServing/UpstreamLoadView.h
@@ -31,6 +31,9 @@
   void noteStarted(const UpstreamId &id, Instant now);
   /// Records that a call of this host has ended there.
   void noteEnded(const UpstreamId &id, bool wasRejected, Instant now);
+  /// Records that this host has no open call there. Calls may have started
+  /// before the upstream was forgotten and ended afterwards.
+  void noteIdle(const UpstreamId &id);
 
   ExpectedLoad expected(const UpstreamId &id, Instant now) const;
   /// The upstream's slowness now, between 0.5 and 8; 1 if it is not known.
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -208,7 +208,8 @@
   replicas.OnObject = [this](const Resource &object) { applyReplica(object); };
   replicas.OnRemoved = [this](const std::string &name) {
     UpstreamChanges.noteGone(UpstreamId(name), Fleet.isFleetLeader(bootNow()),
-                             bootNow());
+                             bootNow(),
+                             State.Replicas.workAt(UpstreamId(name)));
     if (const ReplicaRecord *it = State.Replicas.find(UpstreamId(name)))
       State.Client.forget(it->Address);
     State.Replicas.remove(UpstreamId(name));
@@ -354,7 +355,8 @@
     const ReplicaRecord *known = State.Replicas.find(record.Id);
     if (!known || known->IsLeaving != record.IsLeaving)
       UpstreamChanges.noteState(record, object.Revision,
-                                Fleet.isFleetLeader(bootNow()), bootNow());
+                                Fleet.isFleetLeader(bootNow()), bootNow(),
+                                State.Replicas.workAt(record.Id));
     std::optional<Instant> startedAt;
     if (record.StartedMs != 0 &&
         (!known || known->StartedMs != record.StartedMs))
--- a/Services/sorrelbayd/UpstreamChangeLog.cpp
+++ b/Services/sorrelbayd/UpstreamChangeLog.cpp
@@ -11,7 +11,7 @@
 
 bool UpstreamChangeLog::noteState(const ReplicaRecord &record,
                                   std::uint64_t revision, bool isFleetLeader,
-                                  Instant now) {
+                                  Instant now, const OutstandingWork &open) {
   if (!take(isFleetLeader, now))
     return false;
   LogLine(Severity::Info,
@@ -21,15 +21,20 @@
       .field("address", record.Address)
       .field("zone", record.InZone.text())
       .field("cold_ms", toMilliseconds(record.ColdDuration))
+      .field("open_calls", static_cast<std::int64_t>(open.Calls))
+      .field("open_prompt_tokens", open.PromptTokens)
       .field("revision", static_cast<std::int64_t>(revision));
   return true;
 }
 
 bool UpstreamChangeLog::noteGone(const UpstreamId &id, bool isFleetLeader,
-                                 Instant now) {
+                                 Instant now, const OutstandingWork &open) {
   if (!take(isFleetLeader, now))
     return false;
-  LogLine(Severity::Info, "upstream gone").field("upstream", id.text());
+  LogLine(Severity::Info, "upstream gone")
+      .field("upstream", id.text())
+      .field("open_calls", static_cast<std::int64_t>(open.Calls))
+      .field("open_prompt_tokens", open.PromptTokens);
   return true;
 }
 
