--- a/Libraries/LibObjectApi/InstrumentedStore.cpp
+++ b/Libraries/LibObjectApi/InstrumentedStore.cpp
@@ -15,24 +15,42 @@
   };
 }
 
+/// Wraps the callback so that the hook is invoked first if there are entries
+/// without a name.
+template <typename Value>
+static StoreCallback<Value> withUnnamed(const UnnamedEntriesHook &onUnnamed,
+                                        ResourceKind kind,
+                                        StoreCallback<Value> done) {
+  return [onUnnamed, kind,
+          done = std::move(done)](const StoreResult<Value> &result) {
+    if (result.Got && !result.Got->Unnamed.empty())
+      onUnnamed(kind, result.Got->Unnamed);
+    done(result);
+  };
+}
+
 bool isUnreached(std::optional<StoreFailure> failure) {
   return failure == StoreFailure::Unavailable ||
          failure == StoreFailure::Unknown;
 }
 
 ResourceStore instrumentedStore(const ResourceStore &store,
-                                const StoreCallHook &onCall) {
+                                const StoreCallHook &onCall,
+                                const UnnamedEntriesHook &onUnnamed) {
   ResourceStore out;
-  out.List = [store, onCall](ResourceKind kind, ListFreshness freshness,
-                             StoreCallback<ResourceListing> done) {
+  out.List = [store, onCall, onUnnamed](ResourceKind kind,
+                                        ListFreshness freshness,
+                                        StoreCallback<ResourceListing> done) {
     store.List(kind, freshness,
-               withHook(onCall, "list", kind, std::move(done)));
+               withHook(onCall, "list", kind,
+                        withUnnamed(onUnnamed, kind, std::move(done))));
   };
-  out.Watch = [store, onCall](ResourceKind kind, std::uint64_t after,
-                              Duration waitLimit,
-                              StoreCallback<ResourceChanges> done) {
+  out.Watch = [store, onCall, onUnnamed](ResourceKind kind, std::uint64_t after,
+                                         Duration waitLimit,
+                                         StoreCallback<ResourceChanges> done) {
     store.Watch(kind, after, waitLimit,
-                withHook(onCall, "watch", kind, std::move(done)));
+                withHook(onCall, "watch", kind,
+                         withUnnamed(onUnnamed, kind, std::move(done))));
   };
   out.Read = [store, onCall](ResourceKind kind, const std::string &name,
                              StoreCallback<Resource> done) {
--- a/Libraries/LibObjectApi/InstrumentedStore.h
+++ b/Libraries/LibObjectApi/InstrumentedStore.h
@@ -11,10 +11,15 @@
 using StoreCallHook = std::function<void(const char *call, ResourceKind kind,
                                          std::optional<StoreFailure> failure)>;
 
-/// Wraps the store so that the hook is invoked with each result before the
+/// Invoked with the first bytes of entries of the kind that have no name.
+using UnnamedEntriesHook = std::function<void(
+    ResourceKind kind, const std::vector<std::string> &begins)>;
+
+/// Wraps the store so that the hooks are invoked with each result before the
 /// callback of the call.
 ResourceStore instrumentedStore(const ResourceStore &store,
-                                const StoreCallHook &onCall);
+                                const StoreCallHook &onCall,
+                                const UnnamedEntriesHook &onUnnamed);
 
 /// Whether a call with this result did not reach the store or got no reply.
 /// A call that the store rejected because of its data has reached it.
--- a/Libraries/LibObjectApi/ResourceStore.h
+++ b/Libraries/LibObjectApi/ResourceStore.h
@@ -45,7 +45,7 @@
 /// An object as stored in the platform's store.
 struct Resource {
   std::string Name;
-  /// JSON text.
+  /// JSON text; empty if the stored bytes can't be parsed.
   std::string Body;
   std::string Status;
   /// The store's revision at the last change of the object. Revisions increase
@@ -69,6 +69,9 @@
   /// Whether it shows the state at the time of the call. Otherwise it may be
   /// older, and a watch from `AtRevision` returns what has changed since.
   bool IsLatest = true;
+  /// The first bytes of entries without a name that can be parsed. They belong
+  /// to no object.
+  std::vector<std::string> Unnamed = {};
 };
 
 struct ResourceChange {
@@ -80,6 +83,9 @@
 struct ResourceChanges {
   std::vector<ResourceChange> Changes;
   std::uint64_t AtRevision = 0;
+  /// The first bytes of entries without a name that can be parsed. They belong
+  /// to no object.
+  std::vector<std::string> Unnamed = {};
 };
 
 /// Changes of a kind that a host relays to other hosts, so that not every host
--- a/Libraries/LibObjectApi/ResourceWatcher.cpp
+++ b/Libraries/LibObjectApi/ResourceWatcher.cpp
@@ -82,6 +82,8 @@
   void applyUpdate(const Resource &object);
   void applyRemoval(const std::string &name, std::uint64_t revision);
   void applyDeferredRemovals();
+  void callHook(const std::string &name,
+                const std::function<void()> &hook) const;
 
   boost::asio::steady_timer Timer;
   boost::asio::steady_timer RemovalTimer;
@@ -385,7 +387,21 @@
   if (revision >= object.Revision)
     return;
   revision = object.Revision;
-  Hooks.OnObject(object);
+  callHook(object.Name, [&] { Hooks.OnObject(object); });
+}
+
+/// An object that can't be handled keeps no other change from being applied,
+/// and the next query from being made.
+void ResourceWatcher::Impl::callHook(const std::string &name,
+                                     const std::function<void()> &hook) const {
+  try {
+    hook();
+  } catch (const std::exception &error) {
+    LogLine(Severity::Error, "change of an object failed")
+        .field("kind", toText(Kind))
+        .field("object", name)
+        .field("why", error.what());
+  }
 }
 
 void ResourceWatcher::Impl::applyRemoval(const std::string &name,
@@ -398,7 +414,7 @@
   const Instant now = Hooks.Now();
   if (now >= DeferRemovalsUntil) {
     Known.erase(name);
-    Hooks.OnRemoved(name);
+    callHook(name, [&] { Hooks.OnRemoved(name); });
     return;
   }
   DeferredRemovals.insert(name);
@@ -415,7 +431,7 @@
   DeferredRemovals.clear();
   for (const std::string &name : names) {
     Known.erase(name);
-    Hooks.OnRemoved(name);
+    callHook(name, [&] { Hooks.OnRemoved(name); });
   }
 }
 
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -202,7 +202,11 @@
   ResourceWatcherHooks plans;
   plans.OnObject = [this](const Resource &object) { applyPlan(object); };
   plans.OnRemoved = [](const std::string &) {};
-  plans.OnConfirmed = [this](Instant begun) { State.PlanConfirmedAt = begun; };
+  // Keys may have been removed by a plan that can't be read.
+  plans.OnConfirmed = [this](Instant begun) {
+    if (!IsNewestPlanRefused)
+      State.PlanConfirmedAt = begun;
+  };
   Plans = makeWatcher(ResourceKind::Plan, settings, plans);
   ResourceWatcherHooks replicas;
   replicas.OnObject = [this](const Resource &object) { applyReplica(object); };
@@ -323,6 +327,7 @@
   try {
     ServingPlan plan = State.Hooks.ReadPlan(object);
     const std::uint64_t version = plan.Version;
+    IsNewestPlanRefused = IsNewestPlanRefused && object.Name != PlanObject;
     if (State.Plan && version < State.Plan->plan().Version) {
       LogLine(Severity::Warning, "ignoring a plan older than the one in force")
           .field("version", static_cast<std::int64_t>(version));
@@ -332,6 +337,7 @@
     for (const ServingService &it : plan.Services)
       State.Replicas.setColdRate(it.Name, it.ColdRate);
     State.Plan = std::make_shared<const PlanIndex>(std::move(plan));
+    PlanObject = object.Name;
     updateRetryBudgets();
     LogLine(Severity::Info, "plan in force")
         .field("version", static_cast<std::int64_t>(version))
@@ -342,6 +348,8 @@
         .field("routes",
                static_cast<std::int64_t>(State.Plan->plan().Routes.size()));
   } catch (const Error &error) {
+    State.Refused.note(ResourceKind::Plan);
+    IsNewestPlanRefused = IsNewestPlanRefused || object.Name == PlanObject;
     LogLine(Severity::Error, "plan refused")
         .field("object", object.Name)
         .field("revision", static_cast<std::int64_t>(object.Revision))
@@ -364,6 +372,7 @@
           State.Time.bootTimeOf(fromEpochMilliseconds(record.StartedMs));
     State.Replicas.note(record, bootNow(), startedAt);
   } catch (const Error &error) {
+    State.Refused.note(ResourceKind::Replicas);
     LogLine(Severity::Warning, "upstream entry refused")
         .field("object", object.Name)
         .field("revision", static_cast<std::int64_t>(object.Revision))
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -102,6 +102,10 @@
   std::unique_ptr<AsyncHttpServer> Addresses;
   std::unique_ptr<AsyncHttpServer> MetricsServer;
   std::unique_ptr<ResourceWatcher> Plans;
+  /// The object that the plan in force was read from, and whether a newer state
+  /// of it was refused.
+  std::string PlanObject;
+  bool IsNewestPlanRefused = false;
   std::unique_ptr<ResourceWatcher> Replicas;
   std::unique_ptr<ResourceWatcher> RolloutOrders;
   /// Also watches the requests of operators, which are an object of that kind.
--- a/Services/sorrelbayd/GatewayRollouts.cpp
+++ b/Services/sorrelbayd/GatewayRollouts.cpp
@@ -48,6 +48,7 @@
     if (isNew)
       findOldVersion(serviceRollout);
   } catch (const Error &error) {
+    State.Refused.note(ResourceKind::Moves);
     LogLine(Severity::Warning, "rollout order refused")
         .field("object", object.Name)
         .field("revision", static_cast<std::int64_t>(object.Revision))
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -25,9 +25,13 @@
 static GatewayHooks countingStoreCalls(GatewayHooks hooks,
                                        GatewayState &state) {
   hooks.Store = instrumentedStore(
-      hooks.Store, [&state](const char *call, ResourceKind kind,
-                            std::optional<StoreFailure> failure) {
+      hooks.Store,
+      [&state](const char *call, ResourceKind kind,
+               std::optional<StoreFailure> failure) {
         state.noteStoreCall(call, kind, failure);
+      },
+      [&state](ResourceKind kind, const std::vector<std::string> &begins) {
+        state.Refused.noteUnnamed(kind, begins);
       });
   return hooks;
 }
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -22,6 +22,7 @@
 #include "LibServing/UpstreamReachability.h"
 #include "LibServing/UsageCounts.h"
 #include "Metrics.h"
+#include "RefusedEntries.h"
 #include "UpstreamCrashMonitor.h"
 #include "UpstreamLoadLog.h"
 #include "WaitingCalls.h"
@@ -102,6 +103,7 @@
   /// When the stop was requested; empty while the host serves.
   std::optional<Instant> StoppingSince;
   Metrics Counts;
+  RefusedEntries Refused{Counts};
   /// Calls that wait for a place at a service's upstreams.
   WaitingCalls Waiting{*this};
   /// Calls to the store since they were last logged, and when that was.
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -21,6 +21,7 @@
   Family<Counter> &Calls;
   Family<Counter> &Attempts;
   Family<Counter> &ObjectApi;
+  Family<Counter> &RefusedEntries;
   Family<Histogram> &FirstToken;
   Family<Histogram> &ExpectedFirstToken;
   Family<Gauge> &Replicas;
@@ -76,6 +77,10 @@
                              "Attempts at upstreams by service and result.")),
       ObjectApi(counterFamily(Registry, "sorrelbay_object_api_calls_total",
                               "Calls of the object API by kind and result.")),
+      RefusedEntries(
+          counterFamily(Registry, "sorrelbay_refused_entries_total",
+                        "Entries of the store that can't be read or make no "
+                        "sense, by kind.")),
       FirstToken(prometheus::BuildHistogram()
                      .Name("sorrelbay_first_token_seconds")
                      .Help("Time from arrival to the first token.")
@@ -275,6 +280,10 @@
   All->ObjectApi.Add({{"call", call}, {"result", result}}).Increment();
 }
 
+void Metrics::countRefusedEntry(const std::string &kind) {
+  All->RefusedEntries.Add({{"kind", kind}}).Increment();
+}
+
 void Metrics::setOpenCalls(std::size_t n) {
   All->Open.Set(static_cast<double>(n));
 }
--- a/Services/sorrelbayd/Metrics.h
+++ b/Services/sorrelbayd/Metrics.h
@@ -46,6 +46,8 @@
   /// Counts the tokens and ends from engines that were dropped, by cause.
   void countDropped(const std::string &cause, std::uint64_t n);
   void countObjectApi(const std::string &call, const std::string &result);
+  /// Counts an entry of the store of that kind that is refused.
+  void countRefusedEntry(const std::string &kind);
   /// Counts a statement of an upstream about itself, such as "pause", by what
   /// became of it: "applied", or why it was ignored.
   void countUpstreamStatement(const std::string &statement,
--- a/Services/sorrelbayd/OperatorRequestWatch.cpp
+++ b/Services/sorrelbayd/OperatorRequestWatch.cpp
@@ -24,6 +24,7 @@
     State.Waiting.setWeights(State.Requests.TeamWeights);
     holdUpstreams();
   } catch (const OperatorRequestsMalformed &error) {
+    State.Refused.note(ResourceKind::Quarantines);
     LogLine(Severity::Error, "operator requests refused")
         .field("revision", static_cast<std::int64_t>(object.Revision))
         .field("why", error.what());
--- a/Services/sorrelbayd/QuarantineStore.cpp
+++ b/Services/sorrelbayd/QuarantineStore.cpp
@@ -42,6 +42,7 @@
     State.Quarantine.merge(Stored, State.Time.at(bootNow()));
   } catch (const QuarantineObjectMalformed &error) {
     Stored = {};
+    State.Refused.note(ResourceKind::Quarantines);
     LogLine(Severity::Error, "quarantines refused")
         .field("revision", static_cast<std::int64_t>(object.Revision))
         .field("why", error.what());
--- a/Tests/LibObjectApi/TestResourceWatcher.cpp
+++ b/Tests/LibObjectApi/TestResourceWatcher.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr const char *UnhandledBody = "unhandled";
+
 /// A watcher of one kind with a fake store: a call stays open until the test
 /// completes it. Unless `isFresh`, a watcher that does not poll has already
 /// started a watch because no changes were relayed after its list.
@@ -34,7 +36,11 @@
     };
     ResourceWatcherHooks hooks;
     hooks.Now = [this] { return bootNow() + ClockOffset; };
-    hooks.OnObject = [this](const Resource &it) { Seen[it.Name] = it.Body; };
+    hooks.OnObject = [this](const Resource &it) {
+      if (it.Body == UnhandledBody)
+        throw std::runtime_error("this object can't be handled");
+      Seen[it.Name] = it.Body;
+    };
     hooks.OnRemoved = [this](const std::string &name) { Seen.erase(name); };
     hooks.OnConfirmed = [this](Instant begun) { Confirmed = begun; };
     hooks.OnWatched = [this](std::uint64_t from, const ResourceChanges &changes,
@@ -451,4 +457,18 @@
   BOOST_TEST((fixture.Relayed.back() == Relay{40, 50}));
 }
 
+// An object that makes its handler fail. The changes behind it were lost, and
+// the store was never queried again.
+BOOST_AUTO_TEST_CASE(an_object_that_cannot_be_handled_costs_only_itself) {
+  WatcherFixture fixture(true);
+  const int watches = fixture.Watches;
+  StoreResult<ResourceChanges> result;
+  result.Got = ResourceChanges{
+      {changed("bad", UnhandledBody, 11), changed("b", "2", 12)}, 12};
+  fixture.CompleteWatch(result);
+  BOOST_TEST(fixture.Seen.count("bad") == 0U);
+  BOOST_TEST(fixture.Seen.at("b") == "2");
+  BOOST_TEST(fixture.Watches == watches + 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
