platform: Refuse a malformed entry of a plan alone

A configuration with one malformed route, service or team was refused as a whole: callers kept routes and keys that it had removed, and got none that it added. The store accepts valid ones only, so that nobody has seen it.

A team that is refused has no keys. A rollout's status of another type is ignored: reading it threw an exception that the handler of orders did not know, which stopped its watcher.

translation/a_malformed_entry_of_a_plan_costs_only_itself and a_rollout_status_of_another_type_is_ignored.

--- a/Libraries/LibServing/ServingPlan.h
+++ b/Libraries/LibServing/ServingPlan.h
@@ -134,6 +134,9 @@
   std::vector<ServingService> Services;
   std::vector<ServingTeam> Teams;
   CallLimits Limits;
+  /// Why entries of the plan were refused. The plan has no other part of them
+  /// than the place of a route, whose calls must not take another.
+  std::vector<std::string> Refused;
 };
 
 /// A plan with indexes for its parts, so that the cost of a call does not grow
--- a/Tests/platform/TestTranslation.cpp
+++ b/Tests/platform/TestTranslation.cpp
@@ -279,4 +279,36 @@
                                IgnoredReason::UnknownKind, "server-mood"}));
 }
 
+// A single malformed entry kept a whole configuration from coming into force,
+// with all keys and routes that it added or removed.
+BOOST_AUTO_TEST_CASE(a_malformed_entry_of_a_plan_costs_only_itself) {
+  auto config = nlohmann::json::parse(Config);
+  config["Routes"][0]["TimeoutMs"] = -1;
+  config["Routes"].push_back(7);
+  config["Services"][1]["MaxConns"] = 1e300;
+  config["Tenants"].push_back({{"Name", 5}, {"ApiKeys", {"k9"}}});
+  config["Limits"]["IdleTimeoutMs"] = "x";
+  const ServingPlan plan = parseServingPlan(config);
+  BOOST_TEST(plan.Refused.size() == 5U);
+  BOOST_REQUIRE(plan.Routes.size() == 4U);
+  // Its calls must not take a route with a shorter prefix.
+  BOOST_TEST(plan.Routes[0].PathPrefix == "/a/");
+  BOOST_TEST(plan.Routes[0].ServiceWeights.empty());
+  BOOST_TEST(plan.Routes[1].ServiceWeights.size() == 1U);
+  BOOST_TEST(plan.Services.size() == 1U);
+  BOOST_REQUIRE(plan.Teams.size() == 1U);
+  BOOST_TEST(plan.Teams[0].Keys.size() == 2U);
+}
+
+// A status of another type made the handler of all rollout orders fail, so that
+// the host learned of no further one.
+BOOST_AUTO_TEST_CASE(a_rollout_status_of_another_type_is_ignored) {
+  const auto spec = nlohmann::json::parse(R"({"Service":"s","Target":"v2"})");
+  for (const char *status :
+       {"7", "[]", R"({"Target":5})", R"({"Target":"v2","State":5})"})
+    BOOST_TEST(
+        (parseRolloutOrder(spec, nlohmann::json::parse(status)).Outcome ==
+         RolloutOutcome::NotStarted));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
