sorrelbayd: Take no lease that can't be read

One with a member of another type threw an exception at each reading.

It is now left alone, counted and logged once a revision, until it is mended or removed. duty_lease/a_lease_that_cannot_be_read_is_not_taken.

--- a/Services/sorrelbayd/DutyLease.cpp
+++ b/Services/sorrelbayd/DutyLease.cpp
@@ -78,40 +78,72 @@
   }
 }
 
+namespace {
+
+/// The lease as it is stored.
+struct StoredLease {
+  LeaseState State;
+  HostId Host;
+  std::uint64_t FencingToken = 0;
+};
+
+/// Parses the stored lease. Returns nothing if it is malformed.
+std::optional<StoredLease> storedLease(const Resource &object) {
+  try {
+    const auto body = nlohmann::json::parse(object.Body);
+    StoredLease out;
+    out.State.Version = object.Revision;
+    out.State.Holder = IncarnationId(body.at("holder").get<std::string>());
+    out.FencingToken = body.at("fencing").get<std::uint64_t>();
+    out.Host = HostId(body.value("host", ""));
+    return out;
+  } catch (const nlohmann::json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+/// Without the fencing token of the holder before, this host can't hold the
+/// lease.
+void DutyLease::noteMalformed(std::uint64_t revision) {
+  if (MalformedRevision == revision)
+    return;
+  MalformedRevision = revision;
+  State.Refused.note(ResourceKind::Duties);
+  LogLine(Severity::Error, "lease can't be read")
+      .field("revision", static_cast<std::int64_t>(revision));
+}
+
 void DutyLease::read(Instant /*now*/) {
   IsCallPending = true;
-  State.Hooks.Store.Read(
-      ResourceKind::Duties, LeaseName,
-      [this](const StoreResult<Resource> &result) {
-        IsCallPending = false;
-        const Instant now = bootNow();
-        if (!result.Got) {
-          if (result.Failure == StoreFailure::Missing)
-            Lease.noteRead({}, now);
-          return;
-        }
-        const auto body =
-            nlohmann::json::parse(result.Got->Body, nullptr, false);
-        LeaseState seen;
-        std::uint64_t fencing = 0;
-        bool isFromEarlierProcess = false;
-        seen.Version = result.Got->Revision;
-        if (body.is_object()) {
-          seen.Holder = IncarnationId(body.value("holder", ""));
-          fencing = body.value("fencing", std::uint64_t{0});
-          HighestFencingToken = std::max(HighestFencingToken, fencing);
-          isFromEarlierProcess =
-              body.value("host", "") == State.Settings.Host.text() &&
-              seen.Holder != State.Incarnation;
-        }
-        Lease.noteRead(seen, now);
-        if (isFromEarlierProcess)
-          Lease.noteReleased();
-        // This host's own write, whose response was lost along with the fencing
-        // token.
-        if (Lease.isHeld(now))
-          FencingToken = fencing;
-      });
+  State.Hooks.Store.Read(ResourceKind::Duties, LeaseName,
+                         [this](const StoreResult<Resource> &result) {
+                           IsCallPending = false;
+                           const Instant now = bootNow();
+                           if (!result.Got) {
+                             if (result.Failure == StoreFailure::Missing)
+                               Lease.noteRead({}, now);
+                             return;
+                           }
+                           const auto stored = storedLease(*result.Got);
+                           if (!stored)
+                             return noteMalformed(result.Got->Revision);
+                           const LeaseState &seen = stored->State;
+                           const std::uint64_t fencing = stored->FencingToken;
+                           HighestFencingToken =
+                               std::max(HighestFencingToken, fencing);
+                           const bool isFromEarlierProcess =
+                               stored->Host == State.Settings.Host &&
+                               seen.Holder != State.Incarnation;
+                           Lease.noteRead(seen, now);
+                           if (isFromEarlierProcess)
+                             Lease.noteReleased();
+                           // This host's own write, whose response was lost
+                           // along with the fencing token.
+                           if (Lease.isHeld(now))
+                             FencingToken = fencing;
+                         });
 }
 
 void DutyLease::write(Instant now) {
--- a/Services/sorrelbayd/DutyLease.h
+++ b/Services/sorrelbayd/DutyLease.h
@@ -26,6 +26,7 @@
 private:
   void noteReportedHolders(Instant now);
   void read(Instant now);
+  void noteMalformed(std::uint64_t revision);
   void write(Instant now);
   bool mayStandBy(Instant now) const;
 
@@ -37,6 +38,8 @@
   std::uint64_t FencingToken = 0;
   /// Lease writes by this process.
   std::uint64_t LeaseWrites = 0;
+  /// The last revision of the lease that could not be read.
+  std::uint64_t MalformedRevision = 0;
   bool IsCallPending = false;
   bool WasHeld = false;
 };
--- a/Tests/sorrelbayd/TestDutyLease.cpp
+++ b/Tests/sorrelbayd/TestDutyLease.cpp
@@ -45,8 +45,8 @@
     return out;
   }
 
-  bool waitForDuties() {
-    for (int n = 0; n < 2000 && !Duties.isHeld(bootNow()); ++n) {
+  bool waitForDuties(int attempts = 2000) {
+    for (int n = 0; n < attempts && !Duties.isHeld(bootNow()); ++n) {
       Duties.tick(bootNow());
       Loop.restart();
       Loop.run_for(milliseconds(5));
@@ -112,4 +112,19 @@
   BOOST_TEST(self.FencingToken == fixture.Duties.term());
 }
 
+// The fencing token of the holder before can't be read. A host that took the
+// lease would act under a token that was used before.
+BOOST_AUTO_TEST_CASE(a_lease_that_cannot_be_read_is_not_taken) {
+  for (const char *body : {"7", R"({"holder":5,"fencing":7})",
+                           R"({"holder":"other","fencing":-1.5})"}) {
+    DutyLeaseFixture fixture(milliseconds(10));
+    fixture.Store.put(ResourceKind::Duties, "duties", body);
+    BOOST_TEST(!fixture.waitForDuties(300), body);
+    fixture.Store.put(ResourceKind::Duties, "duties",
+                      R"({"holder":"earlier","host":"host","fencing":7})");
+    BOOST_TEST(fixture.waitForDuties());
+    BOOST_TEST(fixture.Duties.leaseHolder().FencingToken == 8U);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
