LibServing, LibPeer: Leave out what no peer can report

A malformed entry of a message cost the whole message and its connection, and a message of 400,000 nested arrays ended the process: decoding takes stack space for each level (run on the code before: decodeFleetMessage, decodePeerMessage and ColumnReader all end with SIGSEGV).

Change: figures that no host can have are removed from a report on arrival, before it counts here or in a sum; logged and counted once for each process. A relayed change that is malformed makes the receiver ask the store. Malformed entries of rollout knowledge are passed over, and a stage that no plan has is one.

The strict decoder of rollout knowledge and its test stay for the objects of the own interface.

--- a/Libraries/LibDecision/Handover.cpp
+++ b/Libraries/LibDecision/Handover.cpp
@@ -1,5 +1,6 @@
 #include "LibDecision/Handover.h"
 #include "LibBase/Hash.h"
+#include "LibBase/JsonList.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <tuple>
@@ -42,7 +43,7 @@
 Handover parseHandover(const std::vector<std::uint8_t> &message) {
   Handover handover;
   try {
-    const Json map = Json::from_cbor(message);
+    const Json map = parseCbor({message.begin(), message.end()});
     handover.Request = RequestId(map.at("request").get<std::string>());
     handover.Team = TeamId(map.at("team").get<std::string>());
     handover.OnRoute = RouteId(map.at("route").get<std::string>());
--- a/Libraries/LibDecision/LedgerCodec.cpp
+++ b/Libraries/LibDecision/LedgerCodec.cpp
@@ -1,4 +1,5 @@
 #include "LibDecision/LedgerCodec.h"
+#include "LibBase/JsonList.h"
 #include <nlohmann/json.hpp>
 
 namespace sorrelbay {
@@ -57,7 +58,7 @@
 
 LedgerBucket decodeBucket(const std::string &body) {
   try {
-    const Json document = Json::from_cbor(body);
+    const Json document = parseCbor(body);
     if (document.at(0).get<int>() != FormatVersion)
       throw LedgerBucketUnreadable(
           "ledger bucket has an unknown format version");
--- a/Libraries/LibOperator/BundleCodec.cpp
+++ b/Libraries/LibOperator/BundleCodec.cpp
@@ -1,4 +1,5 @@
 #include "LibOperator/BundleCodec.h"
+#include "LibBase/JsonList.h"
 #include <nlohmann/json.hpp>
 
 namespace sorrelbay {
@@ -146,7 +147,7 @@
                          " bytes; the maximum is 524288");
   Bundle bundle;
   try {
-    bundle = bundleOf(json::from_cbor(bytes));
+    bundle = bundleOf(parseCbor(bytes));
   } catch (const json::exception &error) {
     throw BundleMalformed(std::string("the bundle can't be decoded: ") +
                           error.what());
--- a/Libraries/LibOperator/SignedBundle.cpp
+++ b/Libraries/LibOperator/SignedBundle.cpp
@@ -1,4 +1,5 @@
 #include "LibOperator/SignedBundle.h"
+#include "LibBase/JsonList.h"
 #include <nlohmann/json.hpp>
 
 namespace sorrelbay {
@@ -53,7 +54,7 @@
                          std::to_string(bytes.size()) +
                          " bytes; the maximum is 524288");
   try {
-    const json value = json::from_cbor(bytes);
+    const json value = parseCbor(bytes);
     if (!value.contains("signature") || !value.contains("key"))
       throw BundleUnsigned("the bundle has no signature");
     return {binaryAt(value, "payload"),
--- a/Libraries/LibPeer/FleetReportCodec.cpp
+++ b/Libraries/LibPeer/FleetReportCodec.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/FleetReportCodec.h"
+#include "LibBase/JsonList.h"
 #include "LibPeer/CrashKnowledgeJson.h"
 #include "LibPeer/PeerFailures.h"
 #include "LibPeer/ReportStream.h"
@@ -153,6 +154,16 @@
   return report;
 }
 
+ResourceChange changeFromJson(const json &from) {
+  ResourceChange change;
+  from.at(0).get_to(change.Object.Name);
+  from.at(1).get_to(change.Object.Body);
+  from.at(2).get_to(change.Object.Status);
+  from.at(3).get_to(change.Object.Revision);
+  from.at(4).get_to(change.IsRemoved);
+  return change;
+}
+
 RelayedChanges relayedChangesFromJson(const json &messageFields) {
   RelayedChanges relayedChanges;
   const auto kind = messageFields.at(2).get<std::size_t>();
@@ -165,13 +176,12 @@
   relayedChanges.Age = Duration(messageFields.at(6).get<std::int64_t>());
   messageFields.at(7).get_to(relayedChanges.Echo);
   for (const json &it : messageFields.at(8)) {
-    ResourceChange change;
-    it.at(0).get_to(change.Object.Name);
-    it.at(1).get_to(change.Object.Body);
-    it.at(2).get_to(change.Object.Status);
-    it.at(3).get_to(change.Object.Revision);
-    it.at(4).get_to(change.IsRemoved);
-    relayedChanges.Changes.Changes.push_back(change);
+    try {
+      relayedChanges.Changes.Changes.push_back(changeFromJson(it));
+    } catch (const json::exception &) {
+      // The receiver has to get the change from the store.
+      relayedChanges.IsTruncated = true;
+    }
   }
   return relayedChanges;
 }
@@ -230,7 +240,7 @@
 
 FleetMessage decodeFleetMessage(const std::string &bytes) {
   try {
-    const json messageFields = json::from_cbor(bytes);
+    const json messageFields = parseCbor(bytes);
     if (messageFields.at(0).get<int>() != FleetFormatNumber)
       throw PeerMessageRefused(
           "fleet message has an unsupported format number");
--- a/Libraries/LibPeer/MessageColumns.cpp
+++ b/Libraries/LibPeer/MessageColumns.cpp
@@ -32,8 +32,11 @@
     Texts.push_back(std::move(value));
     return true;
   }
-  bool start_array(std::size_t) override { return true; }
-  bool end_array() override { return true; }
+  bool start_array(std::size_t) override { return ++Levels <= MaxLevels; }
+  bool end_array() override {
+    --Levels;
+    return true;
+  }
   bool null() override { return false; }
   bool boolean(bool) override { return false; }
   bool binary(binary_t &) override { return false; }
@@ -46,6 +49,10 @@
   }
 
 private:
+  /// Decoding takes stack space for each level; a message has two.
+  static constexpr int MaxLevels = 4;
+
+  int Levels = 0;
   std::vector<std::int64_t> &Integers;
   std::vector<std::string> &Texts;
   std::vector<double> &Reals;
--- a/Libraries/LibPeer/PeerMessage.cpp
+++ b/Libraries/LibPeer/PeerMessage.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/PeerMessage.h"
+#include "LibBase/JsonList.h"
 #include "LibPeer/RolloutCodec.h"
 #include "LibPeer/RolloutJson.h"
 #include <nlohmann/json.hpp>
@@ -161,7 +162,7 @@
 
 PeerMessage decodePeerMessage(const std::string &bytes) {
   try {
-    const json value = json::from_cbor(bytes);
+    const json value = parseCbor(bytes);
     return messageFromJson(textAt(value, "kind"), value);
   } catch (const json::exception &error) {
     throw PeerMessageRefused(std::string("peer message can't be decoded: ") +
--- a/Libraries/LibPeer/RelayEnvelope.cpp
+++ b/Libraries/LibPeer/RelayEnvelope.cpp
@@ -1,5 +1,6 @@
 #include "LibPeer/RelayEnvelope.h"
 #include "LibBase/Hex.h"
+#include "LibBase/JsonList.h"
 #include "LibPeer/MessageCode.h"
 #include "LibPeer/PeerFailures.h"
 #include <array>
@@ -68,7 +69,7 @@
   if (!isSameCode(text.substr(at + 1), sealOf(*bytes, secret)))
     throw PeerMessageRefused("relay envelope has another seal");
   try {
-    return envelopeFrom(json::from_cbor(*bytes));
+    return envelopeFrom(parseCbor(*bytes));
   } catch (const json::exception &error) {
     throw PeerMessageRefused(std::string("relay envelope can't be decoded: ") +
                              error.what());
--- a/Libraries/LibPeer/ReportStream.cpp
+++ b/Libraries/LibPeer/ReportStream.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/ReportStream.h"
+#include "LibBase/JsonList.h"
 #include "LibPeer/CrashKnowledgeJson.h"
 #include "LibPeer/PeerFailures.h"
 #include <algorithm>
@@ -65,7 +66,7 @@
   if (bytes.empty())
     return {};
   try {
-    return crashKnowledgeFromJson(json::from_cbor(bytes));
+    return crashKnowledgeFromJson(parseCbor(bytes));
   } catch (const json::exception &error) {
     throw PeerMessageRefused(std::string("crashes can't be decoded: ") +
                              error.what());
--- a/Libraries/LibPeer/RolloutCodec.cpp
+++ b/Libraries/LibPeer/RolloutCodec.cpp
@@ -1,4 +1,5 @@
 #include "LibPeer/RolloutCodec.h"
+#include "LibBase/JsonList.h"
 #include "LibPeer/RolloutJson.h"
 #include <nlohmann/json.hpp>
 
@@ -8,6 +9,9 @@
 
 using nlohmann::json;
 
+/// The largest stage of a rollout; no plan has as many.
+constexpr std::uint64_t MaxStage = 1000;
+
 json countToJson(const EvidenceCount &count) {
   return {count.Calls, count.Failures, count.Late};
 }
@@ -55,12 +59,53 @@
 }
 
 void evidenceFromJson(EvidencePool &pool, const json &from) {
-  for (const json &it : from)
-    pool.mergeCount({HostId(it.at(0).get<std::string>()),
-                     IncarnationId(it.at(1).get<std::string>())},
-                    {VersionId(it.at(2).get<std::string>()),
-                     RouteId(it.at(3).get<std::string>())},
-                    countFromJson(it.at(4)));
+  pool.mergeCount({HostId(from.at(0).get<std::string>()),
+                   IncarnationId(from.at(1).get<std::string>())},
+                  {VersionId(from.at(2).get<std::string>()),
+                   RouteId(from.at(3).get<std::string>())},
+                  countFromJson(from.at(4)));
+}
+
+void stageFromJson(RolloutKnowledge &knowledge, const json &from) {
+  const auto stage = from.at(1).get<std::uint64_t>();
+  if (stage > MaxStage)
+    throw RolloutKnowledgeMalformed("a stage is out of range");
+  raiseStage(knowledge, VersionId(from.at(0).get<std::string>()),
+             {static_cast<unsigned>(stage),
+              Instant(Duration(from.at(2).get<std::int64_t>()))});
+}
+
+/// Parses the elements of a list. Without `refused`, a malformed one is thrown;
+/// otherwise it is passed over.
+template <typename Parse>
+void parseEach(const json &list, std::vector<std::string> *refused,
+               const Parse &parse) {
+  for (const json &it : list) {
+    try {
+      parse(it);
+    } catch (const std::exception &error) {
+      if (!refused)
+        throw;
+      refused->emplace_back(error.what());
+    }
+  }
+}
+
+RolloutKnowledge knowledgeFromJson(const json &from,
+                                   std::vector<std::string> *refused) {
+  try {
+    RolloutKnowledge out;
+    parseEach(from.at("vetoes"), refused,
+              [&](const json &it) { addVeto(out, vetoFromJson(it)); });
+    parseEach(from.at("stages"), refused,
+              [&](const json &it) { stageFromJson(out, it); });
+    parseEach(from.at("evidence"), refused,
+              [&](const json &it) { evidenceFromJson(out.Evidence, it); });
+    return out;
+  } catch (const json::exception &error) {
+    throw RolloutKnowledgeMalformed(
+        std::string("rollout knowledge can't be decoded: ") + error.what());
+  }
 }
 
 } // namespace
@@ -79,20 +124,7 @@
 }
 
 RolloutKnowledge rolloutFromJson(const json &from) {
-  try {
-    RolloutKnowledge out;
-    for (const json &it : from.at("vetoes"))
-      addVeto(out, vetoFromJson(it));
-    for (const json &it : from.at("stages"))
-      raiseStage(out, VersionId(it.at(0).get<std::string>()),
-                 {it.at(1).get<unsigned>(),
-                  Instant(Duration(it.at(2).get<std::int64_t>()))});
-    evidenceFromJson(out.Evidence, from.at("evidence"));
-    return out;
-  } catch (const json::exception &error) {
-    throw RolloutKnowledgeMalformed(
-        std::string("rollout knowledge can't be decoded: ") + error.what());
-  }
+  return knowledgeFromJson(from, nullptr);
 }
 
 std::string encodeRolloutKnowledge(const RolloutKnowledge &knowledge) {
@@ -101,10 +133,19 @@
 }
 
 RolloutKnowledge decodeRolloutKnowledge(const std::string &text) {
-  const json from = json::parse(text, nullptr, false);
+  const json from = parseJson(text);
   if (from.is_discarded())
     throw RolloutKnowledgeMalformed("rollout knowledge is not valid JSON");
   return rolloutFromJson(from);
 }
 
+RolloutKnowledge
+decodeReadableRolloutKnowledge(const std::string &text,
+                               std::vector<std::string> &refused) {
+  const json from = parseJson(text);
+  if (from.is_discarded())
+    throw RolloutKnowledgeMalformed("rollout knowledge is not valid JSON");
+  return knowledgeFromJson(from, &refused);
+}
+
 } // namespace sorrelbay
--- a/Libraries/LibPeer/RolloutCodec.h
+++ b/Libraries/LibPeer/RolloutCodec.h
@@ -3,6 +3,7 @@
 #include "LibBase/Error.h"
 #include "LibDecision/RolloutKnowledge.h"
 #include <string>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -17,5 +18,9 @@
 /// Decodes such a document. Throws RolloutKnowledgeMalformed if it is not
 /// valid.
 RolloutKnowledge decodeRolloutKnowledge(const std::string &text);
+/// The same, but passes over malformed entries, and adds why to `refused`.
+RolloutKnowledge
+decodeReadableRolloutKnowledge(const std::string &text,
+                               std::vector<std::string> &refused);
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/GatewayFleet.cpp
+++ b/Services/sorrelbayd/GatewayFleet.cpp
@@ -2,6 +2,7 @@
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
 #include "LibObjectApi/RelayedChangesParts.h"
+#include "LibServing/FleetReportCheck.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <set>
@@ -28,6 +29,8 @@
 /// Changes of at least this size are encoded once for all receivers; a message
 /// that differs for each of them follows. Smaller ones take a single message.
 constexpr std::size_t MinSharedBytes = 2UL * 1024;
+/// Processes of peers with implausible figures that are remembered.
+constexpr std::size_t MaxImplausibleReporters = 256;
 
 void logSource(const FleetReport &report, bool counts) {
   LogLine(Severity::Info, counts ? "peer counted" : "peer no longer counted")
@@ -235,7 +238,25 @@
   });
 }
 
+/// Takes the figures out of a peer's report that no host can have. Those of one
+/// process are logged and counted once.
+FleetReport GatewayFleet::withoutImplausible(FleetReport report) {
+  const std::size_t count = countImplausible(report);
+  removeImplausible(report);
+  if (ImplausibleReporters.size() >= MaxImplausibleReporters ||
+      !ImplausibleReporters.insert(report.Incarnation).second)
+    return report;
+  State.Counts.countRefusedEntry("reports");
+  LogLine(Severity::Warning, "implausible figures of a peer ignored")
+      .field("peer", report.Reporter.text())
+      .field("incarnation", report.Incarnation.text())
+      .field("figures", static_cast<std::int64_t>(count));
+  return report;
+}
+
 void GatewayFleet::applyReport(const FleetReport &report) {
+  if (countImplausible(report) != 0)
+    return applyReport(withoutImplausible(report));
   const Instant now = bootNow();
   if (!State.Fleet.receive(report, now))
     return;
--- a/Services/sorrelbayd/GatewayFleet.h
+++ b/Services/sorrelbayd/GatewayFleet.h
@@ -67,6 +67,7 @@
 
 private:
   void applyReport(const FleetReport &report);
+  FleetReport withoutImplausible(FleetReport report);
   FleetReport ownReport(Instant now);
   void sendOwnReport(const FleetReport &own, Instant now);
   void publishAggregates(const FleetReport &own, Instant now);
@@ -98,6 +99,8 @@
   /// Each peer's boot clock in its last report, in microseconds. It is sent
   /// back with relayed changes.
   std::map<HostId, std::int64_t> PeerClocks;
+  /// Processes of peers whose reports had implausible figures, once logged.
+  std::set<IncarnationId> ImplausibleReporters;
   int PeerLookups = 0;
   bool IsRegistered = false;
 };
--- a/Services/sorrelbayd/GatewayRollouts.cpp
+++ b/Services/sorrelbayd/GatewayRollouts.cpp
@@ -10,6 +10,8 @@
 /// therefore written when they have no open calls, or this long before the
 /// deadline.
 static constexpr Duration CompletionMargin = milliseconds(1200);
+/// Faults of peers' knowledge that are remembered, so that each is logged once.
+static constexpr std::size_t MaxRefusedKnowledge = 64;
 /// Shortest time between two attempts to write a status.
 static constexpr Duration MinStatusInterval = milliseconds(500);
 /// Peers' knowledge counts as up to date if a report arrived this recently.
@@ -273,11 +275,20 @@
                                          Instant /*now*/) {
   if (encoded.empty())
     return;
+  std::vector<std::string> refused;
   try {
-    merge(MergedKnowledge, decodeRolloutKnowledge(encoded));
+    merge(MergedKnowledge, decodeReadableRolloutKnowledge(encoded, refused));
   } catch (const RolloutKnowledgeMalformed &error) {
+    refused.emplace_back(error.what());
+  }
+  // Peers repeat what they know in each report.
+  for (const std::string &it : refused) {
+    if (RefusedKnowledge.size() >= MaxRefusedKnowledge ||
+        !RefusedKnowledge.insert(it).second)
+      continue;
+    State.Counts.countRefusedEntry("rollout_knowledge");
     LogLine(Severity::Warning, "malformed rollout knowledge of a peer ignored")
-        .field("why", error.what());
+        .field("why", it);
   }
 }
 
--- a/Services/sorrelbayd/GatewayRollouts.h
+++ b/Services/sorrelbayd/GatewayRollouts.h
@@ -6,6 +6,7 @@
 #include "LibServing/RolloutOrder.h"
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace sorrelbay {
@@ -61,6 +62,7 @@
   EvidenceSource Self;
   std::map<std::string, ServiceRollout> RolloutsByName;
   RolloutKnowledge MergedKnowledge;
+  std::set<std::string> RefusedKnowledge;
   bool IsWriting = false;
 };
 
--- a/Tests/LibPeer/TestFleetReportCodec.cpp
+++ b/Tests/LibPeer/TestFleetReportCodec.cpp
@@ -1,4 +1,8 @@
 #include "LibPeer/FleetReportCodec.h"
+#include "LibPeer/MessageColumns.h"
+#include "LibPeer/PeerFailures.h"
+#include "LibPeer/PeerMessage.h"
+#include "LibPeer/ReportStream.h"
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
@@ -117,4 +121,27 @@
   BOOST_CHECK(read.Quarantines == report.Crashes.Quarantines);
 }
 
+// A host of another version relays a change that this one can't decode. Passed
+// over, the change would be lost; refused, all others with it.
+BOOST_AUTO_TEST_CASE(a_malformed_relayed_change_is_fetched_from_the_store) {
+  const nlohmann::json good = {"a", "{}", "", 7, false};
+  const nlohmann::json bad = {"b", 5};
+  const auto bytes = nlohmann::json::to_cbor(
+      {FleetFormatNumber, static_cast<int>(FleetMessageKind::RelayedChanges), 0,
+       3, 9, false, 100, 0, nlohmann::json::array({good, bad})});
+  const FleetMessage message = decodeFleetMessage({bytes.begin(), bytes.end()});
+  const auto &relayed = std::get<RelayedChanges>(message);
+  BOOST_TEST(relayed.Changes.Changes.size() == 1U);
+  BOOST_TEST(relayed.IsTruncated);
+}
+
+// Decoding takes stack space for each level of a message: a few hundred
+// thousand bytes ended the process.
+BOOST_AUTO_TEST_CASE(a_deeply_nested_message_is_refused) {
+  const std::string arrays(400'000, '\x81');
+  BOOST_CHECK_THROW(decodeFleetMessage(arrays + '\x01'), PeerMessageRefused);
+  BOOST_CHECK_THROW(ColumnReader(arrays + '\x01'), PeerMessageRefused);
+  BOOST_CHECK_THROW(decodePeerMessage(arrays + '\x01'), PeerMessageRefused);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/sorrelbayd/TestRolloutExchange.cpp
+++ b/Tests/sorrelbayd/TestRolloutExchange.cpp
@@ -88,6 +88,29 @@
   BOOST_CHECK_THROW(decodeRolloutKnowledge(text), RolloutKnowledgeMalformed);
 }
 
+// One entry of a peer's knowledge is malformed. Its vetoes must be followed all
+// the same.
+BOOST_AUTO_TEST_CASE(a_malformed_entry_costs_only_itself) {
+  RolloutKnowledge known;
+  raiseStage(known, VersionId("v2"), {3, Instant(seconds(5))});
+  Veto veto;
+  veto.Version = VersionId("v2");
+  veto.At = Instant(seconds(9));
+  veto.By = HostId("a");
+  addVeto(known, veto);
+  std::string text = encodeRolloutKnowledge(known);
+  for (const char *list : {"\"stages\":[", "\"vetoes\":[", "\"evidence\":["})
+    for (const char *bad : {"7,", "[\"v3\",4000000000,0],", "{},"})
+      text.insert(text.find(list) + std::string(list).size(), bad);
+  // The last entry of an empty list has no comma behind it.
+  const std::size_t comma = text.find(",]");
+  if (comma != std::string::npos)
+    text.erase(comma, 1);
+  std::vector<std::string> refused;
+  BOOST_CHECK(decodeReadableRolloutKnowledge(text, refused) == known);
+  BOOST_TEST(refused.size() == 9U);
+}
+
 // One daemon has rolled the version back. A daemon that starts afterwards
 // without this knowledge would send calls to the version again.
 BOOST_AUTO_TEST_CASE(
