sorrelbayd, LibDecision: Keep open calls over a list without their upstream

Counts now live by upstream until the last call has ended (upstream_table/open_calls_outlive_a_list_without_their_upstream, 0 instead of 1 on the code before).

Placement divided by the number of candidates near the best cost, which is zero if no cost can be compared. Not reachable by what is known today; it takes the first candidate then, and a wait is never negative.

--- a/Libraries/LibDecision/Placement.cpp
+++ b/Libraries/LibDecision/Placement.cpp
@@ -2,6 +2,7 @@
 #include "LibBase/Hash.h"
 #include "LibBase/Invariant.h"
 #include <algorithm>
+#include <limits>
 
 namespace sorrelbay {
 
@@ -83,6 +84,7 @@
             Settings.ConcurrentCallsPerUpstream;
   if (upstream.InZone != request.OwnZone)
     wait += 2 * toSeconds(Settings.CrossZoneLatency);
+  wait = std::max(0.0, wait);
   double cost = wait + (Settings.ComputeWeight - 1) * compute;
   if (&upstream == home)
     cost -= Settings.ComputeWeight * Settings.AssumedCachedShare * compute;
@@ -112,7 +114,7 @@
 
 std::size_t Placement::pick(const std::vector<Candidate> &candidates,
                             const PlacementRequest &request) const {
-  double best = candidates.front().Cost;
+  double best = std::numeric_limits<double>::max();
   for (const Candidate &it : candidates)
     best = std::min(best, it.Cost);
   const double limit =
@@ -122,6 +124,9 @@
   for (std::size_t n = 0; n < candidates.size(); ++n)
     if (candidates[n].Cost <= limit)
       near.push_back(n);
+  // No cost can be compared.
+  if (near.empty())
+    return 0;
   const std::uint64_t random = mix(request.Seed);
   const std::size_t first = near[random % near.size()];
   const std::size_t second = near[(random >> 32) % near.size()];
--- a/Services/sorrelbayd/UpstreamTable.cpp
+++ b/Services/sorrelbayd/UpstreamTable.cpp
@@ -52,6 +52,8 @@
     UpstreamState state;
     if (known != Upstreams.end())
       state = known->second;
+    else if (OpenCalls.count(id) != 0)
+      state.OwnOpenCalls = OpenCalls.at(id);
     state.Id = id;
     state.OfService = it.Service;
     state.OfVersion = it.Version;
@@ -182,7 +184,7 @@
     return choice;
   }
   Chooser.noteSent(*choice.Upstream, request, choice.CachedTokens, at);
-  ++Upstreams[*choice.Upstream].OwnOpenCalls;
+  countOpenCalls(*choice.Upstream, 1);
   return choice;
 }
 
@@ -210,9 +212,7 @@
                             const PlacementRequest &request, Instant at) {
   const std::lock_guard<std::mutex> lock(Mutex);
   Chooser.noteSent(upstream, request, 0, at);
-  const auto it = Upstreams.find(upstream);
-  if (it != Upstreams.end())
-    ++it->second.OwnOpenCalls;
+  countOpenCalls(upstream, 1);
 }
 
 void UpstreamTable::finish(const UpstreamId &upstream,
@@ -220,9 +220,19 @@
                            std::int64_t tokens, Instant at) {
   const std::lock_guard<std::mutex> lock(Mutex);
   Chooser.noteFinished(upstream, conversation, tokens, at);
+  countOpenCalls(upstream, -1);
+}
+
+/// Counts calls also at an upstream that is not listed: it may be listed again
+/// before they end.
+void UpstreamTable::countOpenCalls(const UpstreamId &upstream, int change) {
+  int &open = OpenCalls[upstream];
+  open = std::max(0, open + change);
   const auto it = Upstreams.find(upstream);
-  if (it != Upstreams.end() && it->second.OwnOpenCalls > 0)
-    --it->second.OwnOpenCalls;
+  if (it != Upstreams.end())
+    it->second.OwnOpenCalls = open;
+  if (open == 0)
+    OpenCalls.erase(upstream);
 }
 
 int UpstreamTable::callSlotsFor(const ServiceId &service) const {
--- a/Services/sorrelbayd/UpstreamTable.h
+++ b/Services/sorrelbayd/UpstreamTable.h
@@ -91,6 +91,7 @@
   PlacementChoice chooseAndCount(const PlacementRequest &request, Instant at,
                                  Confirmation &confirmation);
   bool isLeavingAt(const UpstreamId &upstream, Instant at) const;
+  void countOpenCalls(const UpstreamId &upstream, int change);
   std::uint32_t ownShare(const UpstreamId &upstream, std::uint64_t free) const;
 
   const std::string OwnAddress;
@@ -98,6 +99,8 @@
   const FetchLoad FetchEngineLoad;
   mutable std::mutex Mutex;
   std::map<UpstreamId, UpstreamState> Upstreams;
+  /// This daemon's open calls, by upstream; only of those that have some.
+  std::map<UpstreamId, int> OpenCalls;
   LeavingUpstreams Leaving;
   /// The time at which an upstream leaves, if a notice has given it.
   std::map<UpstreamId, Instant> LeavingAt;
