LibEngine: Fail a stream whose events lack their members

An engine that sent an event with a choice but no delta, or an end without a usage, ended the daemon: a member was read from a constant JSON value without a check, which is an assertion of the library (engine_stream/ an_event_without_its_members_fails_the_stream ends with SIGABRT on the code before). Members are read with checks now; the stream fails as any malformed one.

--- a/Libraries/LibEngine/EngineClient.cpp
+++ b/Libraries/LibEngine/EngineClient.cpp
@@ -79,21 +79,21 @@
   EngineToken token;
   token.AttemptId = event.value("id", "");
   token.Offset = event.value("offset", std::uint64_t{0});
-  token.Text = event["choices"][0]["delta"].value("content", "");
+  token.Text = event.at("choices").at(0).at("delta").value("content", "");
   return token;
 }
 
 bool isEnd(const Json &event) {
-  const Json &choice = event["choices"][0];
+  const Json &choice = event.at("choices").at(0);
   return choice.contains("finish_reason") &&
-         choice["finish_reason"].is_string();
+         choice.at("finish_reason").is_string();
 }
 
 EngineEnd toEnd(const Json &event) {
   EngineEnd end;
   end.AttemptId = event.value("id", "");
-  end.Length = event["usage"].value("completion_tokens", std::uint64_t{0});
-  end.FinishReason = event["choices"][0]["finish_reason"].get<std::string>();
+  end.Length = event.at("usage").value("completion_tokens", std::uint64_t{0});
+  event.at("choices").at(0).at("finish_reason").get_to(end.FinishReason);
   return end;
 }
 
@@ -114,9 +114,6 @@
   int status = 0;
   bool wasStopped = false;
   const auto onEvent = [&](const Json &event) {
-    if (!event.contains("choices") || !event["choices"].is_array() ||
-        event["choices"].empty())
-      throw EngineFailed("a stream event has no choices");
     if (isEnd(event)) {
       end = std::make_unique<EngineEnd>(toEnd(event));
       return true;
@@ -210,9 +207,10 @@
   const HttpReply reply = callEngine(
       upstream, "POST", "/v1/requests/" + requestId + "/cache", timeout);
   const Json json = Json::parse(reply.Body, nullptr, false);
-  if (!json.is_object() || !json.contains("cache_handle"))
+  const auto handle = json.is_object() ? json.find("cache_handle") : json.end();
+  if (handle == json.end() || !handle->is_string())
     throw EngineFailed("the export of the KV cache returned no handle");
-  return json["cache_handle"].get<std::string>();
+  return handle->get<std::string>();
 }
 
 } // namespace sorrelbay
--- a/Tests/LibEngine/TestEngineStream.cpp
+++ b/Tests/LibEngine/TestEngineStream.cpp
@@ -60,4 +60,24 @@
   }
 }
 
+// A faulty engine sends events without the members that they must have. One of
+// them ended the process.
+BOOST_AUTO_TEST_CASE(an_event_without_its_members_fails_the_stream) {
+  ScriptedServer engine;
+  for (const char *event :
+       {R"({})", R"({"choices":7})", R"({"choices":[]})", R"({"choices":{}})",
+        R"({"choices":[7]})", R"({"choices":[{}]})",
+        R"({"choices":[{"delta":7}]})",
+        R"({"choices":[{"delta":{"content":7}}]})",
+        R"({"choices":[{"finish_reason":"stop"}]})",
+        R"({"choices":[{"finish_reason":"stop"}],"usage":7})"}) {
+    engine.setScript([event](const std::string &) {
+      return ScriptedResponse{
+          {Head + "data: " + event + "\n\ndata: [DONE]\n\n"},
+          ScriptedEnd::Close};
+    });
+    BOOST_TEST(textOf(engine.address()) == "", event);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
