LibHttp, sorrelbayd: Bound what is read of bytes without an end

A faulty upstream may send bytes until its connection is closed, in a head or a body. By reading: an event of a resumable stream was held back until it ended.

A body for the caller is passed on no faster than the caller reads and broken off at the deadline.

--- a/Libraries/LibEngine/EngineClient.cpp
+++ b/Libraries/LibEngine/EngineClient.cpp
@@ -51,6 +51,8 @@
   /// Returns false if the hook stopped the stream.
   bool appendData(std::string_view bytes, const OnEvent &onEvent) {
     const std::string events = Splitter.feed(bytes);
+    if (Splitter.isEventTooLarge())
+      throw EngineFailed("a stream event has no end");
     bool goesOn = true;
     forEachEventData(events, [&](const std::string &data) {
       goesOn = goesOn && processEvent(data, onEvent);
--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -42,6 +42,9 @@
 using ClientConnectionPointer = std::shared_ptr<ClientConnection>;
 using SteadyInstant = std::chrono::steady_clock::time_point;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
+/// The most bytes that are read ahead. A chunk's size and its extensions, and
+/// the fields after the last chunk, must fit.
+constexpr std::size_t MaxBufferBytes = 64UL * 1024;
 constexpr int FirstFinalStatus = 200;
 const std::string KeepAliveTimeoutName = "timeout=";
 } // namespace
@@ -95,6 +98,7 @@
 private:
   void send();
   void readResponseHeader();
+  void readNextResponse();
   void onHeaderRead();
   void readBody();
   void onBodyRead(ErrorCode ec);
@@ -109,7 +113,7 @@
   std::string Address;
   Tcp::socket Socket;
   asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxBufferBytes};
   std::optional<ReplyParser> Parser;
   std::array<char, ReadBufferBytes> ReadBuffer{};
   HttpCallHooks Hooks;
@@ -120,6 +124,8 @@
   bool IsHead = false;
   bool IsActive = false;
   bool IsForThisCall = false;
+  int OtherResponses = 0;
+  std::size_t OtherBytes = 0;
   bool IsWriting = false;
   bool IsPaused = false;
   bool WaitsForResume = false;
@@ -269,6 +275,8 @@
   IsActive = true;
   IsPaused = false;
   WaitsForResume = false;
+  OtherResponses = 0;
+  OtherBytes = 0;
   IsHead = call.Method == "HEAD";
   Request = requestText(call, Address);
   if (!IsConnected)
@@ -320,12 +328,19 @@
       });
 }
 
+/// Awaits the response that follows one that is not the call's.
+void ClientConnection::readNextResponse() {
+  if (++OtherResponses > ClientState->Settings.MaxOtherResponses)
+    return fail(HttpFailure::Broken);
+  readResponseHeader();
+}
+
 void ClientConnection::onHeaderRead() {
   const auto &message = Parser->get();
   HttpReplyHead head;
   head.Status = static_cast<int>(message.result_int());
   if (head.Status < FirstFinalStatus)
-    return readResponseHeader();
+    return readNextResponse();
   head.Headers = headersOf(message);
   if (const auto length = Parser->content_length())
     head.Length = *length;
@@ -378,6 +393,9 @@
     return;
   if (ec && ec != http::error::need_buffer)
     return fail(failureOf(ec, HttpFailure::Truncated));
+  OtherBytes += IsForThisCall ? 0 : n;
+  if (OtherBytes > ClientState->Settings.MaxOtherBytes)
+    return fail(HttpFailure::Broken);
   readBody();
 }
 
@@ -389,7 +407,7 @@
     // it.
     if (!keeps)
       return fail(HttpFailure::Broken);
-    return readResponseHeader();
+    return readNextResponse();
   }
   const auto self = shared_from_this();
   IsActive = false;
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -119,6 +119,11 @@
   /// The largest response header in bytes; beyond it the call fails with
   /// Broken.
   std::size_t MaxHeadBytes = 32UL * 1024;
+  /// The most responses before the one to a call: informational ones, and late
+  /// ones to earlier calls. Beyond it the call fails with Broken.
+  int MaxOtherResponses = 32;
+  /// The same for the bytes of their bodies.
+  std::size_t MaxOtherBytes = 1024UL * 1024;
 };
 
 /// An HTTP/1.1 client on a shared event loop that keeps idle connections by
--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -14,6 +14,9 @@
 
 constexpr int ListenBacklog = 1024;
 constexpr std::size_t FirstReadBytes = 4096;
+/// The most bytes that are read ahead beyond the largest header. A chunk's size
+/// and its extensions, and the fields after the last chunk, must fit.
+constexpr std::size_t MaxBufferBytes = 64UL * 1024;
 /// HTTP/1.1, as Beast writes it.
 constexpr unsigned FirstVersionWithChunks = 11;
 constexpr Duration AcceptRetryDelay = milliseconds(50);
@@ -224,6 +227,7 @@
   Parser.emplace();
   Parser->header_limit(static_cast<std::uint32_t>(Limits.MaxHeaderBytes));
   Parser->body_limit(Limits.MaxBodyBytes);
+  Buffer.max_size(Limits.MaxHeaderBytes + MaxBufferBytes);
   if (Buffer.size() == 0) {
     startTimer(ServerState->IsClosing ? ServerState->IdleTimeoutWhileClosing
                                       : Limits.IdleTimeout);
--- a/Libraries/LibHttp/EventSplitter.cpp
+++ b/Libraries/LibHttp/EventSplitter.cpp
@@ -7,9 +7,12 @@
 static constexpr std::string_view DataField = "data:";
 
 std::string EventSplitter::feed(std::string_view bytes) {
+  if (IsEventTooLarge)
+    return "";
   const auto completeEnd = Scanner.scan(bytes);
   if (!completeEnd) {
     PartialEvent.append(bytes);
+    IsEventTooLarge = PartialEvent.size() > MaxEventBytes;
     return "";
   }
   std::string out = std::move(PartialEvent);
@@ -21,6 +24,7 @@
 std::string EventSplitter::takePartialEvent() {
   std::string out = std::move(PartialEvent);
   PartialEvent.clear();
+  IsEventTooLarge = false;
   Scanner.restart();
   return out;
 }
--- a/Libraries/LibHttp/EventSplitter.h
+++ b/Libraries/LibHttp/EventSplitter.h
@@ -8,6 +8,9 @@
 
 namespace sorrelbay {
 
+/// The most bytes of an event that are held back until it is complete.
+constexpr std::size_t MaxEventBytes = 1024UL * 1024;
+
 /// Splits a stream of server-sent events into complete events, so that a stream
 /// that breaks off in the middle of an event can be resumed at another upstream
 /// without the caller receiving a part of that event twice.
@@ -16,8 +19,11 @@
   /// Sets the id of the event that the stream follows.
   void resumeAfter(std::string id) { Scanner.resumeAfter(std::move(id)); }
   /// Adds the next bytes of the stream and returns the events that they
-  /// complete, unchanged.
+  /// complete, unchanged. Once an event is too large, it and all that follows
+  /// is dropped.
   std::string feed(std::string_view bytes);
+  /// Whether an event was larger than MaxEventBytes.
+  bool isEventTooLarge() const { return IsEventTooLarge; }
   /// The same for bytes that are not held back until their event is complete.
   void pass(std::string_view bytes) { Scanner.scan(bytes); }
   /// Whether the stream so far ends inside an event.
@@ -37,6 +43,7 @@
 private:
   EventScanner Scanner;
   std::string PartialEvent;
+  bool IsEventTooLarge = false;
 };
 
 /// Calls the hook with the data of each event that has some. The events must be
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,4 +1,5 @@
 #include "LibHttp/HttpClient.h"
+#include "LibBase/BootClock.h"
 #include "LibHttp/BlockingConnection.h"
 #include <array>
 #include <atomic>
@@ -14,6 +15,15 @@
 constexpr std::size_t MaxIdlePerAddress = 32;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 32UL * 1024;
+/// The most bytes that are read ahead. A chunk's size and its extensions, and
+/// the fields after the last chunk, must fit.
+constexpr std::size_t MaxBufferBytes = 64UL * 1024;
+/// The largest body of a response that is kept as a whole.
+constexpr std::size_t MaxReplyBytes = 64UL * 1024 * 1024;
+/// The longest time for a response that goes on arriving.
+constexpr Duration MaxTransferTime = seconds(10);
+/// The most informational responses before the final one.
+constexpr int MaxInformational = 32;
 constexpr int FirstFinalStatus = 200;
 
 using ReplyParser = http::response_parser<http::buffer_body>;
@@ -50,7 +60,9 @@
 
   HttpReply readHeader() {
     HttpReply reply;
-    while (reply.Status < FirstFinalStatus) {
+    for (int n = 0; reply.Status < FirstFinalStatus; ++n) {
+      if (n > MaxInformational)
+        throw HttpOutcomeUnknown(What + ": no final response");
       Parser.emplace();
       Parser->header_limit(MaxHeaderBytes);
       Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
@@ -84,7 +96,7 @@
 
   BlockingConnection &CallConnection;
   std::string What;
-  boost::beast::flat_buffer Buffer;
+  boost::beast::flat_buffer Buffer{MaxBufferBytes};
   std::optional<ReplyParser> Parser;
 };
 
@@ -105,6 +117,7 @@
                                     const std::string &address,
                                     bool isKeptAlive) {
   connection.setTimeout(call.ReadTimeout);
+  const Instant end = bootNow() + std::max(call.ReadTimeout, MaxTransferTime);
   HttpReply out;
   BlockingCall blockingCall(connection, call);
   blockingCall.run(
@@ -113,8 +126,10 @@
         out = reply;
         return true;
       },
-      [&out](std::string_view bytes) {
+      [&](std::string_view bytes) {
         out.Body.append(bytes);
+        if (out.Body.size() > MaxReplyBytes || bootNow() > end)
+          throw HttpOutcomeUnknown(call.Path + ": the response has no end");
         return true;
       });
   return {std::move(out), blockingCall.isReusable()};
--- a/Services/sorrelbayd/CallResponse.cpp
+++ b/Services/sorrelbayd/CallResponse.cpp
@@ -8,23 +8,34 @@
 /// slow caller.
 static constexpr std::size_t MaxQueuedBytes = 256UL * 1024;
 
+/// The most bytes of a body that are read although it is not for the caller.
+static constexpr std::size_t MaxDiscardedBytes = 256UL * 1024;
+
 CallResponse::CallResponse(std::shared_ptr<HttpExchange> exchange)
     : Exchange(std::move(exchange)) {}
 
 void CallResponse::startAttempt(ResponseStart start) {
   Start = std::move(start);
   Body.clear();
+  DiscardedBytes = 0;
   Events.takePartialEvent();
 }
 
-void CallResponse::append(std::string_view bytes) {
-  if (Start.IsEventStream)
-    return appendEvents(bytes);
+bool CallResponse::append(std::string_view bytes, bool isDiscarded) {
+  if (isDiscarded) {
+    DiscardedBytes += bytes.size();
+    return DiscardedBytes <= MaxDiscardedBytes;
+  }
+  if (Start.IsEventStream) {
+    appendEvents(bytes);
+    return !Events.isEventTooLarge();
+  }
   Body.append(bytes);
-  if (Body.size() <= MaxBufferedResponse)
-    return;
-  send(Body);
-  Body.clear();
+  if (Body.size() > MaxBufferedResponse) {
+    send(Body);
+    Body.clear();
+  }
+  return true;
 }
 
 void CallResponse::appendEvents(std::string_view bytes) {
--- a/Services/sorrelbayd/CallResponse.h
+++ b/Services/sorrelbayd/CallResponse.h
@@ -49,9 +49,11 @@
   /// The response of another attempt begins. Drops what is left of the response
   /// before: its buffered body, or an incomplete event.
   void startAttempt(ResponseStart start);
-  /// Adds bytes of the attempt's body. A resumable stream is sent to the caller
-  /// by whole events.
-  void append(std::string_view bytes);
+  /// Adds bytes of the attempt's body, or drops them if the body is not for the
+  /// caller. A resumable stream is sent to the caller by whole events. Returns
+  /// false if the body seems to have no end: an event is too large, or too much
+  /// was dropped.
+  bool append(std::string_view bytes, bool isDiscarded);
   /// Whether the attempt's response, whose framing has ended, is complete.
   ResponseEnd end() const;
   /// Ends the response, so that it is complete.
@@ -86,6 +88,7 @@
   ResponseStart Start;
   EventSplitter Events;
   std::string Body;
+  std::size_t DiscardedBytes = 0;
   bool HasBegun = false;
 };
 
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -209,9 +209,7 @@
     endSend(CurrentSend.HasFirstByte ? SendResult::Inconclusive
                                      : SendResult::Broken);
   }
-  if (!Response.hasBegun())
-    return finishLocally("deadline");
-  abortResponse("deadline");
+  finishLocally("deadline");
 }
 
 /// Deducts one retry of this call from the retry budget. Returns false if none
@@ -518,9 +516,12 @@
     Sends->noteReceived(CurrentSend);
   if (!CurrentSend.HasFirstByte)
     noteFirstByte();
+  if (!Response.append(bytes, CurrentSend.IsDiscarded)) {
+    Handle->cancel();
+    return onFailure(HttpFailure::Truncated);
+  }
   if (CurrentSend.IsDiscarded)
     return;
-  Response.append(bytes);
   State.Crashes.noteReceived(CurrentSend.WatchId, Response.completeEvents());
   if (Response.hasBegun() && !RetryState->isAnswering())
     RetryState->recordResponseStarted();
@@ -604,8 +605,6 @@
   if (why == HttpFailure::NotSent && !CurrentSend.WasSending)
     return trySend();
   RetryState->recordLostRelay();
-  if (Response.hasBegun())
-    return abortResponse("relay_broke_off");
   finishLocally("relay_broke_off");
 }
 
--- a/Tests/Fakes/ScriptedServer.cpp
+++ b/Tests/Fakes/ScriptedServer.cpp
@@ -9,6 +9,9 @@
 /// The pause between two parts of a response, in which the client reads the
 /// first of them.
 static constexpr Duration PartInterval = milliseconds(2);
+/// A response without end is given up after this many bytes, so that a test of
+/// a client that never closes ends.
+static constexpr std::size_t MaxEndlessBytes = 256UL * 1024 * 1024;
 static const std::string HeaderEnd = "\r\n\r\n";
 
 struct ScriptedServer::Connection {
@@ -20,6 +23,7 @@
   std::string Request;
   ScriptedResponse Response;
   std::size_t NextPart = 0;
+  std::size_t EndlessBytes = 0;
 };
 
 std::string scriptedHeader(const std::string &request,
@@ -91,6 +95,8 @@
 
 void ScriptedServer::sendPart(const std::shared_ptr<Connection> &it) {
   if (it->NextPart == it->Response.Parts.size()) {
+    if (it->Response.End == ScriptedEnd::Endless)
+      return sendEndlessly(it);
     end(it);
     if (it->Response.End != ScriptedEnd::Silence)
       Connections.erase(it);
@@ -107,10 +113,25 @@
                     });
 }
 
+void ScriptedServer::sendEndlessly(const std::shared_ptr<Connection> &it) {
+  asio::async_write(it->Socket, asio::buffer(it->Response.Parts.back()),
+                    [this, it](ErrorCode ec, std::size_t n) {
+                      it->EndlessBytes += n;
+                      MostEndlessBytes = std::max<std::size_t>(
+                          MostEndlessBytes, it->EndlessBytes);
+                      if (!ec && it->EndlessBytes < MaxEndlessBytes)
+                        return sendEndlessly(it);
+                      if (ec)
+                        ++ClosedEndless;
+                      Connections.erase(it);
+                    });
+}
+
 void ScriptedServer::end(const std::shared_ptr<Connection> &it) {
   ErrorCode ignored;
   switch (it->Response.End) {
   case ScriptedEnd::Silence:
+  case ScriptedEnd::Endless:
     return;
   case ScriptedEnd::Reset:
     it->Socket.set_option(asio::socket_base::linger(true, 0), ignored);
--- a/Tests/Fakes/ScriptedServer.h
+++ b/Tests/Fakes/ScriptedServer.h
@@ -18,6 +18,9 @@
   Silence,
   Close,
   Reset,
+  /// Sends the last part again and again until the client closes the
+  /// connection.
+  Endless,
 };
 
 /// A response in wire format.
@@ -46,6 +49,10 @@
   /// "ip:port".
   const std::string &address() const { return Address; }
   int requests() const { return Requests; }
+  /// The endless responses whose connections the clients have closed, and the
+  /// most bytes that were sent of one.
+  int closedEndless() const { return ClosedEndless; }
+  std::size_t mostEndlessBytes() const { return MostEndlessBytes; }
 
 private:
   using Tcp = boost::asio::ip::tcp;
@@ -54,7 +61,8 @@
   void accept();
   void readRequest(const std::shared_ptr<Connection> &it);
   void sendPart(const std::shared_ptr<Connection> &it);
-  static void end(const std::shared_ptr<Connection> &it);
+  void end(const std::shared_ptr<Connection> &it);
+  void sendEndlessly(const std::shared_ptr<Connection> &it);
 
   std::mutex Mutex;
   Script RequestScript;
@@ -62,6 +70,8 @@
   Tcp::acceptor Acceptor;
   std::string Address;
   std::atomic<int> Requests{0};
+  std::atomic<int> ClosedEndless{0};
+  std::atomic<std::size_t> MostEndlessBytes{0};
   std::set<std::shared_ptr<Connection>> Connections;
   std::thread Worker;
 };
