sorrelbayd: Log what the judge of a rollout knows

A rollout that was completed with a bad version left no trace of why: the lines named steps only. A host that decides now logs once a second, and at each step, the stage and its share, the time that is left, the statistic, and for each route the calls of both versions in the stage with those that failed and those that were late, the evidence and what a step needs.

--- a/Libraries/LibDecision/CanaryJudge.h
+++ b/Libraries/LibDecision/CanaryJudge.h
@@ -57,8 +57,8 @@
   /// always.
   bool observe(const EvidencePool &pool);
 
-  /// The reason for which the version is bad; valid only after observe()
-  /// returned true.
+  /// The reason for which the version is bad, or the strongest evidence against
+  /// it so far if observe() returned false.
   const RegressionFinding &finding() const { return Finding; }
 
   /// Resets the evidence for the next step of the rollout.
--- a/Libraries/LibDecision/Rollout.cpp
+++ b/Libraries/LibDecision/Rollout.cpp
@@ -255,6 +255,7 @@
   out.LastStage = lastStage();
   out.Share = Stages[std::min(CurrentStage.Stage, lastStage())];
   out.ForcedSteps = ForcedSteps;
+  out.Statistic = Judge.finding().Statistic;
   out.Reason = Reason;
   for (const Route &it : Plan.Routes)
     out.Routes.push_back({it.Id, Judge.stageCalls(it.Id), Judge.evidence(it.Id),
--- a/Libraries/LibDecision/Rollout.h
+++ b/Libraries/LibDecision/Rollout.h
@@ -47,6 +47,8 @@
   StageShare Share;
   /// The number of steps that the deadline forced without full evidence.
   unsigned ForcedSteps = 0;
+  /// The judge's statistic; the version is bad once it reaches the threshold.
+  double Statistic = 0;
   std::vector<RouteProgress> Routes;
   /// Set if the version was rolled back.
   std::optional<Veto> Reason;
--- a/Services/sorrelbayd/GatewayRollouts.cpp
+++ b/Services/sorrelbayd/GatewayRollouts.cpp
@@ -3,6 +3,7 @@
 #include "LibBase/LogLine.h"
 #include "LibPeer/RolloutCodec.h"
 #include <algorithm>
+#include <sstream>
 
 namespace sorrelbay {
 
@@ -14,6 +15,10 @@
 static constexpr std::size_t MaxRefusedKnowledge = 64;
 /// Shortest time between two attempts to write a status.
 static constexpr Duration MinStatusInterval = milliseconds(500);
+/// Interval of the log lines about what a rollout's judge knows, and characters
+/// of the routes in such a line.
+static constexpr Duration JudgementLogInterval = seconds(1);
+static constexpr std::size_t MaxLoggedRoutes = 1000;
 /// Peers' knowledge counts as up to date if a report arrived this recently.
 static constexpr Duration RecentReportAge = milliseconds(800);
 
@@ -123,6 +128,36 @@
       .field("left_ms", toMilliseconds(serviceRollout.Deadline - fleetNow));
 }
 
+static std::string toText(const EvidenceCount &count) {
+  return std::to_string(count.Calls) + "/" + std::to_string(count.Failures) +
+         "/" + std::to_string(count.Late);
+}
+
+/// The routes' calls of the new and the old version in the stage, each with
+/// those that failed and those that were late, and the evidence that a step
+/// needs.
+static std::string toText(const std::vector<RouteProgress> &routes) {
+  std::ostringstream out;
+  for (const RouteProgress &it : routes)
+    out << (out.tellp() == 0 ? "" : " ") << it.Id.text()
+        << " new=" << toText(it.Calls.New) << " old=" << toText(it.Calls.Old)
+        << " evidence=" << it.Evidence << " needed=" << it.Needed;
+  return out.str().substr(0, MaxLoggedRoutes);
+}
+
+/// Logs what this host knows of a rollout that it decides on.
+static void logJudgement(const ServiceId &service, const RolloutStatus &status,
+                         Duration left) {
+  LogLine(Severity::Info, "move judged")
+      .field("service", service.text())
+      .field("state", toText(status.State))
+      .field("stage", static_cast<std::int64_t>(status.Stage))
+      .field("share", status.Share.Repeatable)
+      .field("left_ms", toMilliseconds(left))
+      .field("statistic", status.Statistic)
+      .field("routes", toText(status.Routes));
+}
+
 static bool isOver(RolloutOutcome outcome) {
   return outcome == RolloutOutcome::Completed ||
          outcome == RolloutOutcome::RolledBack;
@@ -158,6 +193,13 @@
           .field("stage", static_cast<std::int64_t>(after.Stage))
           .field("share", after.Share.Repeatable)
           .field("reason", after.Reason ? toText(after.Reason->Reason) : "");
+    if (mayDecide &&
+        (before.Stage != after.Stage ||
+         now - serviceRollout.JudgementLoggedAt >= JudgementLogInterval)) {
+      serviceRollout.JudgementLoggedAt = now;
+      logJudgement(serviceRollout.Order.Service, after,
+                   serviceRollout.Deadline - fleetNow);
+    }
     if (Duties.isHeld(now))
       writeStatus(serviceRollout, now);
   }
--- a/Services/sorrelbayd/GatewayRollouts.h
+++ b/Services/sorrelbayd/GatewayRollouts.h
@@ -48,6 +48,7 @@
     VersionId Old;
     Instant Deadline{};
     Instant WrittenAt{};
+    Instant JudgementLoggedAt{};
   };
 
   void findOldVersion(ServiceRollout &serviceRollout) const;
