sorrelbayd, LibDecision: Take back versions that answer several times slower

The first share after the probe was one new upstream's part, by the new upstreams that the host knew when it began: 16 registered within 0.6 s, it began with the first. Hosts that knew more had other stages under the same numbers. (2) None of 13 calls of the new version was late: an engine that is four times slower still meets a latency target while it has little to do. (3) Calls counted when their streams ended, and a version at the full share was completed at the deadline without evidence.

Ruled out: a judge that ignores its evidence (the statistic stood at 0.6 of 100 and rose within 2 s once calls were late).

Change: all hosts have the stages 8, 16, 32, 64, 100% whatever they know of replicas. A first byte is late, too, if it takes more than twice what is usual on its route with other versions, as a multiple of what is expected for the prompt and those ahead with nothing cached (UsualFirstByte). It counts when it arrives. Where the old version ends with the rollout, it is done only with evidence, and rolled back at the deadline without; the decision travels as a stage beyond the last, which hosts looked up outside their list of stages before. Within seconds no single route gets enough calls to exclude a small fault: the evidence for that is now of all routes together, a quiet route holds up no step.

Tests: RolloutTests/a_final_rollout_without_evidence_is_rolled_back, a_bad_version_is_rolled_back_from_any_stage, a_good_version_is_done_within_seconds, a_stage_beyond_the_last_says_that_the_rollout_is_done, usual_first_byte/*; gateway/a_slower_version_is_rolled_back fails on the code before (its rollout is never rolled back).

--- a/Libraries/LibDecision/CanaryJudge.cpp
+++ b/Libraries/LibDecision/CanaryJudge.cpp
@@ -272,6 +272,15 @@
   return std::min(out[0], out[1]);
 }
 
+double CanaryJudge::pooledEvidence() const {
+  std::array<double, 2> sums{};
+  for (const RouteState &it : RouteStates)
+    for (std::size_t n = 0; n < Reasons.size(); ++n)
+      sums[n] += it.TotalEvidence[n] +
+                 openEvidence(it, Reasons[n], marginOf(Reasons[n]));
+  return std::min(sums[0], sums[1]);
+}
+
 double CanaryJudge::stageEvidence(const RouteId &route) const {
   const RouteState *routeState = find(route);
   if (routeState == nullptr)
--- a/Libraries/LibDecision/CanaryJudge.h
+++ b/Libraries/LibDecision/CanaryJudge.h
@@ -69,7 +69,11 @@
   /// two kinds of bad call. Negative values are evidence for such a version.
   double evidence(const RouteId &route) const;
 
-  /// The same against a severely bad version since the stage began; a few calls
+  /// The same on all routes together.
+  double pooledEvidence() const;
+
+  /// The same as evidence() against a severely bad version since the stage
+  /// began; a few calls
   /// are enough.
   double stageEvidence(const RouteId &route) const;
 
--- a/Libraries/LibDecision/Rollout.cpp
+++ b/Libraries/LibDecision/Rollout.cpp
@@ -14,6 +14,8 @@
 // A forced step is taken after this share of the time that the deadline allows
 // for it.
 static constexpr double ForcedStepShare = 0.95;
+// A route with a smaller share of the service's calls is quiet.
+static constexpr double QuietShare = 0.1;
 // Without a deadline, the stages are planned as if it were this far away.
 static constexpr Duration DefaultRolloutTime = hours(1);
 
@@ -91,8 +93,16 @@
 
 void Rollout::followStage(const RolloutKnowledge &knowledge, Instant now) {
   const auto it = knowledge.Stages.find(Plan.New);
-  const StageRecord known =
+  StageRecord known =
       it == knowledge.Stages.end() ? StageRecord{0, now} : it->second;
+  // A stage beyond the last says that the rollout is done.
+  if (known.Stage > lastStage()) {
+    known.Stage = lastStage();
+    if (State == RolloutState::Moving) {
+      State = RolloutState::Done;
+      EndedAt = known.Since;
+    }
+  }
   if (HasCurrentStage && known.Stage == CurrentStage.Stage) {
     CurrentStage = known;
     return;
@@ -151,22 +161,40 @@
 bool Rollout::hasEvidence(const Route &route) const {
   if (Judge.stageEvidence(route.Id) < Settings.StageEvidence)
     return false;
-  return Stages[CurrentStage.Stage].IsProbe ||
+  return Stages[CurrentStage.Stage].IsProbe || Settings.PoolsRoutes ||
          Judge.evidence(route.Id) >= Settings.StepEvidence;
 }
 
+bool Rollout::isQuiet(const Route &route) const {
+  if (!Settings.PoolsRoutes)
+    return false;
+  const auto callsOf = [this](const Route &it) {
+    const ComparedCounts calls = Judge.stageCalls(it.Id);
+    return static_cast<double>(calls.New.Calls + calls.Old.Calls);
+  };
+  double all = 0;
+  for (const Route &it : Plan.Routes)
+    all += callsOf(it);
+  return callsOf(route) < QuietShare * all;
+}
+
+bool Rollout::hasPooledEvidence() const {
+  return !Settings.PoolsRoutes || Stages[CurrentStage.Stage].IsProbe ||
+         Judge.pooledEvidence() >= Settings.StepEvidence;
+}
+
 bool Rollout::hasEvidence() const {
   if (CurrentStage.Stage == 0)
     return true;
   bool hasCalls = false;
   for (const Route &it : Plan.Routes) {
-    if (!needsEvidence(it))
+    if (!needsEvidence(it) || isQuiet(it))
       continue;
     if (!hasEvidence(it))
       return false;
     hasCalls = true;
   }
-  return hasCalls;
+  return hasCalls && hasPooledEvidence();
 }
 
 void Rollout::stepIfDue(RolloutKnowledge &knowledge, Instant now) {
@@ -187,21 +215,26 @@
 void Rollout::rollBackAtDeadline(RolloutKnowledge &knowledge, Instant now) {
   if (!Plan.hasDeadline() || Plan.Policy != DeadlinePolicy::Safe)
     return;
-  if (CurrentStage.Stage >= lastStage() || now < Plan.Deadline || !isFresh(now))
+  const bool isAtEnd = isAtFullShare() && !Settings.EndsOldVersion;
+  if (State != RolloutState::Moving || isAtEnd || now < Plan.Deadline ||
+      !isFresh(now))
     return;
   const ComparedCounts seen = Judge.allCalls();
   addVeto(knowledge, {Plan.New, now, Self, RollbackReason::Deadline, RouteId(),
                       0, seen.New, seen.Old});
 }
 
-void Rollout::finishIfDue(Instant now) {
+void Rollout::finishIfDue(RolloutKnowledge &knowledge, Instant now) {
   if (State != RolloutState::Moving || CurrentStage.Stage < lastStage())
     return;
   const bool isOver = Plan.hasDeadline() && now >= Plan.Deadline;
-  if (!hasEvidence() && !isOver)
+  if (!hasEvidence() && (!isOver || Settings.EndsOldVersion))
     return;
   State = RolloutState::Done;
   EndedAt = now;
+  // Daemons that only follow have no evidence to go by.
+  if (Settings.EndsOldVersion)
+    raiseStage(knowledge, Plan.New, {lastStage() + 1, now});
 }
 
 void Rollout::update(RolloutKnowledge &knowledge, Instant now) {
@@ -215,10 +248,9 @@
     return;
   }
   stepIfDue(knowledge, now);
+  finishIfDue(knowledge, now);
   rollBackAtDeadline(knowledge, now);
-  if (followVeto(knowledge))
-    return;
-  finishIfDue(now);
+  followVeto(knowledge);
 }
 
 void Rollout::follow(const RolloutKnowledge &knowledge, Instant now) {
@@ -226,7 +258,8 @@
     return;
   followStage(knowledge, now);
   const bool isOver = Plan.hasDeadline() && now >= Plan.Deadline;
-  if (State != RolloutState::Moving || !isAtFullShare() || !isOver)
+  if (State != RolloutState::Moving || !isAtFullShare() || !isOver ||
+      Settings.EndsOldVersion)
     return;
   State = RolloutState::Done;
   EndedAt = now;
--- a/Libraries/LibDecision/Rollout.h
+++ b/Libraries/LibDecision/Rollout.h
@@ -17,6 +17,14 @@
   /// that is not a probe: collected since the rollout began, against a version
   /// that is worse by the judge's margins, as a log likelihood ratio.
   double StepEvidence = 2.5;
+  /// The step evidence is that of all routes together, and a route with few of
+  /// the service's calls holds up no step. For rollouts that have only seconds,
+  /// in which a single route gets too few calls.
+  bool PoolsRoutes = false;
+  /// The old version's replicas stop when the rollout is done, so that it can't
+  /// be taken back any more: without the evidence for it by the deadline, the
+  /// new version is.
+  bool EndsOldVersion = false;
   /// Without an answer from the peers for this long, calls go to the old
   /// version.
   Duration StaleAfter = seconds(1);
@@ -114,8 +122,10 @@
   bool judge(RolloutKnowledge &knowledge, Instant now);
   void rollBackAtDeadline(RolloutKnowledge &knowledge, Instant now);
   void stepIfDue(RolloutKnowledge &knowledge, Instant now);
-  void finishIfDue(Instant now);
+  void finishIfDue(RolloutKnowledge &knowledge, Instant now);
   bool hasEvidence(const Route &route) const;
+  bool isQuiet(const Route &route) const;
+  bool hasPooledEvidence() const;
   double neededEvidence() const;
   bool needsEvidence(const Route &route) const;
   bool hasEvidence() const;
--- a/Libraries/LibDecision/RolloutPlan.cpp
+++ b/Libraries/LibDecision/RolloutPlan.cpp
@@ -7,7 +7,6 @@
 
 namespace sorrelbay {
 
-static constexpr double ProbeShare = 0.02;
 static constexpr double StageGrowthFactor = 2;
 // The share of the full share at which routes wait for the others to catch up.
 static constexpr double MaxComparableShare = 0.9;
@@ -15,7 +14,8 @@
 /// The shares from the first replica on, up to but without the full share.
 static std::vector<double> growthShares(const RolloutPlan &plan) {
   std::vector<double> out;
-  double share = std::max(plan.ReplicaShare, ProbeShare * StageGrowthFactor);
+  double share =
+      std::max(plan.ReplicaShare, plan.ProbeShare * StageGrowthFactor);
   for (; share < plan.FullShare * MaxComparableShare;
        share *= StageGrowthFactor)
     out.push_back(share);
@@ -28,7 +28,7 @@
       std::any_of(plan.Routes.begin(), plan.Routes.end(), isRepeatable);
   const bool hasOthers =
       !std::all_of(plan.Routes.begin(), plan.Routes.end(), isRepeatable);
-  const double probe = std::min(ProbeShare, plan.FullShare);
+  const double probe = std::min(plan.ProbeShare, plan.FullShare);
   std::vector<StageShare> out = {{0, 0, false}};
   double moved = 0;
   if (hasRepeatable) {
--- a/Libraries/LibDecision/RolloutPlan.h
+++ b/Libraries/LibDecision/RolloutPlan.h
@@ -32,6 +32,8 @@
   Instant Deadline;
   /// The final share of the new version, 0 to 1.
   double FullShare = 1;
+  /// The share of the calls in the probe.
+  double ProbeShare = 0.02;
   /// The share of the service's calls that one replica serves at normal load.
   double ReplicaShare = 1;
 
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -91,6 +91,10 @@
                                        State.Time.at(bootNow()));
        }});
   State.WatchForSilence = [this] { Upstreams.watchForSilence(); };
+  State.IsRolloutTarget = [this](const ServiceId &service,
+                                 const VersionId &version) {
+    return ServiceRollouts.isTarget(service, version);
+  };
   State.IsRollingOut = [this](const ServiceId &service) {
     return ServiceRollouts.isRollingOut(service);
   };
--- a/Services/sorrelbayd/GatewayRollouts.cpp
+++ b/Services/sorrelbayd/GatewayRollouts.cpp
@@ -13,6 +13,11 @@
 static constexpr Duration CompletionMargin = milliseconds(1200);
 /// Faults of peers' knowledge that are remembered, so that each is logged once.
 static constexpr std::size_t MaxRefusedKnowledge = 64;
+/// The share of calls in the probe, which the next stages double. It must not
+/// depend on the replicas that a host knows of: the hosts of a rollout must
+/// have the same stages, and the replicas of the new version register one after
+/// the other. Rollouts last seconds, so that a smaller one gets too few calls.
+static constexpr double ProbeShare = 0.08;
 /// Shortest time between two attempts to write a status.
 static constexpr Duration MinStatusInterval = milliseconds(500);
 /// Interval of the log lines about what a rollout's judge knows, and characters
@@ -88,20 +93,22 @@
   findOldVersion(serviceRollout);
   if (serviceRollout.Old.empty())
     return;
-  int replicas = 0;
-  for (const ReplicaRecord &it : State.Replicas.records())
-    if (it.OfService == serviceRollout.Order.Service && !it.IsLeaving &&
-        it.OfVersion == serviceRollout.Order.Target)
-      ++replicas;
+  const std::vector<ReplicaRecord> replicas = State.Replicas.records();
+  const bool hasNew = std::any_of(
+      replicas.begin(), replicas.end(), [&](const ReplicaRecord &it) {
+        return it.OfService == serviceRollout.Order.Service && !it.IsLeaving &&
+               it.OfVersion == serviceRollout.Order.Target;
+      });
   // The rollout begins once the new version has replicas.
-  if (replicas == 0)
+  if (!hasNew)
     return;
   RolloutPlan plan;
   plan.New =
       qualifiedName(serviceRollout.Order.Service, serviceRollout.Order.Target);
   plan.Old = qualifiedName(serviceRollout.Order.Service, serviceRollout.Old);
   plan.Deadline = serviceRollout.Deadline;
-  plan.ReplicaShare = 1.0 / std::max(1, replicas);
+  plan.ProbeShare = ProbeShare;
+  plan.ReplicaShare = 0;
   for (const ServingRoute &it : State.Plan->plan().Routes) {
     const bool isServed =
         std::any_of(it.ServiceWeights.begin(), it.ServiceWeights.end(),
@@ -120,7 +127,10 @@
     route.LatencyTarget = it.LatencyTarget;
     plan.Routes.push_back(route);
   }
-  serviceRollout.Run.emplace(plan, State.Settings.Host);
+  RolloutSettings settings;
+  settings.PoolsRoutes = true;
+  settings.EndsOldVersion = true;
+  serviceRollout.Run.emplace(plan, State.Settings.Host, settings);
   LogLine(Severity::Info, "move begun")
       .field("service", serviceRollout.Order.Service.text())
       .field("from", serviceRollout.Old.text())
@@ -281,6 +291,16 @@
         Self, {qualifiedName(service, version), route}, outcome);
 }
 
+bool GatewayRollouts::isTarget(const ServiceId &service,
+                               const VersionId &version) const {
+  return std::any_of(
+      RolloutsByName.begin(), RolloutsByName.end(), [&](const auto &it) {
+        const RolloutOrder &order = it.second.Order;
+        return order.Service == service && order.Target == version &&
+               order.Outcome != RolloutOutcome::Completed;
+      });
+}
+
 bool GatewayRollouts::isRollingOut(const ServiceId &service) const {
   return std::any_of(RolloutsByName.begin(), RolloutsByName.end(),
                      [&](const auto &it) {
--- a/Services/sorrelbayd/GatewayRollouts.h
+++ b/Services/sorrelbayd/GatewayRollouts.h
@@ -33,6 +33,8 @@
   void record(const ServiceId &service, const VersionId &version,
               const RouteId &route, UpstreamOutcome outcome);
   bool isRollingOut(const ServiceId &service) const;
+  /// Whether the service is ordered to move to the version and has not done so.
+  bool isTarget(const ServiceId &service, const VersionId &version) const;
 
   /// Encoded rollout knowledge of the hosts that the scope covers; empty if no
   /// rollout is under way.
--- a/Services/sorrelbayd/GatewayState.h
+++ b/Services/sorrelbayd/GatewayState.h
@@ -21,6 +21,7 @@
 #include "LibServing/TeamRateLimiter.h"
 #include "LibServing/UpstreamReachability.h"
 #include "LibServing/UsageCounts.h"
+#include "LibServing/UsualFirstByte.h"
 #include "Metrics.h"
 #include "RefusedEntries.h"
 #include "UpstreamCrashMonitor.h"
@@ -66,6 +67,8 @@
   EngineDemand Demand;
   /// The part of the demand that short prompts need.
   EngineDemand ShortDemand;
+  /// How long calls usually wait for their first byte.
+  UsualFirstByte FirstBytes;
   /// Limits of the plan in force.
   QueueWaitLimits FirstTokenWaitLimits;
   std::map<TeamId, TeamRateLimiter> RateLimiters;
@@ -122,6 +125,8 @@
                      UpstreamOutcome)>
       RecordOutcome;
   std::function<bool(const ServiceId &)> IsRollingOut;
+  std::function<bool(const ServiceId &, const VersionId &)> IsRolloutTarget =
+      [](const ServiceId &, const VersionId &) { return false; };
   /// Records the result of opening a connection to an upstream of the service,
   /// and that a call waits for one's response; set by the Gateway.
   std::function<void(const ServiceId &, const UpstreamId &, ConnectResult)>
--- a/Services/sorrelbayd/SendAccounting.cpp
+++ b/Services/sorrelbayd/SendAccounting.cpp
@@ -2,9 +2,13 @@
 #include "LibBase/BootClock.h"
 #include "LibBase/LogLine.h"
 #include "ResponseStatements.h"
+#include <algorithm>
 
 namespace sorrelbay {
 
+/// A shorter wait for the first byte is not slow, whatever is usual.
+static constexpr Duration MinSlowFirstByte = milliseconds(20);
+
 SendAccounting::SendAccounting(GatewayState &state, SentCall sent)
     : State(state), Sent(std::move(sent)) {
   ExpectedCost.Tokens =
@@ -12,6 +16,7 @@
 }
 
 void SendAccounting::noteChosen(const CallSend &send) {
+  HasRecorded = false;
   ExpectedCost.PromptTokens = send.Expected.TokensToPrefill;
   State.Replicas.noteSent(send.Replica, ExpectedCost, send.At);
   State.Waiting.noteOpened(Sent.Service);
@@ -63,8 +68,42 @@
         {send.Expected.TokensToPrefill + send.Expected.TokensAhead,
          now - send.At},
         now);
-  if (!send.ReplyInfo.DidNotRun)
-    noteCallStarted(send);
+  if (send.ReplyInfo.DidNotRun)
+    return;
+  noteCallStarted(send);
+  if (isSuccessful)
+    recordFirstByte(send);
+}
+
+/// Records for the send's version whether the response began in time. Streams
+/// may go on for long, too long to wait for their ends.
+void SendAccounting::recordFirstByte(const CallSend &send) {
+  HasRecorded = true;
+  const Duration took = send.FirstByteAt - send.At;
+  const double multiple = toSeconds(took) * 1000 / expectedFirstByte(send);
+  const bool isOverTarget = Sent.Route.LatencyTarget > Duration::zero() &&
+                            took > Sent.Route.LatencyTarget;
+  const bool isComparable = !State.wasStalled(send.FirstByteAt);
+  const bool isSlow =
+      isComparable && took >= MinSlowFirstByte &&
+      State.FirstBytes.isSlow(Sent.Service, Sent.Route.Name, multiple);
+  if (isComparable && !State.IsRolloutTarget(Sent.Service, send.OfVersion))
+    State.FirstBytes.note(Sent.Service, Sent.Route.Name, multiple);
+  State.RecordOutcome(Sent.Service, send.OfVersion, Sent.Route.Name,
+                      isOverTarget || isSlow ? UpstreamOutcome::Late
+                                             : UpstreamOutcome::Good);
+}
+
+/// The time in milliseconds to the first byte at an engine of usual speed that
+/// has nothing of the call cached; 1 for a call without a prompt.
+double SendAccounting::expectedFirstByte(const CallSend &send) const {
+  if (!Sent.Call.PromptTokens)
+    return 1;
+  const EngineModel &model = State.Replicas.modelOf(Sent.Service);
+  const std::int64_t tokens =
+      send.Expected.TokensAhead + *Sent.Call.PromptTokens;
+  return std::max(1.0, model.base() +
+                           model.prefillTime(static_cast<double>(tokens)));
 }
 
 void SendAccounting::noteStatements(const CallSend &send,
@@ -111,13 +150,11 @@
     return State.Failures.add(
         {Sent.Service, send.OfVersion, Sent.Route.Name, send.Replica},
         bootNow());
-  UpstreamOutcome outcome = UpstreamOutcome::Failed;
-  if (result == SendResult::Answered) {
-    const bool isLate = Sent.Route.LatencyTarget > Duration::zero() &&
-                        send.FirstByteAt - send.At > Sent.Route.LatencyTarget;
-    outcome = isLate ? UpstreamOutcome::Late : UpstreamOutcome::Good;
-  }
-  State.RecordOutcome(Sent.Service, send.OfVersion, Sent.Route.Name, outcome);
+  const bool isAnswered = result == SendResult::Answered;
+  if (!isAnswered || !HasRecorded)
+    State.RecordOutcome(Sent.Service, send.OfVersion, Sent.Route.Name,
+                        isAnswered ? UpstreamOutcome::Good
+                                   : UpstreamOutcome::Failed);
 }
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/SendAccounting.h
+++ b/Services/sorrelbayd/SendAccounting.h
@@ -47,11 +47,15 @@
 private:
   void endWait(CallSend &send);
   void recordOutcome(const CallSend &send, SendResult result);
+  void recordFirstByte(const CallSend &send);
+  double expectedFirstByte(const CallSend &send) const;
 
   GatewayState &State;
   const SentCall Sent;
   CallCost ExpectedCost;
   bool IsCounted = false;
+  /// The response of the send has been recorded for its version.
+  bool HasRecorded = false;
 };
 
 } // namespace sorrelbay
--- a/Tests/LibDecision/TestRollout.cpp
+++ b/Tests/LibDecision/TestRollout.cpp
@@ -192,4 +192,113 @@
   BOOST_CHECK_EQUAL(canaryReplicas(all, 1, 0.25).size(), 4U);
 }
 
+namespace {
+
+/// A plan of seconds, as the replicas of the old version stop at its end.
+RolloutPlan shortPlan() {
+  RolloutPlan plan = planFor(DeadlinePolicy::Safe);
+  plan.Deadline = Start + seconds(15);
+  plan.Routes = {{RouteId("lookup"), ServiceId("desk"), true, 0, {}, {}},
+                 {RouteId("status"), ServiceId("desk"), true, 0, {}, {}}};
+  return plan;
+}
+
+RolloutSettings finalSettings() {
+  RolloutSettings settings;
+  settings.PoolsRoutes = true;
+  settings.EndsOldVersion = true;
+  return settings;
+}
+
+void record(RolloutKnowledge &knowledge, const char *version, const char *route,
+            UpstreamOutcome outcome) {
+  knowledge.Evidence.record(Source, {VersionId(version), RouteId(route)},
+                            outcome);
+}
+
+/// A rollout of seconds under 100 calls a second, a few of them to a quiet
+/// route. From the stage `badFrom` on, half of the new version's calls are
+/// late.
+struct ShortRollout {
+  explicit ShortRollout(unsigned badFrom) : BadFrom(badFrom) {}
+
+  void run() {
+    for (int ms = 0; ms < 20'000; ms += 10) {
+      const Instant now = Start + milliseconds(ms);
+      Run.confirmKnowledgeUntil(now);
+      Run.update(Knowledge, now);
+      if (Run.state() != RolloutState::Moving)
+        return;
+      send(ms, now);
+    }
+  }
+
+  void send(int ms, Instant now) {
+    const std::string key = std::to_string(ms);
+    const bool isNew =
+        chooseVersion(Run.shares(), key, true, now) == VersionId("new");
+    const bool isBad = isNew && Run.status().Stage >= BadFrom && ms % 20 == 0;
+    record(Knowledge, isNew ? "new" : "old",
+           ms % 500 == 0 ? "status" : "lookup",
+           isBad ? UpstreamOutcome::Late : UpstreamOutcome::Good);
+    CallsToNew += isNew ? 1 : 0;
+  }
+
+  unsigned BadFrom;
+  RolloutKnowledge Knowledge;
+  Rollout Run{shortPlan(), Self, finalSettings()};
+  int CallsToNew = 0;
+};
+
+} // namespace
+
+// The replicas of the old version stop when a rollout is completed. A version
+// without evidence for it was completed at the deadline, and kept.
+BOOST_AUTO_TEST_CASE(a_final_rollout_without_evidence_is_rolled_back) {
+  RolloutKnowledge knowledge;
+  raiseStage(knowledge, VersionId("new"),
+             {static_cast<unsigned>(stagesOf(shortPlan()).size() - 1), Start});
+  Rollout rollout(shortPlan(), Self, finalSettings());
+  for (int n = 0; n <= 16; ++n) {
+    rollout.confirmKnowledgeUntil(Start + seconds(n));
+    rollout.update(knowledge, Start + seconds(n));
+    BOOST_TEST((rollout.state() != RolloutState::Done));
+  }
+  BOOST_TEST((rollout.state() == RolloutState::TakenBack));
+}
+
+// A quiet route would hold up each step of a good version for longer than the
+// rollout may take.
+BOOST_AUTO_TEST_CASE(a_good_version_is_done_within_seconds) {
+  ShortRollout rollout(1000);
+  rollout.run();
+  BOOST_TEST((rollout.Run.state() == RolloutState::Done));
+}
+
+// A version that is bad from any stage on, and late in half of its calls.
+BOOST_AUTO_TEST_CASE(a_bad_version_is_rolled_back_from_any_stage) {
+  for (unsigned stage = 1; stage < stagesOf(shortPlan()).size(); ++stage) {
+    ShortRollout rollout(stage);
+    rollout.run();
+    BOOST_TEST((rollout.Run.state() == RolloutState::TakenBack), stage);
+  }
+}
+
+// A daemon that only follows learns that the rollout is done. A stage that it
+// does not have must not be looked up.
+BOOST_AUTO_TEST_CASE(a_stage_beyond_the_last_says_that_the_rollout_is_done) {
+  for (const unsigned beyond : {0U, 1U, 1000U}) {
+    RolloutKnowledge knowledge;
+    const auto last = static_cast<unsigned>(stagesOf(shortPlan()).size() - 1);
+    raiseStage(knowledge, VersionId("new"), {last + beyond, Start});
+    Rollout follower(shortPlan(), Self, finalSettings());
+    Rollout decider(shortPlan(), Self, finalSettings());
+    follower.follow(knowledge, Start + seconds(1));
+    decider.update(knowledge, Start + seconds(1));
+    BOOST_TEST((follower.state() == RolloutState::Done) == (beyond > 0));
+    BOOST_TEST((decider.state() == RolloutState::Done) == (beyond > 0));
+    BOOST_TEST(decider.status().Stage == last);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/sorrelbayd/TestGateway.cpp
+++ b/Tests/sorrelbayd/TestGateway.cpp
@@ -422,6 +422,30 @@
     BOOST_TEST(fixture.call("key").Body == "r1");
 }
 
+// Half of a new version's responses are several times slower than those of the
+// old one, and its replicas register one after the other. By its route's
+// latency target it is as good, and it got all calls after a probe.
+BOOST_AUTO_TEST_CASE(a_slower_version_is_rolled_back) {
+  GatewayFixture fixture;
+  std::atomic<int> callsToNew{0};
+  fixture.Upstream = [&](const std::shared_ptr<HttpExchange> &it) {
+    const std::string replica = headerValue(it->request().Headers, "X-Replica");
+    const bool isNew = replica.substr(0, 3) == "new";
+    std::this_thread::sleep_for(
+        isNew && callsToNew++ % 2 == 0 ? milliseconds(40) : milliseconds(5));
+    it->respond(200, {{"X-Call", headerValue(it->request().Headers, "X-Call")}},
+                replica);
+  };
+  fixture.callUntil(200, "key");
+  for (int n = 0; n < 40; ++n)
+    fixture.call("key");
+  fixture.Store.put(ResourceKind::Moves, "desk", "v2");
+  fixture.addReplica("new1");
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+  fixture.addReplica("new2");
+  BOOST_TEST(callUntilRolloutIs(fixture, "rolled_back") < 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_good_version_gets_all_calls_in_time) {
   GatewayFixture fixture;
   fixture.Upstream = versionedHandler(false);
