LibServing: Keep the calls within a cold rate over a new registration

They are kept by upstream until the last second is over (work_table/a_new_registration_keeps_the_calls_within_the_cold_rate).

--- a/Libraries/LibServing/ColdShare.cpp
+++ b/Libraries/LibServing/ColdShare.cpp
@@ -26,6 +26,10 @@
   return recent < share;
 }
 
+bool ColdRateLimiter::isIdle(Instant now) const {
+  return Sends.empty() || now - Sends.back() >= Window;
+}
+
 void ColdRateLimiter::note(Instant now) {
   while (!Sends.empty() && now - Sends.front() >= Window)
     Sends.pop_front();
--- a/Libraries/LibServing/ColdShare.h
+++ b/Libraries/LibServing/ColdShare.h
@@ -23,6 +23,8 @@
   /// Whether another call may be sent now.
   bool hasCapacity(int share, Instant now) const;
   void note(Instant now);
+  /// Whether no call was sent within the last window.
+  bool isIdle(Instant now) const;
 
 private:
   /// Times of the sends within the last window, the oldest first.
--- a/Libraries/LibServing/ReplicaTable.cpp
+++ b/Libraries/LibServing/ReplicaTable.cpp
@@ -160,7 +160,7 @@
     return true;
   if (!entry.ColdShare)
     entry.ColdShare = coldRateShare(entry.Record.Id, Self, Hosts, rate->second);
-  return entry.ColdLimiter.hasCapacity(*entry.ColdShare, now);
+  return ColdLimiters[entry.Record.Id].hasCapacity(*entry.ColdShare, now);
 }
 
 UpstreamRoom ReplicaTable::roomFor(const Entry &entry) {
@@ -169,6 +169,8 @@
 
 void ReplicaTable::forgetOldStatements(Instant now) {
   Work.forgetIdle();
+  for (auto it = ColdLimiters.begin(); it != ColdLimiters.end();)
+    it = it->second.isIdle(now) ? ColdLimiters.erase(it) : std::next(it);
   Statements.forgetUnregistered(
       [this](const UpstreamId &id) { return Entries.count(id) != 0; }, now);
 }
@@ -380,7 +382,7 @@
     Entry &entry = it->second;
     entry.Health.noteSent();
     if (isCold(entry, now))
-      entry.ColdLimiter.note(now);
+      ColdLimiters[id].note(now);
     Statements.noteSent(id, roomFor(entry), now);
   }
   Loads.noteStarted(id, now);
--- a/Libraries/LibServing/ReplicaTable.h
+++ b/Libraries/LibServing/ReplicaTable.h
@@ -187,7 +187,6 @@
     /// The upstream counts as cold until a view of the store that is newer than
     /// this is confirmed; zero if it does not.
     Instant AssumedColdAt{};
-    ColdRateLimiter ColdLimiter;
     /// This host's share of the cold rate; empty until it is computed.
     std::optional<int> ColdShare;
   };
@@ -220,6 +219,9 @@
   ReplicaTableSettings Settings;
   std::map<UpstreamId, Entry> Entries;
   WorkTable Work;
+  /// The recent calls to cold upstreams, also to those that have lost their
+  /// registration since and may register again.
+  std::map<UpstreamId, ColdRateLimiter> ColdLimiters;
   EnginePlacement Engines;
   std::map<ServiceId, double> ColdRates;
   HostId Self;
--- a/Tests/LibServing/TestWorkTable.cpp
+++ b/Tests/LibServing/TestWorkTable.cpp
@@ -215,4 +215,22 @@
   BOOST_TEST(held->Own.Calls == 1);
 }
 
+// A cold upstream registers again within a second. Counted from zero, it would
+// get its cold rate twice.
+BOOST_AUTO_TEST_CASE(a_new_registration_keeps_the_calls_within_the_cold_rate) {
+  ReplicaTable table;
+  table.setColdRate(ServiceId("model"), 1);
+  table.setHosts(HostId("h"), {HostId("h")});
+  ReplicaRecord cold = replica("r0");
+  cold.ColdDuration = seconds(30);
+  table.note(cold, Now);
+  BOOST_REQUIRE(table.choose(request(), Now));
+  table.noteSent(Id, {}, Now);
+  table.remove(Id);
+  table.forgetOldStatements(Now + milliseconds(100));
+  table.note(cold, Now + milliseconds(200));
+  BOOST_TEST(!table.choose(request(), Now + milliseconds(300)));
+  BOOST_TEST(!!table.choose(request(), Now + milliseconds(1200)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
