LibOperator, LibHostList, LibCloud: Refuse a malformed entry alone

One malformed request of an operator ended all others, holds among them, for a host that starts; one malformed quarantine all quarantines; one byte that can't be parsed the list of hosts and the cloud's notices of the own interface. Entries are now refused alone, counted and logged. The commands still refuse to write an object with a malformed entry, by the strict parsers and their tests, which stay as they are.

--- a/Libraries/LibBase/JsonList.cpp
+++ b/Libraries/LibBase/JsonList.cpp
@@ -252,6 +252,19 @@
   return out;
 }
 
+void forEachElement(const json &list, std::vector<std::string> *refused,
+                    const std::function<void(const json &)> &handle) {
+  for (const json &it : list) {
+    try {
+      handle(it);
+    } catch (const std::exception &error) {
+      if (!refused)
+        throw;
+      refused->emplace_back(error.what());
+    }
+  }
+}
+
 json parseCbor(const std::string &bytes) {
   LevelLimiter limiter;
   json::sax_parse(bytes, &limiter, json::input_format_t::cbor);
--- a/Libraries/LibBase/JsonList.h
+++ b/Libraries/LibBase/JsonList.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cstddef>
+#include <functional>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <string>
@@ -25,6 +26,13 @@
 /// nlohmann::json::exception if it is malformed.
 nlohmann::json parseCbor(const std::string &bytes);
 
+/// Handles each element of a list. Without `refused`, what the handler throws
+/// is thrown; otherwise its reason is added there, and the next element
+/// follows.
+void forEachElement(const nlohmann::json &list,
+                    std::vector<std::string> *refused,
+                    const std::function<void(const nlohmann::json &)> &handle);
+
 /// An entry of a list in a JSON text.
 struct JsonListEntry {
   /// Empty if the entry can't be parsed.
--- a/Libraries/LibCloud/CloudNotices.cpp
+++ b/Libraries/LibCloud/CloudNotices.cpp
@@ -1,4 +1,6 @@
 #include "LibCloud/CloudNotices.h"
+#include "LibBase/JsonList.h"
+#include "LibBase/LogLine.h"
 #include "LibHttp/HttpClient.h"
 #include <nlohmann/json.hpp>
 
@@ -18,6 +20,26 @@
   return notice;
 }
 
+std::vector<ReclaimNotice> parseReclaimNotices(const std::string &text) {
+  const auto list =
+      parseJsonList(R"({"notices":)" + text + "}", {"notices", "sequence"});
+  if (!list)
+    throw CloudUnavailable("the notices are not a JSON array");
+  std::vector<ReclaimNotice> out;
+  for (const JsonListEntry &it : list->Entries) {
+    try {
+      out.push_back(parseNotice(it.Value.value_or(Json())));
+    } catch (const Json::exception &error) {
+      LogLine(Severity::Warning, "skipped a malformed reclaim notice")
+          .field("why", error.what());
+    }
+  }
+  // The caller would ask again at once for what follows those that it knows.
+  if (out.empty() && !list->Entries.empty())
+    throw CloudUnavailable("all notices are malformed");
+  return out;
+}
+
 std::vector<ReclaimNotice> fetchReclaimNotices(const std::string &platform,
                                                std::uint64_t known,
                                                Duration waitLimit) {
@@ -31,8 +53,7 @@
     if (reply.Status != StatusOk)
       throw CloudUnavailable("the cloud API responded with status " +
                              std::to_string(reply.Status));
-    for (const Json &it : Json::parse(reply.Body))
-      out.push_back(parseNotice(it));
+    out = parseReclaimNotices(reply.Body);
   } catch (const Json::exception &error) {
     throw CloudUnavailable(error.what());
   } catch (const HttpNotSent &error) {
--- a/Libraries/LibCloud/CloudNotices.h
+++ b/Libraries/LibCloud/CloudNotices.h
@@ -29,4 +29,8 @@
                                                std::uint64_t known,
                                                Duration waitLimit);
 
+/// Parses notices. A malformed one is skipped; throws CloudUnavailable if all
+/// are, or if the text is no list.
+std::vector<ReclaimNotice> parseReclaimNotices(const std::string &text);
+
 } // namespace sorrelbay
--- a/Libraries/LibHostList/HostList.cpp
+++ b/Libraries/LibHostList/HostList.cpp
@@ -1,13 +1,29 @@
 #include "LibHostList/HostList.h"
+#include "LibBase/JsonList.h"
 #include "LibBase/LogLine.h"
 #include "LibHttp/HttpClient.h"
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 
 namespace sorrelbay {
 
 using Json = nlohmann::json;
 
 static constexpr int StatusOk = 200;
+/// Malformed entries that are logged, and bytes of one that are.
+static constexpr std::size_t MaxLoggedEntries = 64;
+static constexpr std::size_t MaxLoggedBytes = 300;
+
+/// The list is fetched every second.
+static void logOnce(const std::string &error) {
+  static std::mutex mutex;
+  static std::set<std::string> logged;
+  const std::lock_guard<std::mutex> lock(mutex);
+  if (logged.size() < MaxLoggedEntries && logged.insert(error).second)
+    LogLine(Severity::Warning, "skipped a malformed entry of the host list")
+        .field("error", error);
+}
 
 static HostRole parseRole(const std::string &text) {
   if (text == "entry")
@@ -34,16 +50,19 @@
 }
 
 std::vector<HostListEntry> parseHostList(const std::string &text) {
-  const Json json = Json::parse(text, nullptr, false);
-  if (!json.is_array())
+  const auto list =
+      parseJsonList(R"({"hosts":)" + text + "}", {"hosts", "address"});
+  if (!list)
     throw HostListUnavailable("the host list is not a JSON array");
   std::vector<HostListEntry> out;
-  for (const Json &it : json) {
+  for (const JsonListEntry &it : list->Entries) {
     try {
-      out.push_back(parseEntry(it));
+      if (!it.Value)
+        throw HostListUnavailable("it is not valid JSON: " +
+                                  it.Text.substr(0, MaxLoggedBytes));
+      out.push_back(parseEntry(*it.Value));
     } catch (const std::exception &error) {
-      LogLine(Severity::Warning, "skipped a malformed entry of the host list")
-          .field("error", error.what());
+      logOnce(error.what());
     }
   }
   return out;
--- a/Libraries/LibObjectApi/HttpObjectApi.cpp
+++ b/Libraries/LibObjectApi/HttpObjectApi.cpp
@@ -111,7 +111,11 @@
   if (!names.is_array())
     throw ObjectApiUnavailable(
         "the object API responded with a body that is not a JSON array");
-  return names.get<std::vector<std::string>>();
+  std::vector<std::string> out;
+  for (const auto &it : names)
+    if (it.is_string())
+      out.push_back(it.get<std::string>());
+  return out;
 }
 
 } // namespace
--- a/Libraries/LibOperator/OperatorRequestsObject.cpp
+++ b/Libraries/LibOperator/OperatorRequestsObject.cpp
@@ -1,4 +1,5 @@
 #include "LibOperator/OperatorRequestsObject.h"
+#include "LibBase/JsonList.h"
 #include "LibBase/Rfc3339.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
@@ -76,21 +77,51 @@
 }
 
 template <typename Id>
-std::map<Id, OperatorHold> holdsFromJson(const json &from,
-                                         const char *nameKey) {
-  std::map<Id, OperatorHold> out;
-  for (const json &it : from) {
-    OperatorHold hold;
-    hold.By = it.at("by").get<std::string>();
-    const auto untilMs = it.at("until_ms").get<std::int64_t>();
-    if (untilMs < 0 || untilMs > MaxUntilMs)
-      throw OperatorRequestsMalformed("a time is out of range");
-    if (untilMs != 0)
-      hold.Until = fromEpochMilliseconds(untilMs);
-    const Id id(it.at(nameKey).get<std::string>());
-    if (!out.emplace(id, hold).second)
-      throw OperatorRequestsMalformed("a name is listed twice");
+void addHold(std::map<Id, OperatorHold> &to, const json &from,
+             const char *nameKey) {
+  OperatorHold hold;
+  hold.By = from.at("by").get<std::string>();
+  const auto untilMs = from.at("until_ms").get<std::int64_t>();
+  if (untilMs < 0 || untilMs > MaxUntilMs)
+    throw OperatorRequestsMalformed("a time is out of range");
+  if (untilMs != 0)
+    hold.Until = fromEpochMilliseconds(untilMs);
+  const Id id(from.at(nameKey).get<std::string>());
+  checkText(id.text(), MaxNameBytes, "a name");
+  checkText(hold.By, MaxByBytes, "\"by\"");
+  if (!to.emplace(id, hold).second)
+    throw OperatorRequestsMalformed("a name is listed twice");
+}
+
+void addTeam(std::map<TeamId, int> &to, const json &from) {
+  const auto weight = from.at("weight").get<std::int64_t>();
+  checkWeight(weight);
+  const TeamId team(from.at("name").get<std::string>());
+  checkText(team.text(), MaxNameBytes, "a name");
+  if (!to.emplace(team, static_cast<int>(weight)).second)
+    throw OperatorRequestsMalformed("a name is listed twice");
+}
+
+/// Without `refused`, a malformed entry is thrown; otherwise it is left out.
+OperatorRequests parseRequests(const std::string &body,
+                               std::vector<std::string> *refused) {
+  // A larger text is not parsed: that would delay all calls of the host.
+  checkBytes(body);
+  OperatorRequests out;
+  try {
+    json object = json::parse(body);
+    pruneJson(object);
+    forEachElement(object.at("upstreams"), refused,
+                   [&](const json &it) { addHold(out.Upstreams, it, "id"); });
+    forEachElement(object.at("hosts"), refused,
+                   [&](const json &it) { addHold(out.Hosts, it, "name"); });
+    forEachElement(object.at("teams"), refused,
+                   [&](const json &it) { addTeam(out.TeamWeights, it); });
+  } catch (const json::exception &error) {
+    throw OperatorRequestsMalformed(
+        std::string("the stored requests can't be read: ") + error.what());
   }
+  checkBounds(out);
   return out;
 }
 
@@ -127,26 +158,12 @@
 }
 
 OperatorRequests parseOperatorRequests(const std::string &body) {
-  // A larger text is not parsed: that would delay all calls of the host.
-  checkBytes(body);
-  OperatorRequests out;
-  try {
-    const json object = json::parse(body);
-    out.Upstreams = holdsFromJson<UpstreamId>(object.at("upstreams"), "id");
-    out.Hosts = holdsFromJson<HostId>(object.at("hosts"), "name");
-    for (const json &it : object.at("teams")) {
-      const auto weight = it.at("weight").get<std::int64_t>();
-      checkWeight(weight);
-      const TeamId team(it.at("name").get<std::string>());
-      if (!out.TeamWeights.emplace(team, static_cast<int>(weight)).second)
-        throw OperatorRequestsMalformed("a name is listed twice");
-    }
-  } catch (const json::exception &error) {
-    throw OperatorRequestsMalformed(
-        std::string("the stored requests can't be read: ") + error.what());
-  }
-  checkBounds(out);
-  return out;
+  return parseRequests(body, nullptr);
+}
+
+OperatorRequests readOperatorRequests(const std::string &body,
+                                      std::vector<std::string> &refused) {
+  return parseRequests(body, &refused);
 }
 
 void dropEndedRequests(OperatorRequests &requests, Instant now) {
--- a/Libraries/LibOperator/OperatorRequestsObject.h
+++ b/Libraries/LibOperator/OperatorRequestsObject.h
@@ -3,6 +3,7 @@
 #include "LibBase/Error.h"
 #include "LibServing/OperatorRequests.h"
 #include <string>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -29,6 +30,10 @@
 std::string renderOperatorRequests(const OperatorRequests &requests);
 /// The inverse. Throws OperatorRequestsMalformed.
 OperatorRequests parseOperatorRequests(const std::string &body);
+/// The same, but leaves out malformed entries, and adds why to `refused`: a
+/// daemon acts by the others.
+OperatorRequests readOperatorRequests(const std::string &body,
+                                      std::vector<std::string> &refused);
 
 /// Drops the holds that ended so long before `now`, by the operator's clock,
 /// that they have ended by fleet time as well.
--- a/Libraries/LibOperator/QuarantineObject.cpp
+++ b/Libraries/LibOperator/QuarantineObject.cpp
@@ -1,4 +1,5 @@
 #include "LibOperator/QuarantineObject.h"
+#include "LibBase/JsonList.h"
 #include <algorithm>
 #include <nlohmann/json.hpp>
 #include <sstream>
@@ -60,6 +61,26 @@
                 from.at("crashes").get<int>()};
 }
 
+/// Without `refused`, a malformed entry is thrown; otherwise it is left out.
+CrashKnowledge parseKnowledge(const std::string &body,
+                              std::vector<std::string> *refused) {
+  CrashKnowledge out;
+  try {
+    json object = json::parse(body);
+    pruneJson(object);
+    forEachElement(object.at("quarantines"), refused, [&](const json &it) {
+      quarantineFromJson(out.Quarantines, it);
+    });
+    forEachElement(object.at("crashes"), refused, [&](const json &it) {
+      out.Crashes.push_back(crashFromJson(it));
+    });
+  } catch (const json::exception &error) {
+    throw QuarantineObjectMalformed(
+        std::string("the stored quarantines can't be read: ") + error.what());
+  }
+  return out;
+}
+
 } // namespace
 
 std::string renderQuarantineObject(const CrashKnowledge &knowledge) {
@@ -75,18 +96,12 @@
 }
 
 CrashKnowledge parseQuarantineObject(const std::string &body) {
-  CrashKnowledge out;
-  try {
-    const json object = json::parse(body);
-    for (const json &it : object.at("quarantines"))
-      quarantineFromJson(out.Quarantines, it);
-    for (const json &it : object.at("crashes"))
-      out.Crashes.push_back(crashFromJson(it));
-  } catch (const json::exception &error) {
-    throw QuarantineObjectMalformed(
-        std::string("the stored quarantines can't be read: ") + error.what());
-  }
-  return out;
+  return parseKnowledge(body, nullptr);
+}
+
+CrashKnowledge readQuarantineObject(const std::string &body,
+                                    std::vector<std::string> &refused) {
+  return parseKnowledge(body, &refused);
 }
 
 int releaseQuarantines(QuarantineMarks &marks, const std::string &part,
--- a/Libraries/LibOperator/QuarantineObject.h
+++ b/Libraries/LibOperator/QuarantineObject.h
@@ -3,6 +3,7 @@
 #include "LibBase/Error.h"
 #include "LibServing/UpstreamCrash.h"
 #include <string>
+#include <vector>
 
 namespace sorrelbay {
 
@@ -20,6 +21,10 @@
 std::string renderQuarantineObject(const CrashKnowledge &knowledge);
 /// The inverse. Throws QuarantineObjectMalformed.
 CrashKnowledge parseQuarantineObject(const std::string &body);
+/// The same, but leaves out malformed entries, and adds why to `refused`: the
+/// other quarantines stay in force.
+CrashKnowledge readQuarantineObject(const std::string &body,
+                                    std::vector<std::string> &refused);
 
 /// Releases all quarantines in force that name the part, also those of several
 /// parts, at `now`. Returns how many there were.
--- a/Libraries/LibPeer/RolloutCodec.cpp
+++ b/Libraries/LibPeer/RolloutCodec.cpp
@@ -75,32 +75,16 @@
               Instant(Duration(from.at(2).get<std::int64_t>()))});
 }
 
-/// Parses the elements of a list. Without `refused`, a malformed one is thrown;
-/// otherwise it is passed over.
-template <typename Parse>
-void parseEach(const json &list, std::vector<std::string> *refused,
-               const Parse &parse) {
-  for (const json &it : list) {
-    try {
-      parse(it);
-    } catch (const std::exception &error) {
-      if (!refused)
-        throw;
-      refused->emplace_back(error.what());
-    }
-  }
-}
-
 RolloutKnowledge knowledgeFromJson(const json &from,
                                    std::vector<std::string> *refused) {
   try {
     RolloutKnowledge out;
-    parseEach(from.at("vetoes"), refused,
-              [&](const json &it) { addVeto(out, vetoFromJson(it)); });
-    parseEach(from.at("stages"), refused,
-              [&](const json &it) { stageFromJson(out, it); });
-    parseEach(from.at("evidence"), refused,
-              [&](const json &it) { evidenceFromJson(out.Evidence, it); });
+    forEachElement(from.at("vetoes"), refused,
+                   [&](const json &it) { addVeto(out, vetoFromJson(it)); });
+    forEachElement(from.at("stages"), refused,
+                   [&](const json &it) { stageFromJson(out, it); });
+    forEachElement(from.at("evidence"), refused,
+                   [&](const json &it) { evidenceFromJson(out.Evidence, it); });
     return out;
   } catch (const json::exception &error) {
     throw RolloutKnowledgeMalformed(
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -18,8 +18,6 @@
 constexpr Duration MaxLoopDelay = milliseconds(500);
 /// Characters of a list of hosts that are logged.
 constexpr std::size_t MaxLoggedHosts = 300;
-/// Entries of a plan whose refusal is logged.
-constexpr std::size_t MaxLoggedParts = 20;
 /// Most addresses in the response to an address lookup.
 constexpr std::size_t MaxLookupAddresses = 64;
 /// How long callers cache an address from a lookup, unless AddressTimeToLive is
@@ -329,17 +327,6 @@
   return limits;
 }
 
-/// Counts the entries of the plan that were refused, and logs a few of them.
-void Gateway::logRefusedParts(const ServingPlan &plan) {
-  for (std::size_t n = 0; n < plan.Refused.size(); ++n) {
-    State.Refused.note(ResourceKind::Plan);
-    if (n < MaxLoggedParts)
-      LogLine(Severity::Error, "entry of the plan refused")
-          .field("version", static_cast<std::int64_t>(plan.Version))
-          .field("why", plan.Refused[n]);
-  }
-}
-
 void Gateway::applyPlan(const Resource &object) {
   try {
     ServingPlan plan = State.Hooks.ReadPlan(object);
@@ -353,7 +340,7 @@
     State.FirstTokenWaitLimits = firstTokenLimits(plan);
     for (const ServingService &it : plan.Services)
       State.Replicas.setColdRate(it.Name, it.ColdRate);
-    logRefusedParts(plan);
+    State.Refused.noteParts(ResourceKind::Plan, object, plan.Refused);
     State.Plan = std::make_shared<const PlanIndex>(std::move(plan));
     PlanObject = object.Name;
     updateRetryBudgets();
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -63,7 +63,6 @@
   HttpLimits callLimits() const;
   void watchStore();
   void applyPlan(const Resource &object);
-  void logRefusedParts(const ServingPlan &plan);
   void applyReplica(const Resource &object);
   void watchEvacuations();
   ResourceWatcherHooks quarantineHooks();
--- a/Services/sorrelbayd/OperatorRequestWatch.cpp
+++ b/Services/sorrelbayd/OperatorRequestWatch.cpp
@@ -20,7 +20,9 @@
   if (object.Name != OperatorRequestsName)
     return;
   try {
-    State.Requests = parseOperatorRequests(object.Body);
+    std::vector<std::string> refused;
+    State.Requests = readOperatorRequests(object.Body, refused);
+    State.Refused.noteParts(ResourceKind::Quarantines, object, refused);
     State.Waiting.setWeights(State.Requests.TeamWeights);
     holdUpstreams();
   } catch (const OperatorRequestsMalformed &error) {
--- a/Services/sorrelbayd/QuarantineStore.cpp
+++ b/Services/sorrelbayd/QuarantineStore.cpp
@@ -38,7 +38,9 @@
   StoredRevision = object.Revision;
   ComparedRevision = 0;
   try {
-    Stored = parseQuarantineObject(object.Body);
+    std::vector<std::string> refused;
+    Stored = readQuarantineObject(object.Body, refused);
+    State.Refused.noteParts(ResourceKind::Quarantines, object, refused);
     State.Quarantine.merge(Stored, State.Time.at(bootNow()));
   } catch (const QuarantineObjectMalformed &error) {
     Stored = {};
--- a/Services/sorrelbayd/RefusedEntries.h
+++ b/Services/sorrelbayd/RefusedEntries.h
@@ -17,6 +17,10 @@
 
   /// Counts a refused entry, which whoever refuses it logs.
   void note(ResourceKind kind);
+  /// Counts the entries of an object that were refused, and logs the first few
+  /// of them.
+  void noteParts(ResourceKind kind, const Resource &object,
+                 const std::vector<std::string> &reasons);
   /// Counts and logs entries without a readable name by their first bytes, each
   /// of them once although every listing shows it.
   void noteUnnamed(ResourceKind kind, const std::vector<std::string> &begins);
--- a/Tests/LibOperator/TestOperatorRequestsObject.cpp
+++ b/Tests/LibOperator/TestOperatorRequestsObject.cpp
@@ -69,6 +69,22 @@
   BOOST_CHECK_THROW(parseOperatorRequests(body), OperatorRequestsMalformed);
 }
 
+// An operator's typing error must not end the other requests, such as a hold.
+BOOST_AUTO_TEST_CASE(a_malformed_request_costs_only_itself) {
+  std::vector<std::string> refused;
+  const OperatorRequests requests = readOperatorRequests(
+      bodyWith(R"({"id":"u","until_ms":0,"by":"anna"},{},7)",
+               R"({"name":"h","until_ms":-1,"by":"b"})",
+               R"({"name":"t","weight":2},{"name":"t","weight":3})"),
+      refused);
+  BOOST_TEST(requests.Upstreams.size() == 1U);
+  BOOST_TEST(requests.Hosts.empty());
+  BOOST_TEST(requests.TeamWeights.at(TeamId("t")) == 2);
+  BOOST_TEST(refused.size() == 4U);
+  BOOST_CHECK_THROW(readOperatorRequests("[]", refused),
+                    OperatorRequestsMalformed);
+}
+
 // A list that grows without bound would delay all hosts.
 BOOST_AUTO_TEST_CASE(requests_beyond_the_bounds_are_not_written) {
   OperatorRequests requests;
--- a/Tests/LibOperator/TestQuarantineObject.cpp
+++ b/Tests/LibOperator/TestQuarantineObject.cpp
@@ -1,5 +1,6 @@
 #include "LibOperator/QuarantineObject.h"
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 using namespace sorrelbay;
 
@@ -50,6 +51,20 @@
     BOOST_CHECK_THROW(parseQuarantineObject(body), QuarantineObjectMalformed);
 }
 
+// The other quarantines must stay in force.
+BOOST_AUTO_TEST_CASE(a_malformed_quarantine_costs_only_itself) {
+  auto object =
+      nlohmann::json::parse(renderQuarantineObject(sampleKnowledge()));
+  const std::size_t quarantines = object["quarantines"].size();
+  object["quarantines"].push_back({{"service", 5}});
+  object["crashes"].push_back(7);
+  std::vector<std::string> refused;
+  const CrashKnowledge read = readQuarantineObject(object.dump(), refused);
+  BOOST_TEST(read.Quarantines.size() == quarantines);
+  BOOST_TEST(read.Crashes.size() == 1U);
+  BOOST_TEST(refused.size() == 2U);
+}
+
 // A part that stays in a quarantine of several would be rejected with them.
 BOOST_AUTO_TEST_CASE(a_part_is_released_wherever_it_is_named) {
   QuarantineMarks marks = sampleKnowledge().Quarantines;
