sorrelbayd: Await the response that names the call

Cause: only successes without an id were refused; any failure without one was taken for the response to the call in flight. Ruled out: input kept from the time in which the connection was idle, as such a connection is closed.

Change: on a connection that has had a response before, one that names no call is read and dropped like a late response to another, and the call's own awaited. On a new connection nothing can have been added.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -124,6 +124,7 @@
   bool IsHead = false;
   bool IsActive = false;
   bool IsForThisCall = false;
+  bool HasResponded = false;
   int OtherResponses = 0;
   std::size_t OtherBytes = 0;
   bool IsWriting = false;
@@ -345,6 +346,8 @@
   if (const auto length = Parser->content_length())
     head.Length = *length;
   head.Framing = framingOf(*Parser);
+  head.IsFirstOnConnection = !HasResponded;
+  HasResponded = true;
   const std::string keepAliveHeader = headerValue(head.Headers, "Keep-Alive");
   if (const auto timeout = keepAliveTimeout(keepAliveHeader))
     PeerKeepAliveTimeout = *timeout;
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -37,6 +37,8 @@
   /// the connection closes.
   std::optional<std::uint64_t> Length;
   BodyFraming Framing = BodyFraming::None;
+  /// No response has been received on the connection before.
+  bool IsFirstOnConnection = true;
 };
 
 /// Why a call received no complete response.
--- a/Services/sorrelbayd/CallSend.cpp
+++ b/Services/sorrelbayd/CallSend.cpp
@@ -2,6 +2,13 @@
 
 namespace sorrelbay {
 
+bool isResponseTo(const std::string &callId, const UpstreamReplyInfo &replyInfo,
+                  bool isFirstOnConnection) {
+  if (replyInfo.Id.empty())
+    return callId.empty() || isFirstOnConnection;
+  return replyInfo.Id == callId;
+}
+
 WatchedEnd CallSend::watchedEnd(SendResult result) const {
   if (result == SendResult::Answered)
     return WatchedEnd::Answered;
--- a/Services/sorrelbayd/CallSend.h
+++ b/Services/sorrelbayd/CallSend.h
@@ -8,6 +8,13 @@
 
 namespace sorrelbay {
 
+/// Whether a response may be the one to the call. Upstreams name the call in
+/// their responses: one that names none is the one to a call on a new
+/// connection, and otherwise input that a faulty upstream has added to the
+/// response before.
+bool isResponseTo(const std::string &callId, const UpstreamReplyInfo &replyInfo,
+                  bool isFirstOnConnection);
+
 /// One attempt to send a call to an upstream.
 struct CallSend {
   UpstreamId Replica;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -443,7 +443,8 @@
   UpstreamReplyInfo replyInfo = State.Hooks.ReadReplyInfo(head);
   if (!isRelaying())
     Sends->noteReceived(CurrentSend);
-  if (!replyInfo.Id.empty() && replyInfo.Id != Call.Id) {
+  if (!isResponseTo(Call.Id, replyInfo,
+                    isRelaying() || head.IsFirstOnConnection)) {
     if (!isRelaying())
       Sends->noteStatements(CurrentSend, replyInfo, {false, false});
     return false;
--- a/Tests/sorrelbayd/TestResponseEnds.cpp
+++ b/Tests/sorrelbayd/TestResponseEnds.cpp
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 
 using namespace sorrelbay;
+namespace asio = boost::asio;
 
 namespace {
 
@@ -259,6 +260,76 @@
   }
 }
 
+/// An upstream that keeps its connections and sends what the script returns for
+/// a request and the number of requests before it on the connection. Runs on a
+/// thread of its own.
+class RawUpstream {
+public:
+  using Script = std::function<std::string(const std::string &, int)>;
+
+  explicit RawUpstream(Script script)
+      : Respond(std::move(script)),
+        Acceptor(Loop, {asio::ip::address_v4::loopback(), 0}) {
+    accept();
+    Worker = std::thread([this] { Loop.run(); });
+  }
+  ~RawUpstream() {
+    Loop.stop();
+    Worker.join();
+  }
+  RawUpstream(const RawUpstream &) = delete;
+  RawUpstream &operator=(const RawUpstream &) = delete;
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port());
+  }
+  int reused() const { return Reused; }
+
+private:
+  struct Connection {
+    explicit Connection(asio::ip::tcp::socket socket)
+        : Socket(std::move(socket)) {}
+    asio::ip::tcp::socket Socket;
+    std::string Input;
+    std::string Output;
+    int Requests = 0;
+  };
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](boost::system::error_code ec, asio::ip::tcp::socket socket) {
+          if (ec)
+            return;
+          serve(std::make_shared<Connection>(std::move(socket)));
+          accept();
+        });
+  }
+
+  void serve(const std::shared_ptr<Connection> &it) {
+    asio::async_read_until(
+        it->Socket, asio::dynamic_buffer(it->Input), "\r\n\r\n",
+        [this, it](boost::system::error_code ec, std::size_t) {
+          if (ec)
+            return;
+          Reused += it->Requests > 0 ? 1 : 0;
+          it->Output = Respond(it->Input, it->Requests++);
+          it->Input.clear();
+          asio::async_write(
+              it->Socket, asio::buffer(it->Output),
+              [this, it](boost::system::error_code failed, std::size_t) {
+                if (!failed)
+                  serve(it);
+              });
+        });
+  }
+
+  Script Respond;
+  asio::io_context Loop;
+  asio::ip::tcp::acceptor Acceptor;
+  std::atomic<int> Reused{0};
+  std::thread Worker;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(response_ends)
@@ -356,4 +427,29 @@
   BOOST_TEST(broken < Calls / 4);
 }
 
+// A faulty upstream adds a 503 that names no call to a complete response. It
+// arrives where the response to the next call on the connection is expected,
+// which runs: its caller would be told that it has not.
+BOOST_AUTO_TEST_CASE(an_added_response_is_not_taken_for_the_next_one) {
+  GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
+  fixture.callUntil(200, "key");
+  RawUpstream upstream([](const std::string &request, int requestsBefore) {
+    const std::string added =
+        requestsBefore == 0 ? ""
+                            : "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n";
+    return added +
+           "HTTP/1.1 200 OK\r\nX-Call: " + scriptedHeader(request, "X-Call") +
+           "\r\nContent-Length: 2\r\n\r\nok";
+  });
+  fixture.Store.put(ResourceKind::Replicas, "r1",
+                    upstream.address() + " ready");
+  fixture.waitUntilSeen(ResourceKind::Replicas);
+  for (int n = 0; n < 20; ++n) {
+    const HttpReply reply = fixture.call("key");
+    BOOST_TEST(reply.Status == 200);
+    BOOST_TEST(reply.Body == "ok");
+  }
+  BOOST_TEST(upstream.reused() > 0);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
