Tests: Share the stand-in of a response without an end

Two test programs described and sent endless responses with the same code; it is in Tests/Fakes now. No check changed.

--- a/Tests/LibHostList/TestHostList.cpp
+++ b/Tests/LibHostList/TestHostList.cpp
@@ -3,6 +3,19 @@
 
 using namespace sorrelbay;
 
+namespace {
+
+std::string listOf(const std::vector<std::string> &entries) {
+  std::string out;
+  for (const std::string &it : entries) {
+    out += out.empty() ? "[" : ",";
+    out += it;
+  }
+  return out + "]";
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(host_list)
 
 // One byte of one entry that can't be parsed made the whole list unavailable:
@@ -12,7 +25,7 @@
   for (const std::string bad :
        {"{\"address\":\"\xff\"}", "{\"address\":\"\\x\"}", "7",
         "{\"address\":5}", "{\"address\":\"a\",\"role\":\"odd\"}", "{}"}) {
-    const auto list = parseHostList("[" + good + "," + bad + "," + good + "]");
+    const auto list = parseHostList(listOf({good, bad, good}));
     BOOST_TEST(list.size() == 2U, bad);
   }
   for (const std::string text : {"", "7", "{}", "[", "\xff"})
--- a/Tests/LibHttp/TestAsyncHttp.cpp
+++ b/Tests/LibHttp/TestAsyncHttp.cpp
@@ -344,9 +344,12 @@
     socket.connect({asio::ip::address_v4::loopback(),
                     static_cast<unsigned short>(
                         std::stoi(address.substr(address.find(':') + 1)))});
-    asio::write(socket, asio::buffer("POST /outer HTTP/1.1\r\nHost: h\r\n"
-                                     "Transfer-Encoding: " +
-                                     encoding + "\r\n\r\n" + inner));
+    std::string request = "POST /outer HTTP/1.1\r\nHost: h\r\n"
+                          "Transfer-Encoding: ";
+    request += encoding;
+    request += "\r\n\r\n";
+    request += inner;
+    asio::write(socket, asio::buffer(request));
     std::string reply;
     bool isClosed = false;
     asio::async_read(
--- a/Tests/LibHttp/TestEndlessBytes.cpp
+++ b/Tests/LibHttp/TestEndlessBytes.cpp
@@ -1,8 +1,8 @@
+#include "EndlessResponse.h"
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibHttp/AsyncHttpServer.h"
 #include "LibHttp/EventSplitter.h"
 #include "LibHttp/HttpClient.h"
-#include "ScriptedServer.h"
 #include <boost/asio.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
@@ -22,53 +22,23 @@
 const std::string Late = "HTTP/1.1 200 OK\r\nX-Call: other\r\n"
                          "Content-Length: 1\r\n\r\nx";
 
-/// A response without end: how it begins, and what follows again and again.
-struct EndlessResponse {
-  const char *Name;
-  std::string Begin;
-  std::string Rest;
-
-  friend std::ostream &operator<<(std::ostream &out,
-                                  const EndlessResponse &it) {
-    return out << it.Name;
-  }
-};
-
-std::string many(const std::string &text) {
-  std::string out;
-  while (out.size() < 4096)
-    out += text;
-  return out;
-}
-
 const std::vector<EndlessResponse> WithoutBody = {
-    {"no response", "", many("a")},
-    {"zero bytes", "", many(std::string(1, '\0'))},
-    {"a line", "HTTP/1.1 200 ", many("a")},
-    {"empty lines", "", many("\r\n")},
-    {"a field", "HTTP/1.1 200 OK\r\nX-A: ", many("a")},
-    {"fields", "HTTP/1.1 200 OK\r\n", many("X-A: a\r\n")},
-    {"informational responses", "", many("HTTP/1.1 100 Continue\r\n\r\n")},
-    {"late responses", "", many(Late)},
+    {"no response", "", repeated("a")},
+    {"zero bytes", "", repeated(std::string(1, '\0'))},
+    {"a line", "HTTP/1.1 200 ", repeated("a")},
+    {"empty lines", "", repeated("\r\n")},
+    {"a field", "HTTP/1.1 200 OK\r\nX-A: ", repeated("a")},
+    {"fields", "HTTP/1.1 200 OK\r\n", repeated("X-A: a\r\n")},
+    {"informational responses", "", repeated("HTTP/1.1 100 Continue\r\n\r\n")},
+    {"late responses", "", repeated(Late)},
     {"a late response's body", "HTTP/1.1 200 OK\r\nX-Call: other\r\n\r\n",
-     many("a")},
-    {"an extension of a chunk", Chunked + "5;", many("a")},
-    {"the size of a chunk", Chunked, many("0")},
-    {"a field after the last chunk", Chunked + "0\r\nX-A: ", many("a")},
-    {"fields after the last chunk", Chunked + "0\r\n", many("X-A: a\r\n")},
+     repeated("a")},
+    {"an extension of a chunk", Chunked + "5;", repeated("a")},
+    {"the size of a chunk", Chunked, repeated("0")},
+    {"a field after the last chunk", Chunked + "0\r\nX-A: ", repeated("a")},
+    {"fields after the last chunk", Chunked + "0\r\n", repeated("X-A: a\r\n")},
 };
 
-ScriptedServer::Script scriptOf(const EndlessResponse &response) {
-  return [response](const std::string &) {
-    ScriptedResponse out;
-    if (!response.Begin.empty())
-      out.Parts.push_back(response.Begin);
-    out.Parts.push_back(response.Rest);
-    out.End = ScriptedEnd::Endless;
-    return out;
-  };
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(endless_bytes)
@@ -77,7 +47,7 @@
 // connection. A client that waits for their end keeps them all in memory.
 BOOST_DATA_TEST_CASE(a_response_without_an_end_fails, data::make(WithoutBody),
                      response) {
-  ScriptedServer server(scriptOf(response));
+  ScriptedServer server(endlessly(response));
   asio::io_context loop;
   AsyncHttpClient client(loop);
   bool hasEnded = false;
@@ -105,7 +75,7 @@
                      data::make(WithoutBody), response) {
   if (response.Rest.find(Late) == 0)
     return;
-  ScriptedServer server(scriptOf(response));
+  ScriptedServer server(endlessly(response));
   HttpCall call;
   call.ReadTimeout = seconds(10);
   BOOST_CHECK_THROW(sendOnce(server.address(), call), HttpOutcomeUnknown);
@@ -113,7 +83,7 @@
 
 BOOST_AUTO_TEST_CASE(a_whole_response_has_a_largest_size) {
   ScriptedServer server(
-      scriptOf({"a body", "HTTP/1.1 200 OK\r\n\r\n", many("a")}));
+      endlessly({"a body", "HTTP/1.1 200 OK\r\n\r\n", repeated("a")}));
   HttpCall call;
   call.ReadTimeout = seconds(10);
   BOOST_CHECK_THROW(sendOnce(server.address(), call), HttpOutcomeUnknown);
@@ -144,7 +114,7 @@
                              "Transfer-Encoding: chunked\r\n\r\n" +
                              std::string(begin)),
                 ec);
-    const std::string rest = many("0");
+    const std::string rest = repeated("0");
     std::size_t sent = 0;
     while (!ec && sent < 2 * MostBytes)
       sent += asio::write(socket, asio::buffer(rest), ec);
--- a/Tests/sorrelbayd/TestEndlessResponses.cpp
+++ b/Tests/sorrelbayd/TestEndlessResponses.cpp
@@ -1,6 +1,6 @@
+#include "EndlessResponse.h"
 #include "GatewayFixture.h"
 #include "RawCaller.h"
-#include "ScriptedServer.h"
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -16,25 +16,6 @@
 constexpr int ReplicaCount = 40;
 constexpr int WaitMs = 300;
 
-/// A response without end: how it begins, and what follows again and again.
-struct EndlessResponse {
-  const char *Name;
-  std::string Begin;
-  std::string Rest;
-
-  friend std::ostream &operator<<(std::ostream &out,
-                                  const EndlessResponse &it) {
-    return out << it.Name;
-  }
-};
-
-std::string many(const std::string &text) {
-  std::string out;
-  while (out.size() < 1024)
-    out += text;
-  return out;
-}
-
 std::string chunk(const std::string &bytes) {
   char size[24];
   std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
@@ -48,22 +29,22 @@
     "HTTP/1.1 503 Full\r\nX-Call: ID\r\nX-Not-Run: 1\r\n";
 
 const std::vector<EndlessResponse> Responses = {
-    {"no response", "", many("a")},
-    {"fields", Ok, many("X-A: a\r\n")},
-    {"informational responses", "", many("HTTP/1.1 100 Continue\r\n\r\n")},
-    {"a body", Ok + "\r\n", many("a")},
-    {"a body of chunks", Ok + Chunked + "\r\n", chunk(many("a"))},
-    {"a long body", Ok + "Content-Length: 99999999999\r\n\r\n", many("a")},
-    {"an extension of a chunk", Ok + Chunked + "\r\n5;", many("a")},
-    {"an event", Ok + Events + "\r\nid: 1\ndata: a\n\ndata: ", many("a")},
+    {"no response", "", repeated("a")},
+    {"fields", Ok, repeated("X-A: a\r\n")},
+    {"informational responses", "", repeated("HTTP/1.1 100 Continue\r\n\r\n")},
+    {"a body", Ok + "\r\n", repeated("a")},
+    {"a body of chunks", Ok + Chunked + "\r\n", chunk(repeated("a"))},
+    {"a long body", Ok + "Content-Length: 99999999999\r\n\r\n", repeated("a")},
+    {"an extension of a chunk", Ok + Chunked + "\r\n5;", repeated("a")},
+    {"an event", Ok + Events + "\r\nid: 1\ndata: a\n\ndata: ", repeated("a")},
     {"an event of chunks", Ok + Events + Chunked + "\r\n" + chunk("data: "),
-     chunk(many("a"))},
+     chunk(repeated("a"))},
     {"events", Ok + Events + Chunked + "\r\n",
-     chunk(many("id: 1\ndata: a\n\n"))},
-    {"a body that is dropped", NotRun + "\r\n", many("a")},
-    {"a failure", "HTTP/1.1 500 Bad\r\nX-Call: ID\r\n\r\n", many("a")},
+     chunk(repeated("id: 1\ndata: a\n\n"))},
+    {"a body that is dropped", NotRun + "\r\n", repeated("a")},
+    {"a failure", "HTTP/1.1 500 Bad\r\nX-Call: ID\r\n\r\n", repeated("a")},
     {"another call's body", "HTTP/1.1 200 OK\r\nX-Call: other\r\n\r\n",
-     many("a")},
+     repeated("a")},
 };
 
 std::string requestText(const std::string &path) {
@@ -75,21 +56,6 @@
          "\r\nX-Wait-Limit-Ms: " + std::to_string(WaitMs) + "\r\n\r\n";
 }
 
-ScriptedServer::Script scriptOf(const EndlessResponse &response) {
-  return [response](const std::string &request) {
-    std::string begin = response.Begin;
-    const std::size_t id = begin.find("ID");
-    if (id != std::string::npos)
-      begin.replace(id, 2, scriptedHeader(request, "X-Call"));
-    ScriptedResponse out;
-    if (!begin.empty())
-      out.Parts.push_back(begin);
-    out.Parts.push_back(response.Rest);
-    out.End = ScriptedEnd::Endless;
-    return out;
-  };
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(endless_responses)
@@ -101,7 +67,7 @@
                      response) {
   GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
   fixture.callUntil(200, "key");
-  ScriptedServer upstream(scriptOf(response));
+  ScriptedServer upstream(endlessly(response));
   for (int n = ReplicaCount; n >= 1; --n)
     fixture.Store.put(ResourceKind::Replicas, "r" + std::to_string(n),
                       upstream.address() + " ready");
