LibDecision: Take a stage beyond the last for the end only where the old version ends

Daemons of the own interface may have stages of different number, as these depend on the replicas that each knows: a stage beyond the last of one of them is an ordinary one of another.

--- a/Libraries/LibDecision/CanaryJudge.h
+++ b/Libraries/LibDecision/CanaryJudge.h
@@ -72,9 +72,8 @@
   /// The same on all routes together.
   double pooledEvidence() const;
 
-  /// The same as evidence() against a severely bad version since the stage
-  /// began; a few calls
-  /// are enough.
+  /// The same as evidence(), but against a severely bad version and since the
+  /// stage began; a few calls are enough.
   double stageEvidence(const RouteId &route) const;
 
   /// Calls of both versions on the route since the stage began.
--- a/Libraries/LibDecision/Rollout.cpp
+++ b/Libraries/LibDecision/Rollout.cpp
@@ -95,10 +95,11 @@
   const auto it = knowledge.Stages.find(Plan.New);
   StageRecord known =
       it == knowledge.Stages.end() ? StageRecord{0, now} : it->second;
-  // A stage beyond the last says that the rollout is done.
+  // Where the old version ends, a stage beyond the last says that the rollout
+  // is done.
   if (known.Stage > lastStage()) {
     known.Stage = lastStage();
-    if (State == RolloutState::Moving) {
+    if (Settings.EndsOldVersion && State == RolloutState::Moving) {
       State = RolloutState::Done;
       EndedAt = known.Since;
     }
