--- a/Libraries/LibBase/JsonList.cpp
+++ b/Libraries/LibBase/JsonList.cpp
@@ -125,11 +125,14 @@
     end = text.rfind(']', end - 1);
     if (end == std::string_view::npos || end < begin)
       break;
-    json envelope = parseJson(head + std::string(text.substr(end)));
+    json envelope =
+        json::parse(head + std::string(text.substr(end)), nullptr, false);
     const auto list =
         envelope.is_object() ? envelope.find(key) : envelope.end();
-    if (list != envelope.end() && list->is_array() && list->empty())
+    if (list != envelope.end() && list->is_array() && list->empty()) {
+      pruneJson(envelope);
       return ListBounds{begin, end, std::move(envelope)};
+    }
   }
   return std::nullopt;
 }
@@ -247,7 +250,7 @@
 }
 
 json parseJson(std::string_view text) {
-  json out = json::parse(text, nullptr, false);
+  json out = json::parse(text);
   pruneJson(out);
   return out;
 }
@@ -302,6 +305,14 @@
   return out;
 }
 
+std::optional<std::vector<JsonListEntry>>
+parseJsonArray(const std::string &text, const std::string &entryMember) {
+  auto list = parseJsonList(R"({"list":)" + text + "}", {"list", entryMember});
+  if (!list)
+    return std::nullopt;
+  return std::move(list->Entries);
+}
+
 std::optional<json> findJsonMember(std::string_view text,
                                    const std::string &key) {
   const std::string name = quoted(key);
--- a/Libraries/LibBase/JsonList.h
+++ b/Libraries/LibBase/JsonList.h
@@ -18,7 +18,7 @@
 void pruneJson(nlohmann::json &value, int levels = MaxJsonLevels);
 
 /// Parses a JSON text, with null in place of values that are nested too deeply.
-/// Returns a discarded value if it is malformed.
+/// Throws nlohmann::json::exception if it is malformed.
 nlohmann::json parseJson(std::string_view text);
 
 /// Decodes a CBOR text. Returns a discarded value, which has no members, if it
@@ -61,6 +61,10 @@
 std::optional<JsonList> parseJsonList(const std::string &text,
                                       const JsonListNames &names);
 
+/// The same for a text that is a list and nothing around it.
+std::optional<std::vector<JsonListEntry>>
+parseJsonArray(const std::string &text, const std::string &entryMember);
+
 /// Parses the value of the first member `key` in a text that can't be parsed as
 /// a whole. Returns nothing if there is none that can be parsed.
 std::optional<nlohmann::json> findJsonMember(std::string_view text,
--- a/Libraries/LibCloud/CloudNotices.cpp
+++ b/Libraries/LibCloud/CloudNotices.cpp
@@ -21,12 +21,11 @@
 }
 
 std::vector<ReclaimNotice> parseReclaimNotices(const std::string &text) {
-  const auto list =
-      parseJsonList(R"({"notices":)" + text + "}", {"notices", "sequence"});
+  const auto list = parseJsonArray(text, "sequence");
   if (!list)
     throw CloudUnavailable("the notices are not a JSON array");
   std::vector<ReclaimNotice> out;
-  for (const JsonListEntry &it : list->Entries) {
+  for (const JsonListEntry &it : *list) {
     try {
       out.push_back(parseNotice(it.Value.value_or(Json())));
     } catch (const Json::exception &error) {
@@ -35,7 +34,7 @@
     }
   }
   // The caller would ask again at once for what follows those that it knows.
-  if (out.empty() && !list->Entries.empty())
+  if (out.empty() && !list->empty())
     throw CloudUnavailable("all notices are malformed");
   return out;
 }
--- a/Libraries/LibDecision/CanaryJudge.cpp
+++ b/Libraries/LibDecision/CanaryJudge.cpp
@@ -262,22 +262,30 @@
   return nullptr;
 }
 
+/// The evidence since the judge started, by kind of bad call.
+std::array<double, 2>
+CanaryJudge::totalEvidence(const RouteState &routeState) const {
+  std::array<double, 2> out = routeState.TotalEvidence;
+  for (std::size_t n = 0; n < Reasons.size(); ++n)
+    out[n] += openEvidence(routeState, Reasons[n], marginOf(Reasons[n]));
+  return out;
+}
+
 double CanaryJudge::evidence(const RouteId &route) const {
   const RouteState *routeState = find(route);
   if (routeState == nullptr)
     return 0;
-  std::array<double, 2> out = routeState->TotalEvidence;
-  for (std::size_t n = 0; n < Reasons.size(); ++n)
-    out[n] += openEvidence(*routeState, Reasons[n], marginOf(Reasons[n]));
+  const std::array<double, 2> out = totalEvidence(*routeState);
   return std::min(out[0], out[1]);
 }
 
 double CanaryJudge::pooledEvidence() const {
   std::array<double, 2> sums{};
-  for (const RouteState &it : RouteStates)
+  for (const RouteState &it : RouteStates) {
+    const std::array<double, 2> ofRoute = totalEvidence(it);
     for (std::size_t n = 0; n < Reasons.size(); ++n)
-      sums[n] += it.TotalEvidence[n] +
-                 openEvidence(it, Reasons[n], marginOf(Reasons[n]));
+      sums[n] += ofRoute[n];
+  }
   return std::min(sums[0], sums[1]);
 }
 
--- a/Libraries/LibDecision/CanaryJudge.h
+++ b/Libraries/LibDecision/CanaryJudge.h
@@ -116,6 +116,7 @@
   double openEvidence(const RouteState &routeState, BadCallKind reason,
                       double margin) const;
   double marginOf(BadCallKind reason) const;
+  std::array<double, 2> totalEvidence(const RouteState &routeState) const;
   const RouteState *find(const RouteId &route) const;
 };
 
--- a/Libraries/LibHostList/HostList.cpp
+++ b/Libraries/LibHostList/HostList.cpp
@@ -50,12 +50,11 @@
 }
 
 std::vector<HostListEntry> parseHostList(const std::string &text) {
-  const auto list =
-      parseJsonList(R"({"hosts":)" + text + "}", {"hosts", "address"});
+  const auto list = parseJsonArray(text, "address");
   if (!list)
     throw HostListUnavailable("the host list is not a JSON array");
   std::vector<HostListEntry> out;
-  for (const JsonListEntry &it : list->Entries) {
+  for (const JsonListEntry &it : *list) {
     try {
       if (!it.Value)
         throw HostListUnavailable("it is not valid JSON: " +
--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -42,9 +42,6 @@
 using ClientConnectionPointer = std::shared_ptr<ClientConnection>;
 using SteadyInstant = std::chrono::steady_clock::time_point;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
-/// The most bytes that are read ahead. A chunk's size and its extensions, and
-/// the fields after the last chunk, must fit.
-constexpr std::size_t MaxBufferBytes = 64UL * 1024;
 constexpr int FirstFinalStatus = 200;
 const std::string KeepAliveTimeoutName = "timeout=";
 } // namespace
--- a/Libraries/LibHttp/AsyncHttpServer.cpp
+++ b/Libraries/LibHttp/AsyncHttpServer.cpp
@@ -14,9 +14,6 @@
 
 constexpr int ListenBacklog = 1024;
 constexpr std::size_t FirstReadBytes = 4096;
-/// The most bytes that are read ahead beyond the largest header. A chunk's size
-/// and its extensions, and the fields after the last chunk, must fit.
-constexpr std::size_t MaxBufferBytes = 64UL * 1024;
 /// HTTP/1.1, as Beast writes it.
 constexpr unsigned FirstVersionWithChunks = 11;
 constexpr Duration AcceptRetryDelay = milliseconds(50);
@@ -48,7 +45,7 @@
 using SharedState = AsyncHttpServer::SharedState;
 using RequestParser = http::request_parser<http::string_body>;
 
-/// Whether the end of the request's body can be told. The parser takes a
+/// Whether the end of the request's body is known. The parser takes a
 /// request with another transfer encoding to have no body, and what follows for
 /// the next request, which its client never sent as one.
 bool hasKnownEncoding(const RequestParser &parser) {
--- a/Libraries/LibHttp/BeastCommon.h
+++ b/Libraries/LibHttp/BeastCommon.h
@@ -13,6 +13,10 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
+/// The most bytes that are read ahead on a connection. A chunk's size and its
+/// extensions, and the fields after the last chunk, must fit.
+constexpr std::size_t MaxBufferBytes = 64UL * 1024;
+
 /// Parses "ip:port". Throws std::exception if it is malformed.
 Tcp::endpoint endpointOf(const std::string &address);
 
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -15,9 +15,6 @@
 constexpr std::size_t MaxIdlePerAddress = 32;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
 constexpr std::uint32_t MaxHeaderBytes = 32UL * 1024;
-/// The most bytes that are read ahead. A chunk's size and its extensions, and
-/// the fields after the last chunk, must fit.
-constexpr std::size_t MaxBufferBytes = 64UL * 1024;
 /// The largest body of a response that is kept as a whole.
 constexpr std::size_t MaxReplyBytes = 64UL * 1024 * 1024;
 /// The longest time for a response that goes on arriving.
--- a/Libraries/LibOperator/OperatorRequestsObject.cpp
+++ b/Libraries/LibOperator/OperatorRequestsObject.cpp
@@ -44,13 +44,17 @@
                                     " bytes");
 }
 
-void checkBounds(const OperatorRequests &requests) {
+void checkCount(const OperatorRequests &requests) {
   const std::size_t n = requests.Upstreams.size() + requests.Hosts.size() +
                         requests.TeamWeights.size();
   if (n > MaxOperatorRequests)
     throw OperatorRequestsMalformed("there are " + std::to_string(n) +
                                     " requests; the most is " +
                                     std::to_string(MaxOperatorRequests));
+}
+
+void checkBounds(const OperatorRequests &requests) {
+  checkCount(requests);
   const auto checkHolds = [](const auto &holds) {
     for (const auto &[id, hold] : holds) {
       checkText(id.text(), MaxNameBytes, "a name");
@@ -109,8 +113,7 @@
   checkBytes(body);
   OperatorRequests out;
   try {
-    json object = json::parse(body);
-    pruneJson(object);
+    const json object = parseJson(body);
     forEachElement(object.at("upstreams"), refused,
                    [&](const json &it) { addHold(out.Upstreams, it, "id"); });
     forEachElement(object.at("hosts"), refused,
@@ -121,7 +124,7 @@
     throw OperatorRequestsMalformed(
         std::string("the stored requests can't be read: ") + error.what());
   }
-  checkBounds(out);
+  checkCount(out);
   return out;
 }
 
--- a/Libraries/LibOperator/QuarantineObject.cpp
+++ b/Libraries/LibOperator/QuarantineObject.cpp
@@ -66,8 +66,7 @@
                               std::vector<std::string> *refused) {
   CrashKnowledge out;
   try {
-    json object = json::parse(body);
-    pruneJson(object);
+    const json object = parseJson(body);
     forEachElement(object.at("quarantines"), refused, [&](const json &it) {
       quarantineFromJson(out.Quarantines, it);
     });
--- a/Libraries/LibPeer/RolloutCodec.cpp
+++ b/Libraries/LibPeer/RolloutCodec.cpp
@@ -116,20 +116,23 @@
                                        json::error_handler_t::replace);
 }
 
-RolloutKnowledge decodeRolloutKnowledge(const std::string &text) {
-  const json from = parseJson(text);
-  if (from.is_discarded())
+static RolloutKnowledge decode(const std::string &text,
+                               std::vector<std::string> *refused) {
+  try {
+    return knowledgeFromJson(parseJson(text), refused);
+  } catch (const json::parse_error &) {
     throw RolloutKnowledgeMalformed("rollout knowledge is not valid JSON");
-  return rolloutFromJson(from);
+  }
+}
+
+RolloutKnowledge decodeRolloutKnowledge(const std::string &text) {
+  return decode(text, nullptr);
 }
 
 RolloutKnowledge
 decodeReadableRolloutKnowledge(const std::string &text,
                                std::vector<std::string> &refused) {
-  const json from = parseJson(text);
-  if (from.is_discarded())
-    throw RolloutKnowledgeMalformed("rollout knowledge is not valid JSON");
-  return knowledgeFromJson(from, &refused);
+  return decode(text, &refused);
 }
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/WorkTable.cpp
+++ b/Libraries/LibServing/WorkTable.cpp
@@ -16,20 +16,19 @@
   from = std::max<std::int64_t>(0, from - plausibleTokens(tokens));
 }
 
-UpstreamWork &WorkTable::at(const UpstreamId &id) {
+const std::shared_ptr<UpstreamWork> &WorkTable::at(const UpstreamId &id) {
   std::shared_ptr<UpstreamWork> &work = ByUpstream[id];
   if (!work)
     work = std::make_shared<UpstreamWork>();
-  return *work;
+  return work;
 }
 
 std::shared_ptr<const UpstreamWork> WorkTable::of(const UpstreamId &id) {
-  at(id);
-  return ByUpstream[id];
+  return at(id);
 }
 
 void WorkTable::noteSent(const UpstreamId &id, const CallCost &cost) {
-  OutstandingWork &own = at(id).Own;
+  OutstandingWork &own = at(id)->Own;
   ++own.Calls;
   own.PromptTokens += plausibleTokens(cost.PromptTokens);
   own.Tokens += plausibleTokens(cost.Tokens);
@@ -62,7 +61,7 @@
                          std::map<UpstreamId, OutstandingWork> open) {
   const auto known = Reported.try_emplace(peer).first;
   for (const WorkChange &it : changesOfWork(known->second, open)) {
-    OutstandingWork &peers = at(it.Upstream).Peers;
+    OutstandingWork &peers = at(it.Upstream)->Peers;
     peers = peers + it.Now - it.Before;
   }
   known->second = std::move(open);
--- a/Libraries/LibServing/WorkTable.h
+++ b/Libraries/LibServing/WorkTable.h
@@ -45,7 +45,7 @@
   void forgetIdle();
 
 private:
-  UpstreamWork &at(const UpstreamId &id);
+  const std::shared_ptr<UpstreamWork> &at(const UpstreamId &id);
 
   std::map<UpstreamId, std::shared_ptr<UpstreamWork>> ByUpstream;
   std::map<SourceId, std::map<UpstreamId, OutstandingWork>> Reported;
--- a/Services/sorrelbayd/UpstreamTable.cpp
+++ b/Services/sorrelbayd/UpstreamTable.cpp
@@ -52,8 +52,6 @@
     UpstreamState state;
     if (known != Upstreams.end())
       state = known->second;
-    else if (OpenCalls.count(id) != 0)
-      state.OwnOpenCalls = OpenCalls.at(id);
     state.Id = id;
     state.OfService = it.Service;
     state.OfVersion = it.Version;
@@ -117,7 +115,7 @@
   it->second.ReportedAt = load.ReportedAt;
   const std::uint64_t free =
       load.Capacity - std::min(load.Capacity, load.OpenStreams);
-  const auto own = static_cast<std::uint64_t>(it->second.OwnOpenCalls);
+  const auto own = static_cast<std::uint64_t>(openCallsAt(upstream));
   Capacities[upstream] =
       static_cast<std::uint32_t>(own) + ownShare(upstream, free);
   // A call that this daemon counts as open may have just ended at the engine,
@@ -167,10 +165,8 @@
   confirmation = Confirmation::NotNeeded;
   std::vector<UpstreamState> all;
   all.reserve(Upstreams.size());
-  for (const auto &it : Upstreams) {
-    all.push_back(it.second);
-    all.back().IsLeaving = isLeavingAt(it.first, at);
-  }
+  for (const auto &it : Upstreams)
+    all.push_back(currentState(it.second, at));
   PlacementChoice choice = Chooser.choose(all, request, at);
   if (!choice.Upstream)
     return choice;
@@ -228,13 +224,24 @@
 void UpstreamTable::countOpenCalls(const UpstreamId &upstream, int change) {
   int &open = OpenCalls[upstream];
   open = std::max(0, open + change);
-  const auto it = Upstreams.find(upstream);
-  if (it != Upstreams.end())
-    it->second.OwnOpenCalls = open;
   if (open == 0)
     OpenCalls.erase(upstream);
 }
 
+int UpstreamTable::openCallsAt(const UpstreamId &upstream) const {
+  const auto it = OpenCalls.find(upstream);
+  return it == OpenCalls.end() ? 0 : it->second;
+}
+
+/// The upstream's state with what is kept apart from the list of hosts.
+UpstreamState UpstreamTable::currentState(const UpstreamState &listed,
+                                          Instant at) const {
+  UpstreamState out = listed;
+  out.IsLeaving = isLeavingAt(listed.Id, at);
+  out.OwnOpenCalls = openCallsAt(listed.Id);
+  return out;
+}
+
 int UpstreamTable::callSlotsFor(const ServiceId &service) const {
   const std::lock_guard<std::mutex> lock(Mutex);
   const Instant at = now();
@@ -253,10 +260,8 @@
   const std::lock_guard<std::mutex> lock(Mutex);
   const Instant at = now();
   std::vector<UpstreamState> out;
-  for (const auto &it : Upstreams) {
-    out.push_back(it.second);
-    out.back().IsLeaving = isLeavingAt(it.first, at);
-  }
+  for (const auto &it : Upstreams)
+    out.push_back(currentState(it.second, at));
   return out;
 }
 
--- a/Services/sorrelbayd/UpstreamTable.h
+++ b/Services/sorrelbayd/UpstreamTable.h
@@ -92,6 +92,8 @@
                                  Confirmation &confirmation);
   bool isLeavingAt(const UpstreamId &upstream, Instant at) const;
   void countOpenCalls(const UpstreamId &upstream, int change);
+  int openCallsAt(const UpstreamId &upstream) const;
+  UpstreamState currentState(const UpstreamState &listed, Instant at) const;
   std::uint32_t ownShare(const UpstreamId &upstream, std::uint64_t free) const;
 
   const std::string OwnAddress;
--- a/Tests/LibServing/TestUsualFirstByte.cpp
+++ b/Tests/LibServing/TestUsualFirstByte.cpp
@@ -36,7 +36,7 @@
   }
 }
 
-// A few calls that wait very long, or of which no time can be told, do not
+// A few calls that wait very long, or whose time is not known, do not
 // change what is usual.
 BOOST_AUTO_TEST_CASE(single_calls_change_little) {
   UsualFirstByte usual;
--- a/Tests/sorrelbayd/TestEndlessResponses.cpp
+++ b/Tests/sorrelbayd/TestEndlessResponses.cpp
@@ -61,8 +61,8 @@
 BOOST_AUTO_TEST_SUITE(endless_responses)
 
 // A faulty upstream sends bytes until its connection is closed. Its caller must
-// be told in time, must not take what has arrived for a whole response, and the
-// upstream must not go on sending.
+// get a response in time, must not take what has arrived for a whole response,
+// and the upstream must not go on sending.
 BOOST_DATA_TEST_CASE(a_call_ends_by_its_deadline, data::make(Responses),
                      response) {
   GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
--- a/Tests/sorrelbayd/TestResponseEnds.cpp
+++ b/Tests/sorrelbayd/TestResponseEnds.cpp
@@ -429,7 +429,7 @@
 
 // A faulty upstream adds a 503 that names no call to a complete response. It
 // arrives where the response to the next call on the connection is expected,
-// which runs: its caller would be told that it has not.
+// which runs: its caller would get a response that says that it has not.
 BOOST_AUTO_TEST_CASE(an_added_response_is_not_taken_for_the_next_one) {
   GatewayFixture fixture(KeyRemoval, Grace, RetryShare);
   fixture.callUntil(200, "key");
