LibServing, sorrelbayd: Let calls wait for a place as long as their callers do

What callers saw: a call for a desk was refused after an eighth of its route's latency target (15 ms of 120) although its caller had a second, and a caller that came back after a refusal went before others with the same time left, with a position that had been reserved for half of a target.

Cause: the queue's waits and order followed targets and what had been refused, not the time that callers have.

Change: a call waits while its response can still come within its caller's time: deadline less the time within which nearly all responses come (mean and two deviations). On arrival it is refused if the wait ahead, with its spread, does not allow that; later as soon as its turn is expected too late, by a review of all turns that looks at ten calls a millisecond at most. Reservations are gone. Repeats and relayed calls ask for a place like any other call. The queue is bounded by calls (1,000) and by the memory of their bodies (32 MB). An add or a start no longer looks at all waiting calls. The limit of open calls no longer knows the target: a response beyond what nearly all before it took does not raise it. 0.7 is the reduction of RFC 9438.

--- a/Libraries/LibDecision/FairQueue.cpp
+++ b/Libraries/LibDecision/FairQueue.cpp
@@ -83,6 +83,32 @@
   return std::nullopt;
 }
 
+std::optional<QueuedCall> FairQueue::pop() {
+  if (Levels.empty())
+    return std::nullopt;
+  const auto highest = Levels.begin();
+  const QueuedCall call = takeFront(highest->second);
+  if (highest->second.Calls == 0)
+    Levels.erase(highest);
+  return call;
+}
+
+bool FairQueue::removeLast(const TeamId &team, int priority) {
+  const auto level = Levels.find(priority);
+  if (level == Levels.end())
+    return false;
+  const auto found = level->second.Teams.find(team);
+  if (found == level->second.Teams.end() || found->second.Calls.empty())
+    return false;
+  TeamQueue &queue = found->second;
+  queue.Cost -= queue.Calls.back().Cost;
+  queue.Calls.pop_back();
+  --Size;
+  if (--level->second.Calls == 0)
+    Levels.erase(level);
+  return true;
+}
+
 std::vector<QueuedCall>
 FairQueue::removeIf(const std::function<bool(const QueuedCall &)> &predicate) {
   std::vector<QueuedCall> removed;
--- a/Libraries/LibDecision/FairQueue.h
+++ b/Libraries/LibDecision/FairQueue.h
@@ -43,6 +43,11 @@
   std::optional<QueuedCall>
   pop(const std::function<bool(const QueuedCall &)> &shouldSkip,
       std::vector<QueuedCall> &skipped);
+  /// Dequeues the next call.
+  std::optional<QueuedCall> pop();
+  /// Removes the team's last call of that priority, without a charge to the
+  /// team. Returns false if there is none.
+  bool removeLast(const TeamId &team, int priority);
   /// Removes a call by its id. Returns nothing if the call is not queued.
   std::optional<QueuedCall> remove(std::uint64_t id);
   /// Removes every call that matches the predicate and returns them in
--- a/Libraries/LibServing/CallQueue.cpp
+++ b/Libraries/LibServing/CallQueue.cpp
@@ -1,18 +1,16 @@
 #include "LibServing/CallQueue.h"
 #include <algorithm>
-#include <tuple>
+#include <cmath>
 
 namespace sorrelbay {
 
-/// The part of its latency target that a call may wait: the rest is needed for
-/// the response, and a caller that is refused must learn it early.
-static constexpr int WaitDivisor = 8;
-/// A reservation is kept for this part of the latency target after the time to
-/// return: callers that return at all have done so by then.
-static constexpr int ReservationDivisor = 2;
-/// Reservations for each call that the queue may hold. Beyond them, callers get
-/// the time of the last one.
-static constexpr std::size_t MaxReservationFactor = 8;
+/// Calls that a review of all turns may look at in each millisecond, which
+/// bounds its cost.
+static constexpr std::size_t ReviewedCallsPerMs = 10;
+static constexpr Duration MinReviewInterval = milliseconds(10);
+/// A call is added only if the wait exceeds its caller's time in few cases:
+/// before that, its caller can still ask another host.
+static constexpr double WaitDeviations = 2;
 
 const char *toText(WaitRefusalCause cause) {
   switch (cause) {
@@ -28,16 +26,14 @@
   return "timed_out";
 }
 
-/// The target, or the time until the deadline if there is none.
-static Duration targetOf(const WaitingCall &call) {
-  return call.Target > Duration::zero() ? call.Target
-                                        : call.Deadline - call.ArrivedAt;
-}
-
 CallQueue::Group CallQueue::groupOf(const WaitingCall &call) {
   return {call.Priority, call.OfTeam};
 }
 
+CallQueue::Position CallQueue::positionOf(const WaitingCall &call) {
+  return {call.Deadline, call.Id};
+}
+
 /// The fair queue serves higher priorities first.
 QueuedCall CallQueue::turnOf(const Group &group, std::uint64_t id) {
   QueuedCall turn;
@@ -49,29 +45,34 @@
 
 void CallQueue::setWeights(std::map<TeamId, int> weights) {
   Turns.setWeights(weights);
-  Reserved.setWeights(weights);
   Weights = std::move(weights);
 }
 
-void CallQueue::setPace(Duration startInterval, Duration responseTime) {
-  StartInterval = startInterval;
-  ResponseTime = responseTime;
-}
-
-Instant CallQueue::startBy(const WaitingCall &call) const {
-  return std::min(call.ArrivedAt + targetOf(call) / WaitDivisor,
-                  call.Deadline - ResponseTime);
+Instant CallQueue::startBy(Instant deadline) const {
+  return deadline - Pace.ResponseTime;
 }
 
 /// The calls that would start before this one if none arrived after it.
-double CallQueue::callsAhead(const Entry &entry) const {
-  const Group group = groupOf(entry.Call);
-  double ahead = Turns.costAhead(turnOf(group, entry.Call.Id));
+double CallQueue::callsAhead(const WaitingCall &call) const {
+  const Group group = groupOf(call);
+  const double ahead = Turns.costAhead(turnOf(group, call.Id));
   const auto own = Waiting.find(group);
-  if (own != Waiting.end())
-    ahead -= static_cast<double>(
-        std::distance(own->second.upper_bound(entry), own->second.end()));
-  return ahead;
+  if (own == Waiting.end())
+    return ahead;
+  const auto behind = own->second.upper_bound(positionOf(call));
+  return ahead - static_cast<double>(std::distance(behind, own->second.end()));
+}
+
+/// On average, half of the interval has passed since the last start.
+Duration CallQueue::meanWait(double callsAhead) const {
+  return fromSeconds(toSeconds(Pace.StartInterval) * (callsAhead + 0.5));
+}
+
+/// The deviations of independent intervals add up by their squares.
+Duration CallQueue::longestWait(double callsAhead) const {
+  return meanWait(callsAhead) +
+         fromSeconds(WaitDeviations * toSeconds(Pace.StartDeviation) *
+                     std::sqrt(callsAhead + 1));
 }
 
 /// The calls of the group, relative to its team's weight.
@@ -90,10 +91,10 @@
   if (Waiting.empty())
     return std::nullopt;
   Group longest = Waiting.rbegin()->first;
-  for (const auto &[group, calls] : Waiting)
-    if (group.Priority == longest.Priority &&
-        lengthOf(group) > lengthOf(longest))
-      longest = group;
+  for (auto it = Waiting.rbegin();
+       it != Waiting.rend() && it->first.Priority == longest.Priority; ++it)
+    if (lengthOf(it->first) > lengthOf(longest))
+      longest = it->first;
   if (arriving.Priority < longest.Priority)
     return longest;
   const bool isShorter = arriving.Priority == longest.Priority &&
@@ -101,28 +102,39 @@
   return isShorter ? std::optional(longest) : std::nullopt;
 }
 
+bool CallQueue::hasRoom(std::size_t calls, std::size_t bytes) const {
+  return calls <= Limits.MaxCalls && bytes <= Limits.MaxBytes;
+}
+
+/// The call whose position the arriving call may take in a full queue.
+std::optional<WaitingCall>
+CallQueue::callToDisplace(const WaitingCall &arriving) const {
+  const auto group = groupToDisplace(groupOf(arriving));
+  if (!group)
+    return std::nullopt;
+  const WaitingCall &last = Calls.at(Waiting.at(*group).rbegin()->second);
+  if (!hasRoom(size(), Bytes - last.Bytes + arriving.Bytes))
+    return std::nullopt;
+  return last;
+}
+
 std::vector<WaitRefusal> CallQueue::add(const WaitingCall &call, Instant now) {
-  forgetReservations(now);
-  const Group group = groupOf(call);
-  Entry entry;
-  entry.Call = call;
-  entry.StartBy = startBy(call);
-  entry.IsReturning = takeReservation(group, now);
-  // On average, half of the interval has passed since the last start.
-  const Duration wait =
-      fromSeconds(toSeconds(StartInterval) * (callsAhead(entry) + 0.5));
-  if (now + wait > entry.StartBy)
-    return {refusal(entry, WaitRefusalCause::Hopeless, now)};
+  const Duration wait = longestWait(callsAhead(call));
+  if (now + wait > startBy(call.Deadline))
+    return {refusal(call, WaitRefusalCause::Hopeless)};
   std::vector<WaitRefusal> out;
-  if (size() >= MaxCalls) {
-    const auto displaced = groupToDisplace(group);
+  if (!hasRoom(size() + 1, Bytes + call.Bytes)) {
+    const auto displaced = callToDisplace(call);
     if (!displaced)
-      return {refusal(entry, WaitRefusalCause::Full, now)};
-    const auto from = Waiting.find(*displaced);
-    const Entry removed = take(from, std::prev(from->second.end()));
-    out.push_back(refusal(removed, WaitRefusalCause::Displaced, now));
+      return {refusal(call, WaitRefusalCause::Full)};
+    out.push_back(refusal(*displaced, WaitRefusalCause::Displaced));
+    remove(displaced->Id);
   }
-  Waiting[group].insert(entry);
+  const Group group = groupOf(call);
+  Waiting[group].insert(positionOf(call));
+  ByDeadline.insert(positionOf(call));
+  Calls.emplace(call.Id, call);
+  Bytes += call.Bytes;
   Turns.push(turnOf(group, call.Id));
   // The call may have taken the turn of one that now can't start in time.
   const std::vector<WaitRefusal> late = expire(now);
@@ -131,144 +143,103 @@
 }
 
 std::optional<StartedCall> CallQueue::start(Instant now) {
-  std::vector<QueuedCall> skipped;
-  const auto turn =
-      Turns.pop([](const QueuedCall &) { return false; }, skipped);
+  const auto turn = Turns.pop();
   if (!turn)
     return std::nullopt;
   const auto group = Waiting.find({-turn->Priority, turn->OfTeam});
-  const WaitingCall call = group->second.begin()->Call;
+  const auto found = Calls.find(group->second.begin()->second);
+  const WaitingCall call = found->second;
   group->second.erase(group->second.begin());
   if (group->second.empty())
     Waiting.erase(group);
+  ByDeadline.erase(positionOf(call));
+  Bytes -= call.Bytes;
+  Calls.erase(found);
   return StartedCall{call.Id, now - call.ArrivedAt};
 }
 
 std::vector<WaitRefusal> CallQueue::expire(Instant now) {
-  std::vector<std::pair<Entry, WaitRefusalCause>> late;
+  std::vector<WaitRefusal> out;
+  while (!ByDeadline.empty() && startBy(ByDeadline.begin()->first) < now)
+    out.push_back(
+        removeLate(ByDeadline.begin()->second, WaitRefusalCause::TimedOut));
+  if (now < ReviewAt)
+    return out;
+  const auto interval =
+      milliseconds(static_cast<std::int64_t>(size() / ReviewedCallsPerMs));
+  ReviewAt = now + std::max<Duration>(MinReviewInterval, interval);
+  for (const std::uint64_t id : hopelessCalls(now))
+    out.push_back(removeLate(id, WaitRefusalCause::Hopeless));
+  return out;
+}
+
+/// The calls whose turn is expected to come too late. Their places are given to
+/// those behind them.
+std::vector<std::uint64_t> CallQueue::hopelessCalls(Instant now) const {
+  std::vector<std::uint64_t> late;
   FairQueue turns = Turns;
-  std::map<Group, Calls::const_iterator> next;
-  std::vector<QueuedCall> skipped;
-  const auto neverSkip = [](const QueuedCall &) { return false; };
+  std::map<Group, Positions::const_iterator> next;
   Instant startsAt = now;
-  while (const auto turn = turns.pop(neverSkip, skipped)) {
+  while (const auto turn = turns.pop()) {
     const Group group{-turn->Priority, turn->OfTeam};
     const auto at = next.try_emplace(group, Waiting.at(group).begin()).first;
-    const Entry &entry = *at->second++;
-    if (startsAt <= entry.StartBy) {
-      startsAt += StartInterval;
-      continue;
-    }
-    late.emplace_back(entry, now > entry.StartBy ? WaitRefusalCause::TimedOut
-                                                 : WaitRefusalCause::Hopeless);
+    const Position &position = *at->second++;
+    if (startsAt <= startBy(position.first))
+      startsAt += Pace.StartInterval;
+    else
+      late.push_back(position.second);
   }
-  std::vector<WaitRefusal> out;
-  for (const auto &[entry, cause] : late) {
-    const auto group = Waiting.find(groupOf(entry.Call));
-    take(group, group->second.find(entry));
-    out.push_back(refusal(entry, cause, now));
-  }
-  return out;
+  return late;
 }
 
 std::optional<Instant> CallQueue::nextExpiry() const {
-  std::optional<Instant> first;
-  for (const auto &[group, calls] : Waiting)
-    for (const Entry &it : calls)
-      first = std::min(first.value_or(it.StartBy), it.StartBy);
-  return first;
+  if (ByDeadline.empty())
+    return std::nullopt;
+  return std::min(startBy(ByDeadline.begin()->first), ReviewAt);
 }
 
 bool CallQueue::remove(std::uint64_t id) {
-  for (auto group = Waiting.begin(); group != Waiting.end(); ++group)
-    for (auto it = group->second.begin(); it != group->second.end(); ++it)
-      if (it->Call.Id == id) {
-        take(group, it);
-        return true;
-      }
-  return false;
+  const auto found = Calls.find(id);
+  if (found == Calls.end())
+    return false;
+  const Group group = groupOf(found->second);
+  const Position position = positionOf(found->second);
+  const auto own = Waiting.find(group);
+  own->second.erase(position);
+  if (own->second.empty())
+    Waiting.erase(own);
+  ByDeadline.erase(position);
+  Bytes -= found->second.Bytes;
+  Calls.erase(found);
+  // All turns of a group are alike.
+  Turns.removeLast(group.OfTeam, -group.Priority);
+  return true;
+}
+
+WaitRefusal CallQueue::removeLate(std::uint64_t id, WaitRefusalCause cause) {
+  const WaitingCall call = Calls.at(id);
+  remove(id);
+  return refusal(call, cause);
 }
 
 std::vector<WaitRefusal> CallQueue::removeAll() {
   std::vector<WaitRefusal> out;
-  for (const auto &[group, calls] : Waiting)
-    for (const Entry &it : calls)
-      out.push_back({it.Call.Id, WaitRefusalCause::Hopeless, {}});
+  for (const auto &[deadline, id] : ByDeadline)
+    out.push_back({id, WaitRefusalCause::Hopeless, {}});
   Waiting.clear();
+  ByDeadline.clear();
+  Calls.clear();
+  Bytes = 0;
   Turns.removeIf([](const QueuedCall &) { return true; });
   return out;
 }
 
-/// Removes a waiting call and one of its group's turns.
-CallQueue::Entry CallQueue::take(std::map<Group, Calls>::iterator group,
-                                 Calls::iterator call) {
-  dropTurn(group->first);
-  Entry taken = std::move(group->second.extract(call).value());
-  if (group->second.empty())
-    Waiting.erase(group);
-  return taken;
-}
-
-/// Removes one turn of the group; which one makes no difference.
-void CallQueue::dropTurn(const Group &group) {
-  bool isDropped = false;
-  Turns.removeIf([&](const QueuedCall &it) {
-    const bool isMatch = !isDropped && it.OfTeam == group.OfTeam &&
-                         it.Priority == -group.Priority;
-    isDropped = isDropped || isMatch;
-    return isMatch;
-  });
-}
-
-/// Refuses the call and reserves a position for the time when its turn would
-/// come.
-WaitRefusal CallQueue::refusal(const Entry &entry, WaitRefusalCause cause,
-                               Instant now) {
-  if (StartInterval == Duration::zero())
-    return {entry.Call.Id, cause, {}};
-  const Group group = groupOf(entry.Call);
-  const std::uint64_t id = ++LastReservation;
-  const QueuedCall turn = turnOf(group, id);
-  const double ahead = callsAhead(entry) + Reserved.costAhead(turn);
-  const Duration returnAfter =
-      fromSeconds(toSeconds(StartInterval) * (ahead + 1));
-  if (Reserved.size() < MaxReservationFactor * MaxCalls) {
-    Reserved.push(turn);
-    const Instant dueAt = now + returnAfter;
-    Reservations[group].push_back(
-        {id, dueAt, dueAt + targetOf(entry.Call) / ReservationDivisor});
-  }
-  return {entry.Call.Id, cause, returnAfter};
-}
-
-/// Whether a position was reserved for a call of the group that arrives now;
-/// the reservation is used up.
-bool CallQueue::takeReservation(const Group &group, Instant now) {
-  const auto found = Reservations.find(group);
-  if (found == Reservations.end())
-    return false;
-  const auto first = std::min_element(
-      found->second.begin(), found->second.end(),
-      [](const auto &a, const auto &b) { return a.DueAt < b.DueAt; });
-  if (first->DueAt > now)
-    return false;
-  Reserved.remove(first->Id);
-  found->second.erase(first);
-  if (found->second.empty())
-    Reservations.erase(found);
-  return true;
-}
-
-void CallQueue::forgetReservations(Instant now) {
-  for (auto it = Reservations.begin(); it != Reservations.end();) {
-    std::vector<Reservation> &all = it->second;
-    const auto ended = std::partition(
-        all.begin(), all.end(), [&](const auto &r) { return r.EndsAt > now; });
-    for (auto r = ended; r != all.end(); ++r)
-      Reserved.remove(r->Id);
-    all.erase(ended, all.end());
-    it = all.empty() ? Reservations.erase(it) : std::next(it);
-  }
+/// Refuses the call until its turn would come.
+WaitRefusal CallQueue::refusal(const WaitingCall &call,
+                               WaitRefusalCause cause) const {
+  if (Pace.StartInterval == Duration::zero())
+    return {call.Id, cause, {}};
+  return {call.Id, cause, meanWait(callsAhead(call) + 0.5)};
 }
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/CallQueue.h
+++ b/Libraries/LibServing/CallQueue.h
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -20,20 +21,20 @@
   Instant ArrivedAt{};
   /// When its caller no longer needs the response.
   Instant Deadline{};
-  /// The route's latency target; zero if it has none.
-  Duration Target{};
+  /// The memory that it takes while it waits.
+  std::size_t Bytes = 0;
 };
 
 /// Why a call does not wait, or no longer does.
 enum class WaitRefusalCause {
   /// The queue holds as many calls as it may.
   Full,
-  /// It could not start in time.
+  /// Its turn comes too late for a response within its caller's time.
   Hopeless,
   /// A more urgent call, or one of a team with fewer calls, took its position
   /// in a full queue.
   Displaced,
-  /// It has waited as long as it may.
+  /// Its caller's time no longer suffices for a response.
   TimedOut,
 };
 
@@ -52,22 +53,33 @@
   Duration Waited{};
 };
 
+/// How fast waiting calls start and are answered. Zero stands for not known, in
+/// which case calls are taken to be in time.
+struct QueuePace {
+  /// The mean time between two starts, and its mean deviation.
+  Duration StartInterval{};
+  Duration StartDeviation{};
+  /// The time from a start within which nearly all responses come.
+  Duration ResponseTime{};
+};
+
+struct CallQueueLimits {
+  std::size_t MaxCalls = 0;
+  /// Most memory that the waiting calls may take together.
+  std::size_t MaxBytes = 0;
+};
+
 /// A bounded queue of calls, ordered by priority, then by team with weights,
-/// then by deadline. A call waits at most an eighth of its latency target and
-/// only as long as its response can still meet its deadline; it is refused as
-/// soon as it is known that this does not suffice. The time to return that it
-/// is refused with reserves a position for its team and priority: a call of
-/// theirs that arrives then goes before those that have not been refused.
-/// Not thread-safe.
+/// then by the time that is left to start them. A call waits as long as its
+/// response can still come within its caller's time, and is refused as soon as
+/// it is known that it can't. Not thread-safe.
 class CallQueue {
 public:
-  explicit CallQueue(std::size_t maxCalls) : MaxCalls(maxCalls) {}
+  explicit CallQueue(CallQueueLimits limits) : Limits(limits) {}
 
   /// Weights of teams; 1 for the others.
   void setWeights(std::map<TeamId, int> weights);
-  /// Sets the mean time between two starts, and from a start to its response;
-  /// zero if they are not known, in which case calls are taken to be in time.
-  void setPace(Duration startInterval, Duration responseTime);
+  void setPace(const QueuePace &pace) { Pace = pace; }
 
   /// Adds a call, or refuses it or another one.
   std::vector<WaitRefusal> add(const WaitingCall &call, Instant now);
@@ -80,12 +92,10 @@
   std::optional<Instant> nextExpiry() const;
   /// Removes a call whose caller has left. Returns false if it does not wait.
   bool remove(std::uint64_t id);
-  /// Removes all calls, without reserving positions.
   std::vector<WaitRefusal> removeAll();
 
-  std::size_t size() const { return Turns.size(); }
-  /// Positions that are reserved for callers that were refused.
-  std::size_t reserved() const { return Reserved.size(); }
+  std::size_t size() const { return Calls.size(); }
+  std::size_t bytes() const { return Bytes; }
 
 private:
   struct Group {
@@ -96,48 +106,37 @@
       return std::tie(a.Priority, a.OfTeam) < std::tie(b.Priority, b.OfTeam);
     }
   };
-  struct Entry {
-    /// A position was reserved for it.
-    bool IsReturning = false;
-    WaitingCall Call;
-    Instant StartBy{};
-
-    friend bool operator<(const Entry &a, const Entry &b) {
-      return std::make_tuple(!a.IsReturning, a.Call.Deadline, a.Call.Id) <
-             std::make_tuple(!b.IsReturning, b.Call.Deadline, b.Call.Id);
-    }
-  };
-  struct Reservation {
-    std::uint64_t Id = 0;
-    Instant DueAt{};
-    Instant EndsAt{};
-  };
-  using Calls = std::set<Entry>;
+  /// All calls of a queue need the same time for their response, so that the
+  /// earliest deadline leaves the least time to start.
+  using Position = std::pair<Instant, std::uint64_t>;
+  using Positions = std::set<Position>;
 
   static Group groupOf(const WaitingCall &call);
+  static Position positionOf(const WaitingCall &call);
   static QueuedCall turnOf(const Group &group, std::uint64_t id);
-  Instant startBy(const WaitingCall &call) const;
-  double callsAhead(const Entry &entry) const;
+  Instant startBy(Instant deadline) const;
+  double callsAhead(const WaitingCall &call) const;
+  Duration meanWait(double callsAhead) const;
+  Duration longestWait(double callsAhead) const;
+  bool hasRoom(std::size_t calls, std::size_t bytes) const;
   std::optional<Group> groupToDisplace(const Group &arriving) const;
+  std::optional<WaitingCall> callToDisplace(const WaitingCall &arriving) const;
   double lengthOf(const Group &group) const;
-  bool takeReservation(const Group &group, Instant now);
-  void forgetReservations(Instant now);
-  WaitRefusal refusal(const Entry &entry, WaitRefusalCause cause, Instant now);
-  void dropTurn(const Group &group);
-  Entry take(std::map<Group, Calls>::iterator group, Calls::iterator call);
+  WaitRefusal refusal(const WaitingCall &call, WaitRefusalCause cause) const;
+  WaitRefusal removeLate(std::uint64_t id, WaitRefusalCause cause);
+  std::vector<std::uint64_t> hopelessCalls(Instant now) const;
 
-  std::size_t MaxCalls;
+  const CallQueueLimits Limits;
   std::map<TeamId, int> Weights;
-  Duration StartInterval{};
-  Duration ResponseTime{};
-  std::map<Group, Calls> Waiting;
+  QueuePace Pace;
+  std::unordered_map<std::uint64_t, WaitingCall> Calls;
+  std::size_t Bytes = 0;
+  std::map<Group, Positions> Waiting;
+  Positions ByDeadline;
   /// One turn for each waiting call, which decides between groups only.
   FairQueue Turns{1};
-  /// One turn for each reservation, so that a team's refused calls delay the
-  /// times to return of other teams no more than its waiting calls would.
-  FairQueue Reserved{1};
-  std::map<Group, std::vector<Reservation>> Reservations;
-  std::uint64_t LastReservation = 0;
+  /// When the turns of all calls are looked at again.
+  Instant ReviewAt{};
 };
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/PlaceLimit.cpp
+++ b/Libraries/LibServing/PlaceLimit.cpp
@@ -3,14 +3,12 @@
 
 namespace sorrelbay {
 
-/// Factor by which a rejection lowers the limit. A third is enough: the calls
-/// that were sent before the reduction do not count again.
+/// Factor by which a rejection lowers the limit, as CUBIC does (RFC 9438). The
+/// calls that were sent before the reduction do not count again.
 static constexpr double ReductionFactor = 0.7;
 /// Weight of a new value in the means of open calls, which are sampled four
 /// times a second, so that they cover about two seconds.
 static constexpr double CallsWeight = 0.125;
-/// Weight of a response in the mean response time.
-static constexpr double ResponseWeight = 0.1;
 
 void PlaceLimit::updateShare(const PlaceShare &share) {
   Slots = std::max(1, share.Slots);
@@ -33,14 +31,11 @@
   return true;
 }
 
-void PlaceLimit::noteResponse(Duration took, Duration target, int open) {
-  ResponseTime =
-      ResponseTime == Duration::zero()
-          ? took
-          : ResponseTime +
-                fromSeconds(ResponseWeight * toSeconds(took - ResponseTime));
-  const bool isLate = target > Duration::zero() && took > target;
-  if (isLate || open < limit())
+void PlaceLimit::noteResponse(Duration took, int open) {
+  const bool isSlow =
+      ResponseTime.isKnown() && toSeconds(took) > ResponseTime.upperBound();
+  ResponseTime.note(toSeconds(took));
+  if (isSlow || open < limit())
     return;
   // Up to this host's part the limit recovers at once; beyond it, by one call
   // per round of responses.
@@ -50,6 +45,10 @@
 
 int PlaceLimit::limit() const { return std::max(1, static_cast<int>(Limit)); }
 
-Duration PlaceLimit::startInterval() const { return ResponseTime / limit(); }
+Duration PlaceLimit::startInterval() const { return responseTime() / limit(); }
+
+Duration PlaceLimit::startDeviation() const {
+  return fromSeconds(ResponseTime.deviation()) / limit();
+}
 
 } // namespace sorrelbay
--- a/Libraries/LibServing/PlaceLimit.h
+++ b/Libraries/LibServing/PlaceLimit.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibBase/Time.h"
+#include "LibLoad/RunningEstimate.h"
 
 namespace sorrelbay {
 
@@ -30,16 +31,21 @@
   /// lower it again.
   bool noteRejected(Instant sentAt, Instant now);
   /// An upstream responded within that time while `open` calls of this host,
-  /// including this one, were open. A response later than the target, if there
-  /// is one, does not raise the limit.
-  void noteResponse(Duration took, Duration target, int open);
+  /// including this one, were open. A response that took longer than nearly all
+  /// before it does not raise the limit: the upstream has kept it waiting.
+  void noteResponse(Duration took, int open);
 
   int limit() const;
   /// The mean time from sending a call to its response; zero until known.
-  Duration responseTime() const { return ResponseTime; }
-  /// The mean time between two starts of calls while the limit is used up; zero
-  /// until known.
+  Duration responseTime() const { return fromSeconds(ResponseTime.mean()); }
+  /// The time within which nearly all responses come; zero until known.
+  Duration longestResponseTime() const {
+    return fromSeconds(ResponseTime.upperBound());
+  }
+  /// The mean time between two starts of calls while the limit is used up, and
+  /// its mean deviation; zero until known.
   Duration startInterval() const;
+  Duration startDeviation() const;
 
 private:
   /// This host's part of the slots, with fractions.
@@ -49,7 +55,8 @@
   /// Means over the last few updates.
   double OwnCalls = 0;
   double AllCalls = 0;
-  Duration ResponseTime{};
+  /// In seconds.
+  RunningEstimate ResponseTime;
   Instant ReducedAt{};
 };
 
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -8,6 +8,7 @@
 #include "LibServing/CallFingerprint.h"
 #include "QuarantineLog.h"
 #include <algorithm>
+#include <utility>
 
 namespace sorrelbay {
 
@@ -271,22 +272,22 @@
 }
 
 /// Whether the call waits until this host may have another one open at the
-/// service's upstreams, or is refused because that takes too long. A call asks
-/// once, before it is sent; relayed calls and repeats do not wait.
+/// service's upstreams, or is refused because that takes too long. A response
+/// of which the caller has a part is not made to wait.
 bool GatewayCall::waitsForPlace() {
-  if (HasAskedForPlace || Relayed || RetryState->sends() != 0)
+  if (std::exchange(HasPlace, false) || Response.hasBegun())
     return false;
-  HasAskedForPlace = true;
   PlaceRequest request;
   request.Service = Service;
   request.Call.OfTeam = Identity.teamName();
   request.Call.Priority = Upstreams->priority();
-  request.Call.ArrivedAt = ReceivedAt;
+  request.Call.ArrivedAt = bootNow();
   request.Call.Deadline = RetryState->deadline();
-  request.Call.Target = Identity.Route->LatencyTarget;
+  request.Call.Bytes = Exchange->request().Body.size();
   request.OnStart = [self = shared_from_this()](Duration waited) {
     self->WaitId.reset();
-    self->Waited = waited;
+    self->HasPlace = true;
+    self->Waited += waited;
     self->trySend();
   };
   request.OnRefused = [self = shared_from_this()](const char *cause,
@@ -297,16 +298,13 @@
   return WaitId.has_value();
 }
 
-/// The call was not sent. The time to return is exact, because a position is
-/// reserved for it.
+/// The call has not been sent, or not again.
 void GatewayCall::onWaitRefused(const char *cause, Duration returnAfter) {
   if (IsDone)
     return;
   WaitId.reset();
   Waited = bootNow() - ReceivedAt;
-  if (returnAfter == Duration::zero())
-    return finishLocally(cause);
-  refuse(Unavailable, cause, jitteredRetryAfter(returnAfter, Duration::zero()));
+  finishLocally(cause, returnAfter);
 }
 
 void GatewayCall::leaveQueue() {
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -109,9 +109,9 @@
   CallSend CurrentSend;
   CallResponse Response;
   bool IsOpen = false;
-  /// Whether the call has asked for a place at the upstreams, and its id there
-  /// while it waits for one.
-  bool HasAskedForPlace = false;
+  /// Whether the call has a place at the upstreams for its next send, and its
+  /// id there while it waits for one.
+  bool HasPlace = false;
   std::optional<std::uint64_t> WaitId;
   Duration Waited{};
   bool IsDone = false;
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -9,11 +9,11 @@
 static constexpr double MinSeconds = 0.1;
 /// A larger reserve has no effect: at most half of a burst is reserved.
 static constexpr double MaxReserveSeconds = 60;
-/// A host that starts one call every two milliseconds can serve this many in a
-/// wait of 128 ms, an eighth of a target of about a second.
-static constexpr std::int64_t DefaultWaitingCalls = 64;
-/// Each start looks at all waiting calls.
-static constexpr std::int64_t MaxWaitingCalls = 1024;
+static constexpr std::int64_t DefaultWaitingCalls = 1000;
+static constexpr std::int64_t MaxWaitingCalls = 10000;
+static constexpr std::int64_t BytesPerMegabyte = 1000 * 1000;
+static constexpr std::int64_t DefaultWaitingMegabytes = 32;
+static constexpr std::int64_t MaxWaitingMegabytes = 4096;
 static constexpr double MaxCount = std::numeric_limits<int>::max();
 
 /// A required "ip:port"; a fault is added if a part is missing.
@@ -117,6 +117,10 @@
   TomlReader waiting = all.table("waiting");
   settings.MaxWaitingCalls = static_cast<std::size_t>(
       waiting.integer("max_calls", DefaultWaitingCalls, 0, MaxWaitingCalls));
+  settings.MaxWaitingBytes = static_cast<std::size_t>(
+      waiting.integer("max_megabytes", DefaultWaitingMegabytes, 1,
+                      MaxWaitingMegabytes) *
+      BytesPerMegabyte);
   TomlReader bounds = all.table("bounds");
   settings.Bounds = boundsAt(bounds);
   TomlReader teams = all.table("teams");
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -92,6 +92,9 @@
   /// Most calls that wait for a place at the upstreams of one service without
   /// engines; 0 to send calls there without a limit.
   std::size_t MaxWaitingCalls = 0;
+  /// Most memory that the bodies of these calls may take. Key
+  /// waiting.max_megabytes.
+  std::size_t MaxWaitingBytes = 0;
   GatewayBounds Bounds;
   /// Seconds of a team's rate that are reserved for its more urgent calls in a
   /// large fleet; 0 to admit calls in order of arrival.
--- a/Services/sorrelbayd/SendAccounting.cpp
+++ b/Services/sorrelbayd/SendAccounting.cpp
@@ -136,8 +136,7 @@
   const Instant now = bootNow();
   State.Replicas.noteEnded(send.Replica, ExpectedCost, send.HasFirstByte,
                            result, now);
-  State.Waiting.noteEnded(Sent.Service,
-                          {result, send.At, Sent.Route.LatencyTarget}, now);
+  State.Waiting.noteEnded(Sent.Service, {result, send.At}, now);
 }
 
 /// Records the send's outcome for its version while the service is being
--- a/Services/sorrelbayd/WaitingCalls.cpp
+++ b/Services/sorrelbayd/WaitingCalls.cpp
@@ -32,8 +32,10 @@
 WaitingCalls::Places &WaitingCalls::placesOf(const ServiceId &service) {
   std::unique_ptr<Places> &places = Services[service];
   if (!places) {
-    places =
-        std::make_unique<Places>(State.Settings.MaxWaitingCalls, State.Loop);
+    places = std::make_unique<Places>(
+        CallQueueLimits{State.Settings.MaxWaitingCalls,
+                        State.Settings.MaxWaitingBytes},
+        State.Loop);
     places->Queue.setWeights(Weights);
   }
   return *places;
@@ -57,6 +59,14 @@
       {work.CallSlots, hosts, places.Open + waiting, work.Calls + waiting});
 }
 
+void WaitingCalls::updatePace(Places &places) {
+  QueuePace pace;
+  pace.StartInterval = places.Limit.startInterval();
+  pace.StartDeviation = places.Limit.startDeviation();
+  pace.ResponseTime = places.Limit.longestResponseTime();
+  places.Queue.setPace(pace);
+}
+
 std::optional<std::uint64_t> WaitingCalls::enter(PlaceRequest request,
                                                  Instant now) {
   if (isOff())
@@ -72,8 +82,7 @@
   request.Call.Id = id;
   const WaitingCall call = request.Call;
   places.Requests.emplace(id, std::move(request));
-  places.Queue.setPace(places.Limit.startInterval(),
-                       places.Limit.responseTime());
+  updatePace(places);
   if (IsClosed)
     refuse(service, places, {{id, WaitRefusalCause::Hopeless, {}}});
   else
@@ -99,7 +108,7 @@
     return;
   Places &places = placesOf(service);
   if (ended.Result == SendResult::Answered)
-    places.Limit.noteResponse(now - ended.SentAt, ended.Target, places.Open);
+    places.Limit.noteResponse(now - ended.SentAt, places.Open);
   --places.Open;
   const bool isLowered = ended.Result == SendResult::Rejected &&
                          places.Limit.noteRejected(ended.SentAt, now);
@@ -142,8 +151,7 @@
   places.IsDispatchPosted = false;
   const Instant now = bootNow();
   update(service, places, now);
-  places.Queue.setPace(places.Limit.startInterval(),
-                       places.Limit.responseTime());
+  updatePace(places);
   // A host that was frozen has calls whose time is over although places are
   // free now.
   refuse(service, places, places.Queue.expire(now));
--- a/Services/sorrelbayd/WaitingCalls.h
+++ b/Services/sorrelbayd/WaitingCalls.h
@@ -33,8 +33,6 @@
   SendResult Result = SendResult::Inconclusive;
   /// When it was sent.
   Instant SentAt{};
-  /// The route's latency target; zero if it has none.
-  Duration Target{};
 };
 
 /// Limits the calls that this host has open at the upstreams of services
@@ -62,8 +60,8 @@
 
 private:
   struct Places {
-    Places(std::size_t maxCalls, boost::asio::io_context &loop)
-        : Queue(maxCalls), Timer(loop) {}
+    Places(const CallQueueLimits &limits, boost::asio::io_context &loop)
+        : Queue(limits), Timer(loop) {}
 
     CallQueue Queue;
     PlaceLimit Limit;
@@ -80,6 +78,7 @@
   bool isOff() const;
   Places &placesOf(const ServiceId &service);
   void update(const ServiceId &service, Places &places, Instant now);
+  static void updatePace(Places &places);
   void refuse(const ServiceId &service, Places &places,
               const std::vector<WaitRefusal> &refusals);
   void postDispatch(const ServiceId &service, Places &places);
--- a/Tests/LibServing/TestPlaceLimit.cpp
+++ b/Tests/LibServing/TestPlaceLimit.cpp
@@ -50,7 +50,7 @@
   // The first update sets the limit; later ones only move what it recovers to.
   PlaceLimit recovered = settled;
   for (int n = 0; n < 100 && recovered.limit() < it.Limit; ++n)
-    recovered.noteResponse(Took, {}, recovered.limit());
+    recovered.noteResponse(Took, recovered.limit());
   BOOST_TEST(recovered.limit() == it.Limit);
 }
 
@@ -86,17 +86,28 @@
 BOOST_AUTO_TEST_CASE(responses_raise_a_limit_that_is_used_up) {
   PlaceLimit limit = limitFor({24, 68, 0, 0});
   BOOST_TEST(limit.limit() == 1);
-  limit.noteResponse(Took, milliseconds(100), 0);
+  limit.noteResponse(Took, 0);
   BOOST_TEST(limit.limit() == 1);
-  for (int n = 0; n < 3; ++n)
-    limit.noteResponse(milliseconds(101), milliseconds(100), 1);
-  BOOST_TEST(limit.limit() == 1);
-  limit.noteResponse(Took, milliseconds(100), 1);
+  limit.noteResponse(Took, 1);
   BOOST_TEST(limit.limit() == 2);
   for (int n = 0; n < 1000; ++n)
-    limit.noteResponse(Took, {}, limit.limit());
+    limit.noteResponse(Took, limit.limit());
   BOOST_TEST(limit.limit() == 24);
   BOOST_TEST((limit.startInterval() == limit.responseTime() / 24));
+  BOOST_TEST((limit.longestResponseTime() < Took + milliseconds(1)));
+}
+
+// An upstream that keeps calls waiting responds later than usual. If the limit
+// rose all the same, the calls would wait there, where no order applies.
+BOOST_AUTO_TEST_CASE(responses_slower_than_usual_do_not_raise_the_limit) {
+  PlaceLimit limit = limitFor({24, 68, 0, 0});
+  for (int n = 0; n < 20; ++n)
+    limit.noteResponse(Took, 0);
+  BOOST_TEST(limit.limit() == 1);
+  limit.noteResponse(3 * Took, 1);
+  BOOST_TEST(limit.limit() == 1);
+  limit.noteResponse(Took, 1);
+  BOOST_TEST(limit.limit() == 2);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -58,11 +58,10 @@
   booking.PathPrefix = "/d/";
   booking.ServiceWeights = {{ServiceId("booking"), 1}};
   booking.Timeout = seconds(30);
-  booking.LatencyTarget = seconds(24);
   ServingRoute urgentBooking = booking;
   urgentBooking.Name = RouteId("e");
   urgentBooking.PathPrefix = "/e/";
-  urgentBooking.LatencyTarget = milliseconds(80);
+  urgentBooking.Timeout = milliseconds(400);
   plan.Routes = {route, stream, onceStream, quick, booking, urgentBooking};
   ServingTeam team;
   team.Name = TeamId("team");
@@ -132,6 +131,7 @@
   settings.MetricsListen = "127.0.0.1:0";
   settings.Heartbeat = seconds(1);
   settings.MaxWaitingCalls = 64;
+  settings.MaxWaitingBytes = 1000000;
   GatewayBounds &bounds = settings.Bounds;
   bounds.Drain = seconds(2);
   bounds.Grace = grace;
--- a/Tests/sorrelbayd/TestGatewaySettings.cpp
+++ b/Tests/sorrelbayd/TestGatewaySettings.cpp
@@ -72,8 +72,9 @@
     {"drain_ms = 2000", "drain_ms = 2000\nevacuate_ms = 0", "evacuate_ms"},
     {"[bounds]", "[teams]\nurgent_reserve = -1.0\n[bounds]", "urgent_reserve"},
     {"[bounds]", "[waiting]\nmax_calls = -1\n[bounds]", "max_calls"},
-    {"[bounds]", "[waiting]\nmax_calls = 2000\n[bounds]", "max_calls"},
+    {"[bounds]", "[waiting]\nmax_calls = 20000\n[bounds]", "max_calls"},
     {"[bounds]", "[waiting]\nmax_calls = 1.5\n[bounds]", "max_calls"},
+    {"[bounds]", "[waiting]\nmax_megabytes = 0\n[bounds]", "max_megabytes"},
     {"[bounds]", "[waiting]\nmax_cals = 1\n[bounds]", "max_cals"},
     {"[[zone_regions]]",
      "[placement]\nshort_prompt_share = 1.5\n[[zone_regions]]",
@@ -99,7 +100,8 @@
   BOOST_TEST(settings.UrgentReserve == 0.3);
   BOOST_TEST(parseGatewaySettings(Good + "[teams]\nurgent_reserve = 0", "file")
                  .UrgentReserve == 0);
-  BOOST_TEST(settings.MaxWaitingCalls == 64U);
+  BOOST_TEST(settings.MaxWaitingCalls == 1000U);
+  BOOST_TEST(settings.MaxWaitingBytes == 32000000U);
   const std::string off = "[waiting]\nmax_calls = 0\n";
   BOOST_TEST(parseGatewaySettings(Good + off, "file").MaxWaitingCalls == 0U);
 }
