LibServing, sorrelbayd: Refuse prompts that can't end, not those that usually don't

Cause: a prompt was refused if its output at the usual pace would end too late. The usual pace is that of calls that have ended, some of them slow; calls that could still end in time were refused.

Change: a call's own output counts with the least time per token lately. What the wait may be for all goes on by the usual time.

--- a/Libraries/LibServing/CallTimes.cpp
+++ b/Libraries/LibServing/CallTimes.cpp
@@ -7,6 +7,8 @@
 /// the others.
 static constexpr double MinRatio = 0.25;
 static constexpr double MaxRatio = 4;
+/// By which a response raises the least time per token, until a faster one.
+static constexpr double PaceGrowth = 1.0 / 64;
 /// A shorter silence shows nothing: processes and networks pause for as long.
 static constexpr Duration MinTimeout = milliseconds(200);
 
@@ -23,8 +25,17 @@
                            Duration took) {
   if (tokens <= 0)
     return;
-  Outputs[service].Tokens.note(static_cast<double>(tokens));
-  Outputs[service].Took.note(toSeconds(took));
+  OutputEstimate &estimate = Outputs[service];
+  const auto count = static_cast<double>(tokens);
+  estimate.Tokens.note(count);
+  estimate.Took.note(toSeconds(took));
+  // Few tokens may come in one event, which shows no pace.
+  if (count < estimate.Tokens.mean())
+    return;
+  const double pace = toSeconds(took) / count;
+  const double known = estimate.FastestPace * (1 + PaceGrowth);
+  estimate.FastestPace =
+      estimate.FastestPace == 0 ? pace : std::min(pace, known);
 }
 
 void CallTimes::noteResponse(const ServiceId &service, Duration took) {
@@ -46,14 +57,29 @@
   return ratio ? fromSeconds(toSeconds(expected) * ratio->mean()) : expected;
 }
 
+/// Null until the output is known.
+const CallTimes::OutputEstimate *
+CallTimes::outputOf(const ServiceId &service) const {
+  const auto found = Outputs.find(service);
+  const bool isKnown = found != Outputs.end() && found->second.Took.isKnown();
+  return isKnown ? &found->second : nullptr;
+}
+
 Duration CallTimes::output(const ServiceId &service,
                            std::int64_t tokens) const {
-  const auto found = Outputs.find(service);
-  if (found == Outputs.end() || !found->second.Took.isKnown())
-    return Duration::zero();
-  const OutputEstimate &estimate = found->second;
-  return fromSeconds(estimate.Took.mean() / estimate.Tokens.mean() *
-                     static_cast<double>(tokens));
+  const OutputEstimate *estimate = outputOf(service);
+  return estimate
+             ? fromSeconds(estimate->Took.mean() / estimate->Tokens.mean() *
+                           static_cast<double>(tokens))
+             : Duration::zero();
+}
+
+Duration CallTimes::shortestOutput(const ServiceId &service,
+                                   std::int64_t tokens) const {
+  const OutputEstimate *estimate = outputOf(service);
+  return estimate
+             ? fromSeconds(estimate->FastestPace * static_cast<double>(tokens))
+             : Duration::zero();
 }
 
 Duration CallTimes::response(const ServiceId &service) const {
--- a/Libraries/LibServing/CallTimes.h
+++ b/Libraries/LibServing/CallTimes.h
@@ -30,6 +30,9 @@
                       Duration expected) const;
   /// The usual time of that many output tokens; zero until it is known.
   Duration output(const ServiceId &service, std::int64_t tokens) const;
+  /// The time that this many output tokens take at least: as long as those of
+  /// the fastest engine lately; zero until it is known.
+  Duration shortestOutput(const ServiceId &service, std::int64_t tokens) const;
   /// The usual time of a response to a call without a prompt; zero until it is
   /// known.
   Duration response(const ServiceId &service) const;
@@ -41,17 +44,21 @@
   Duration responseTimeout(const ServiceId &service) const;
 
 private:
-  const RunningEstimate *ratioOf(const ServiceId &service, int priority) const;
-
-  /// Measured by expected time to the first token.
-  std::map<std::pair<ServiceId, int>, RunningEstimate> FirstTokenRatios;
   /// The mean output: short ones vary much in their time per token, and weigh
   /// little here.
   struct OutputEstimate {
     RunningEstimate Tokens;
     /// In seconds.
     RunningEstimate Took;
+    /// The least time per token lately, in seconds.
+    double FastestPace = 0;
   };
+
+  const OutputEstimate *outputOf(const ServiceId &service) const;
+  const RunningEstimate *ratioOf(const ServiceId &service, int priority) const;
+
+  /// Measured by expected time to the first token.
+  std::map<std::pair<ServiceId, int>, RunningEstimate> FirstTokenRatios;
   std::map<ServiceId, OutputEstimate> Outputs;
   /// In seconds.
   std::map<ServiceId, RunningEstimate> Responses;
--- a/Services/sorrelbayd/CallPlacement.cpp
+++ b/Services/sorrelbayd/CallPlacement.cpp
@@ -91,8 +91,8 @@
     return false;
   const Duration firstToken =
       State.Times.firstToken(Placed.Service, priority(), choice.FirstToken);
-  return firstToken +
-             State.Times.output(Placed.Service, Placed.Call.MaxOutputTokens) <=
+  return firstToken + State.Times.shortestOutput(Placed.Service,
+                                                 Placed.Call.MaxOutputTokens) <=
          timeLeft;
 }
 
--- a/Tests/LibServing/TestCallTimes.cpp
+++ b/Tests/LibServing/TestCallTimes.cpp
@@ -61,6 +61,24 @@
   times.noteOutput(Model, 0, seconds(1));
 }
 
+// Engines that were slow a moment ago are taken to be slow for a whole output,
+// and calls are refused that would have ended in time.
+BOOST_AUTO_TEST_CASE(the_shortest_output_is_that_of_the_fastest_engine) {
+  CallTimes times;
+  BOOST_TEST((times.shortestOutput(Model, 100) == Duration::zero()));
+  for (int n = 0; n < 20; ++n)
+    times.noteOutput(Model, 100, n == 10 ? seconds(1) : seconds(5));
+  BOOST_TEST((times.shortestOutput(Model, 100) >= seconds(1)));
+  BOOST_TEST((times.shortestOutput(Model, 100) < milliseconds(1200)));
+  // A single event of few tokens takes no time at all.
+  times.noteOutput(Model, 2, Duration::zero());
+  BOOST_TEST((times.shortestOutput(Model, 100) >= seconds(1)));
+  // Engines that stay slow are believed in the end.
+  for (int n = 0; n < 200; ++n)
+    times.noteOutput(Model, 100, seconds(5));
+  BOOST_TEST((times.shortestOutput(Model, 100) > milliseconds(4900)));
+}
+
 BOOST_AUTO_TEST_CASE(a_response_is_late_only_far_beyond_the_usual_time) {
   CallTimes times;
   for (int n = 0; n < 9; ++n)
--- a/Utilities/sorrelbay-bench/EngineFleet.cpp
+++ b/Utilities/sorrelbay-bench/EngineFleet.cpp
@@ -199,7 +199,8 @@
     return false;
   const Duration firstToken =
       host.Times.firstToken(Service, priority, estimated(choice.FirstToken));
-  return Now + firstToken + host.Times.output(Service, call.OutputTokens) <=
+  return Now + firstToken +
+             host.Times.shortestOutput(Service, call.OutputTokens) <=
          call.Deadline;
 }
 
