LibLoad, sorrelbayd: Tell short prompts by their own length, not by a target

Cause: a prompt was short if its prefill took a share of the shortest latency target of its service's routes, and reserved engines were preferred by further shares of it, so that targets decided the order in which calls are served wherever an operator turned the part on.

Change: the operator states the longest prefill of a short prompt (placement.short_prompt_ms, which replaces short_prompt_share; 0, the default, turns the part off). The wait elsewhere from which reserved engines are preferred, and how much later a first token may be there, are multiples of that prefill.

Evidence: the model of the studios has 50 ms where it had an eighth of 400 ms, and its tests pass with the same bounds.

--- a/Libraries/LibLoad/PromptPartition.cpp
+++ b/Libraries/LibLoad/PromptPartition.cpp
@@ -50,22 +50,19 @@
   return out;
 }
 
-bool PromptPartition::isShort(double milliseconds,
-                              Duration shortestTarget) const {
-  return milliseconds <=
-         Settings.ShortPromptShare * toSeconds(shortestTarget) * 1000;
+bool PromptPartition::isShort(double milliseconds) const {
+  return milliseconds <= toSeconds(Settings.ShortPromptTime) * 1000;
 }
 
-double PromptPartition::allowedExtraWait(double othersWait,
-                                         Duration shortestTarget) const {
-  const double target = toSeconds(shortestTarget) * 1000;
-  return othersWait > Settings.MinOthersWaitShare * target
-             ? Settings.MaxExtraWaitShare * target
+double PromptPartition::allowedExtraWait(double othersWait) const {
+  const double prompt = toSeconds(Settings.ShortPromptTime) * 1000;
+  return othersWait > Settings.MinOthersWaitPrompts * prompt
+             ? Settings.MaxExtraWaitPrompts * prompt
              : 0;
 }
 
 bool PromptPartition::isApplicable(const PromptPartitionInput &input) const {
-  return Settings.ShortPromptShare > 0 &&
+  return Settings.ShortPromptTime > Duration::zero() &&
          engineCount(input) >= Settings.MinEngines &&
          input.Hosts >= Settings.MinHostsPerSlot * input.Slots;
 }
--- a/Libraries/LibLoad/PromptPartition.h
+++ b/Libraries/LibLoad/PromptPartition.h
@@ -9,29 +9,27 @@
 namespace sorrelbay {
 
 struct PromptPartitionSettings {
-  /// A prompt is short if its prefill takes at most this share of the shortest
-  /// latency target; 0 reserves no engines. With a sixteenth, prompts of 2,368
-  /// tokens at the studios' engines are at the boundary and change class.
-  double ShortPromptShare = 0.125;
+  /// A prompt is short if its prefill takes at most this long; zero reserves no
+  /// engines.
+  Duration ShortPromptTime{};
   /// The utilization by short prompts at which engines are reserved for them.
-  /// With 0.25, half of the studios' engines were reserved, and long prompts
-  /// were late in a burst.
+  /// A queue's mean wait is then about as long as its mean service time.
   double TargetUtilization = 0.5;
   /// Above this utilization, reserved engines are not preferred for short
   /// prompts: while their number rises from zero, all short prompts would go to
   /// the first of them.
   double MaxUtilization = 0.65;
   /// Reserved engines are preferred for short prompts only while the mean wait
-  /// at the other engines is longer than this share of the shortest latency
-  /// target. With less congestion, the preference makes calls wait for slots of
-  /// reserved engines: 93 in 100 tags were in time at the usual load, not 99.
-  double MinOthersWaitShare = 0.25;
+  /// at the other engines is longer than the prefill of this many prompts of
+  /// the longest short size. With less congestion, the preference makes calls
+  /// wait for slots of reserved engines.
+  double MinOthersWaitPrompts = 2;
   /// A short prompt goes to another engine if it is expected to have its first
-  /// token earlier there by more than this share of the shortest latency
-  /// target. Less than that is within the error of the estimate: the wait at
-  /// the other engines is estimated too low, as long prompts of other hosts are
-  /// not known yet.
-  double MaxExtraWaitShare = 0.5;
+  /// token earlier there by more than the prefill of this many such prompts.
+  /// Less than that is within the error of the estimate: the wait at the other
+  /// engines is estimated too low, as long prompts of other hosts are not known
+  /// yet.
+  double MaxExtraWaitPrompts = 4;
   /// The largest share of a service's engines that is reserved.
   double MaxReservedShare = 0.5;
   /// No engines are reserved in services with fewer engines than this.
@@ -68,13 +66,12 @@
   explicit PromptPartition(PromptPartitionSettings settings = {})
       : Settings(settings) {}
 
-  /// Whether a prompt whose prefill takes `milliseconds` is short, given the
-  /// shortest latency target of the service's stream routes.
-  bool isShort(double milliseconds, Duration shortestTarget) const;
+  /// Whether a prompt whose prefill takes `milliseconds` is short.
+  bool isShort(double milliseconds) const;
   /// How much later a short prompt may have its first token at a reserved
   /// engine than at another one, in milliseconds. `othersWait` is the mean wait
   /// at the other engines.
-  double allowedExtraWait(double othersWait, Duration shortestTarget) const;
+  double allowedExtraWait(double othersWait) const;
   /// The number of engines to reserve, without regard to the present one.
   int needed(const PromptPartitionInput &input) const;
   /// Moves the number of reserved engines by at most one towards the needed
--- a/Libraries/LibServing/EnginePlacement.cpp
+++ b/Libraries/LibServing/EnginePlacement.cpp
@@ -125,8 +125,7 @@
     return best;
   othersWait /= static_cast<double>(any.size() - reserved.size());
   const Candidate &bestReserved = bestOf(reserved);
-  const double allowed =
-      partition.allowedExtraWait(othersWait, found->second.ShortestTarget);
+  const double allowed = partition.allowedExtraWait(othersWait);
   return bestReserved.FirstToken <= best.FirstToken + allowed ? bestReserved
                                                               : best;
 }
@@ -199,10 +198,8 @@
                               std::int64_t promptTokens) const {
   const auto partition = Partitions.find(service);
   return partition != Partitions.end() &&
-         partition->second.Partition.isShort(
-             partition->second.SteadyPerToken *
-                 static_cast<double>(promptTokens),
-             partition->second.ShortestTarget);
+         partition->second.Partition.isShort(partition->second.SteadyPerToken *
+                                             static_cast<double>(promptTokens));
 }
 
 double EnginePlacement::steadyPrefillTime(const ServiceId &service,
@@ -224,12 +221,10 @@
   ServicePartition &partition =
       Partitions
           .try_emplace(service,
-                       ServicePartition{PromptPartition(Settings.Partition),
-                                        Duration::zero()})
+                       ServicePartition{PromptPartition(Settings.Partition)})
           .first->second;
   const double perToken = Models[service].prefillTime(1);
   updateSteadyPerToken(partition, perToken, now);
-  partition.ShortestTarget = load.ShortestTarget;
   PromptPartitionInput input;
   input.Hosts = load.Hosts;
   input.ShortDemand = load.Demand;
--- a/Libraries/LibServing/EnginePlacement.h
+++ b/Libraries/LibServing/EnginePlacement.h
@@ -29,8 +29,6 @@
 
 /// What the engines that are reserved for short prompts are determined from.
 struct ShortPromptLoad {
-  /// The shortest latency target of the service's stream routes; zero for none.
-  Duration ShortestTarget{};
   /// The number of hosts that send calls to the service.
   int Hosts = 1;
   /// Engine time that short prompts need, in seconds per second.
@@ -126,7 +124,6 @@
   PromptCacheEstimate Cached;
   struct ServicePartition {
     PromptPartition Partition;
-    Duration ShortestTarget{};
     /// The time of one prompt token without queues, in milliseconds; zero until
     /// the first update.
     double SteadyPerToken = 0;
--- a/Services/sorrelbayd/GatewaySettings.cpp
+++ b/Services/sorrelbayd/GatewaySettings.cpp
@@ -14,6 +14,7 @@
 static constexpr std::int64_t BytesPerMegabyte = 1000 * 1000;
 static constexpr std::int64_t DefaultWaitingMegabytes = 32;
 static constexpr std::int64_t MaxWaitingMegabytes = 4096;
+static constexpr std::int64_t MaxShortPromptMs = 60000;
 static constexpr double MaxCount = std::numeric_limits<int>::max();
 
 /// A required "ip:port"; a fault is added if a part is missing.
@@ -128,8 +129,8 @@
       "urgent_reserve", settings.UrgentReserve, 0, MaxReserveSeconds);
   if (all.has("placement")) {
     TomlReader placement = all.table("placement");
-    settings.ShortPromptShare =
-        placement.number("short_prompt_share", settings.ShortPromptShare, 0, 1);
+    settings.ShortPromptTime = milliseconds(
+        placement.integer("short_prompt_ms", 0, 0, MaxShortPromptMs));
   }
   all.finish();
   return settings;
--- a/Services/sorrelbayd/GatewaySettings.h
+++ b/Services/sorrelbayd/GatewaySettings.h
@@ -99,10 +99,9 @@
   /// Seconds of a team's rate that are reserved for its more urgent calls in a
   /// large fleet; 0 to admit calls in order of arrival.
   double UrgentReserve = 0.3;
-  /// A prompt is short if its prefill takes at most this share of the shortest
-  /// latency target of its service's stream routes; 0 reserves no engines for
-  /// short prompts. Key placement.short_prompt_share.
-  double ShortPromptShare = 0;
+  /// A prompt is short if its prefill takes at most this long; zero reserves no
+  /// engines for short prompts. Key placement.short_prompt_ms.
+  Duration ShortPromptTime{};
 };
 
 /// Whether the settings name the platform's store as the source of the plan.
--- a/Services/sorrelbayd/GatewayState.cpp
+++ b/Services/sorrelbayd/GatewayState.cpp
@@ -46,7 +46,7 @@
 static ReplicaTableSettings
 replicaSettingsFor(const GatewaySettings &settings) {
   ReplicaTableSettings replicas;
-  replicas.Engines.Partition.ShortPromptShare = settings.ShortPromptShare;
+  replicas.Engines.Partition.ShortPromptTime = settings.ShortPromptTime;
   return replicas;
 }
 
--- a/Services/sorrelbayd/ReservedEngines.cpp
+++ b/Services/sorrelbayd/ReservedEngines.cpp
@@ -12,24 +12,6 @@
       update(it, now);
 }
 
-/// The shortest latency target of the stream routes that the service serves;
-/// zero if none has a target.
-Duration ReservedEngines::shortestStreamTarget(const ServiceId &service) const {
-  Duration shortest{};
-  for (const ServingRoute &route : State.Plan->plan().Routes) {
-    const bool isServed =
-        std::any_of(route.ServiceWeights.begin(), route.ServiceWeights.end(),
-                    [&](const WeightedService &it) {
-                      return it.Name == service && it.Weight > 0;
-                    });
-    if (!route.IsStream || !isServed || route.LatencyTarget <= Duration::zero())
-      continue;
-    if (shortest == Duration::zero() || route.LatencyTarget < shortest)
-      shortest = route.LatencyTarget;
-  }
-  return shortest;
-}
-
 /// The age of the oldest report among the hosts whose demand counts.
 Duration ReservedEngines::oldestReportAge(Instant now) const {
   Duration oldest{};
@@ -41,7 +23,6 @@
 
 void ReservedEngines::update(const ServingService &service, Instant now) {
   ShortPromptLoad load;
-  load.ShortestTarget = shortestStreamTarget(service.Name);
   load.Hosts = State.Fleet.hostCount();
   load.Demand = State.ShortDemand.total(service.Name, now);
   const ReservedEngineCount count =
--- a/Services/sorrelbayd/ReservedEngines.h
+++ b/Services/sorrelbayd/ReservedEngines.h
@@ -15,7 +15,6 @@
 
 private:
   void update(const ServingService &service, Instant now);
-  Duration shortestStreamTarget(const ServiceId &service) const;
   Duration oldestReportAge(Instant now) const;
 
   GatewayState &State;
--- a/Tests/LibLoad/TestPromptPartition.cpp
+++ b/Tests/LibLoad/TestPromptPartition.cpp
@@ -10,6 +10,13 @@
 
 namespace {
 
+/// Prompts of up to 50 ms are short.
+PromptPartitionSettings separating() {
+  PromptPartitionSettings settings;
+  settings.ShortPromptTime = milliseconds(50);
+  return settings;
+}
+
 /// Engines in zones of these sizes, at 68 hosts.
 PromptPartitionInput fleetOf(const std::vector<int> &zones, double demand) {
   PromptPartitionInput input;
@@ -27,7 +34,7 @@
 
 /// A partition after a minute of the same input.
 PromptPartition settled(const PromptPartitionInput &input) {
-  PromptPartition partition;
+  PromptPartition partition(separating());
   Instant now{seconds(100)};
   for (int n = 0; n < 240; ++n, now += milliseconds(250))
     partition.update(input, now);
@@ -82,7 +89,7 @@
                      boost::unit_test::data::make(Needs), need) {
   PromptPartitionInput input = fleetOf(need.Zones, need.Demand);
   input.Hosts = need.Hosts;
-  BOOST_TEST(PromptPartition().needed(input) == need.Needed);
+  BOOST_TEST(PromptPartition(separating()).needed(input) == need.Needed);
   BOOST_TEST(settled(input).count() == need.Needed);
 }
 
@@ -103,7 +110,7 @@
 // A jump in demand, or a report that is lost for a moment, must not move many
 // engines at once: their queues hold long prompts.
 BOOST_AUTO_TEST_CASE(changes_by_one_engine_at_a_time) {
-  PromptPartition partition;
+  PromptPartition partition(separating());
   Instant now{seconds(100)};
   const auto play = [&](double demand, int ticks) {
     for (int n = 0; n < ticks; ++n, now += milliseconds(250)) {
@@ -129,7 +136,7 @@
 // While the number rises from zero, all short prompts would go to the first
 // reserved engine and wait there for seconds.
 BOOST_AUTO_TEST_CASE(too_few_reserved_engines_are_not_preferred) {
-  PromptPartition partition;
+  PromptPartition partition(separating());
   Instant now{seconds(100)};
   const PromptPartitionInput input = fleetOf({16, 16, 16, 16}, 8);
   for (; partition.count() < 12; now += milliseconds(250)) {
@@ -141,12 +148,20 @@
 
 // With a share of 0, the operator has turned the separation off.
 BOOST_AUTO_TEST_CASE(a_share_of_zero_reserves_nothing) {
-  PromptPartitionSettings settings;
-  settings.ShortPromptShare = 0;
-  BOOST_TEST(PromptPartition(settings).needed(fleetOf({16, 16}, 5)) == 0);
-  BOOST_TEST(!PromptPartition(settings).isShort(1, milliseconds(400)));
-  BOOST_TEST(PromptPartition().isShort(50, milliseconds(400)));
-  BOOST_TEST(!PromptPartition().isShort(51, milliseconds(400)));
+  const PromptPartition off;
+  BOOST_TEST(off.needed(fleetOf({16, 16}, 5)) == 0);
+  BOOST_TEST(!off.isShort(1));
+  BOOST_TEST(PromptPartition(separating()).isShort(50));
+  BOOST_TEST(!PromptPartition(separating()).isShort(51));
+}
+
+// Short prompts that are drawn to reserved engines at any load wait there for
+// slots; those that are drawn at any wait have their first token much later.
+BOOST_AUTO_TEST_CASE(reserved_engines_are_preferred_within_bounds) {
+  const PromptPartition partition(separating());
+  BOOST_TEST(partition.allowedExtraWait(100) == 0);
+  BOOST_TEST(partition.allowedExtraWait(101) == 200);
+  BOOST_TEST(PromptPartition().allowedExtraWait(100) == 0);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/Tests/LibServing/TestOverload.cpp
+++ b/Tests/LibServing/TestOverload.cpp
@@ -111,7 +111,7 @@
 EngineFleetResult studios(double burst, bool reservesEngines) {
   EngineFleetPlan plan = studiosPlan(burst);
   if (!reservesEngines)
-    plan.Table.Engines.Partition.ShortPromptShare = 0;
+    plan.Table.Engines.Partition.ShortPromptTime = Duration::zero();
   return EngineFleet(plan).play();
 }
 
--- a/Tests/sorrelbayd/TestGatewaySettings.cpp
+++ b/Tests/sorrelbayd/TestGatewaySettings.cpp
@@ -76,9 +76,8 @@
     {"[bounds]", "[waiting]\nmax_calls = 1.5\n[bounds]", "max_calls"},
     {"[bounds]", "[waiting]\nmax_megabytes = 0\n[bounds]", "max_megabytes"},
     {"[bounds]", "[waiting]\nmax_cals = 1\n[bounds]", "max_cals"},
-    {"[[zone_regions]]",
-     "[placement]\nshort_prompt_share = 1.5\n[[zone_regions]]",
-     "short_prompt_share"},
+    {"[[zone_regions]]", "[placement]\nshort_prompt_ms = -1\n[[zone_regions]]",
+     "short_prompt_ms"},
     {"[[zone_regions]]", "[placement]\nshort_share = 0.1\n[[zone_regions]]",
      "short_share"},
 };
@@ -106,16 +105,17 @@
   BOOST_TEST(parseGatewaySettings(Good + off, "file").MaxWaitingCalls == 0U);
 }
 
-BOOST_AUTO_TEST_CASE(the_share_of_short_prompts_is_read) {
-  BOOST_TEST(parseGatewaySettings(Good, "file").ShortPromptShare == 0);
-  const auto with = [](const std::string &share) {
-    return parseGatewaySettings(
-               Good + "[placement]\nshort_prompt_share = " + share, "file")
-        .ShortPromptShare;
+BOOST_AUTO_TEST_CASE(the_length_of_short_prompts_is_read) {
+  BOOST_TEST(
+      (parseGatewaySettings(Good, "file").ShortPromptTime == Duration::zero()));
+  const auto with = [](const std::string &time) {
+    return parseGatewaySettings(Good + "[placement]\nshort_prompt_ms = " + time,
+                                "file")
+        .ShortPromptTime;
   };
-  BOOST_TEST(with("0") == 0);
-  BOOST_TEST(with("0.125") == 0.125);
-  BOOST_TEST(with("0.0625") == 0.0625);
+  BOOST_TEST((with("0") == Duration::zero()));
+  BOOST_TEST((with("50") == milliseconds(50)));
+  BOOST_TEST((with("60000") == seconds(60)));
 }
 
 // Another platform writes its bounds as fractions; a daemon that refused them
--- a/Utilities/sorrelbay-bench/EngineFleet.cpp
+++ b/Utilities/sorrelbay-bench/EngineFleet.cpp
@@ -59,6 +59,7 @@
                 {"tags", 347, 2368, 0, 1, 40, milliseconds(400), 1}};
   plan.Load = {{0, 1}, {10, burst}, {17, 1}};
   plan.LoadKind = 0;
+  plan.Table.Engines.Partition.ShortPromptTime = milliseconds(50);
   return plan;
 }
 
@@ -443,10 +444,6 @@
 void EngineFleet::updateReserved() {
   ShortPromptLoad load;
   load.Hosts = Plan.Hosts;
-  for (const PromptKind &it : Plan.Kinds)
-    if (load.ShortestTarget == Duration::zero() ||
-        it.Target < load.ShortestTarget)
-      load.ShortestTarget = it.Target;
   for (const auto &host : Hosts) {
     load.Demand = host->ShortDemand.total(Service, Now);
 
--- a/Utilities/sorrelbay-bench/ShortPrompts.cpp
+++ b/Utilities/sorrelbay-bench/ShortPrompts.cpp
@@ -15,18 +15,22 @@
   return {
       {"sorrelbay", [](PromptPartitionSettings &) {}},
       {"no reserved engines",
-       [](PromptPartitionSettings &it) { it.ShortPromptShare = 0; }},
-      {"short up to 1/16",
-       [](PromptPartitionSettings &it) { it.ShortPromptShare = 0.0625; }},
+       [](PromptPartitionSettings &it) {
+         it.ShortPromptTime = Duration::zero();
+       }},
+      {"short up to 25 ms",
+       [](PromptPartitionSettings &it) {
+         it.ShortPromptTime = milliseconds(25);
+       }},
       {"utilization 25%",
        [](PromptPartitionSettings &it) {
          it.TargetUtilization = 0.25;
          it.MaxUtilization = 0.325;
        }},
       {"always preferred",
-       [](PromptPartitionSettings &it) { it.MinOthersWaitShare = 0; }},
+       [](PromptPartitionSettings &it) { it.MinOthersWaitPrompts = 0; }},
       {"never preferred",
-       [](PromptPartitionSettings &it) { it.MaxExtraWaitShare = 0; }},
+       [](PromptPartitionSettings &it) { it.MaxExtraWaitPrompts = 0; }},
   };
 }
 
