sorrelbayd: Bound the wait for another engine as before

Cause: with the caller's deadline as the bound, a call that lost its engine before its first token was held for a minute when no other engine was offered. Seen in a run of all tests beside other load: BadVersions/daemons_paused_or_restarted_during_the_veto_apply_it failed (137 requests at the version that was taken back, 131 allowed) after 65 s, and the case after it took 61 s. With the former bound both pass in 10 s together.

Ruled out: load alone, by those times.

--- a/Services/sorrelbayd/ModelCalls.cpp
+++ b/Services/sorrelbayd/ModelCalls.cpp
@@ -298,9 +298,16 @@
   return Upstreams.begin(placement, now()).Upstream.value_or(UpstreamId());
 }
 
-/// Waits for a redirect until the caller's deadline.
+/// Waits for a redirect: after the first token until the caller's deadline,
+/// before it only while the first token can still meet the latency target.
 std::optional<Redirect> ModelCalls::nextTarget(LiveAnswer &answer) {
-  return answer.takeRedirect(answer.CallRequest.Context.Deadline);
+  const AnswerRequest &callRequest = answer.CallRequest;
+  const bool hasBegun = answer.tokenCount() > 0;
+  return answer.takeRedirect(
+      hasBegun
+          ? callRequest.Context.Deadline
+          : std::min(callRequest.Context.Deadline,
+                     callRequest.Arrival + callRequest.OnRoute.LatencyTarget));
 }
 
 /// The attempt's id contains the request's id, so that tokens that arrive on
