--- a/Libraries/LibServing/RetryDelay.h
+++ b/Libraries/LibServing/RetryDelay.h
@@ -4,8 +4,7 @@
 
 namespace sorrelbay {
 
-/// What the time is determined from that a caller is told to wait before it
-/// repeats a call that did not run.
+/// What the Retry-After of a call that did not run is determined from.
 struct RetryDelayInput {
   /// The time until the call could be served; callers that are refused together
   /// return spread over as long again.
--- a/Tests/LibServing/TestCallQueue.cpp
+++ b/Tests/LibServing/TestCallQueue.cpp
@@ -250,8 +250,8 @@
              boost::test_tools::per_element());
 }
 
-// Many calls are refused at once. If all were told the same time to return,
-// most of them would be refused again.
+// Many calls are refused at once. With the same time to return, most of them
+// would be refused again.
 BOOST_AUTO_TEST_CASE(each_refused_call_learns_when_its_own_turn_would_come) {
   CallQueue queue(Limits);
   queue.setPace(Steady);
--- a/Utilities/sorrelbay-bench/Places.cpp
+++ b/Utilities/sorrelbay-bench/Places.cpp
@@ -16,14 +16,6 @@
                                     {"sorrelbay", PlaceApproach::AdaptiveLimit},
                                     {"leases", PlaceApproach::Leases}};
 
-double percentile(std::vector<double> values, double p) {
-  if (values.empty())
-    return 0;
-  std::sort(values.begin(), values.end());
-  return values[static_cast<std::size_t>(
-      p * static_cast<double>(values.size() - 1))];
-}
-
 void addFigures(std::vector<Figure> &figures, const std::string &deployment,
                 DeskFleetPlan plan, std::uint64_t seeds) {
   for (const NamedApproach &it : Approaches) {
@@ -51,7 +43,7 @@
                                 std::max(1, result.All.Calls));
       inVain.Values.push_back(100 * toSeconds(result.WorkInVain) /
                               std::max(0.001, toSeconds(result.Work)));
-      delay.Values.push_back(percentile(result.RefusalDelays, 0.99));
+      delay.Values.push_back(quantile(result.RefusalDelays, 0.99));
     }
     for (const Figure &all :
          {answered, first, repeats, small, rejected, inVain, delay})
