--- a/review/standins-2/case-4.cpp
+++ b/review/standins-2/case-4.cpp
@@ -89,10 +89,10 @@
     startReplica(n);
   store.put("config", "main",
             configuration(
-                Json::array({route("quote", "/quote/", "streaming", service,
-                                   10000, 1),
-                             route("booking", "/booking/", "non_idempotent",
-                                   service, 10000, 1)}),
+                Json::array(
+                    {route("quote", "/quote/", "streaming", service, 10000, 1),
+                     route("booking", "/booking/", "non_idempotent", service,
+                           10000, 1)}),
                 service));
   deployment.startHosts();
 
@@ -107,12 +107,14 @@
       cannotRun("an entry host takes no channel");
     record().line("client: POST " + path + " " + id + ", " +
                   std::to_string(body.size()) + " bytes");
-    std::thread sender(
-        [&] { channel.write(requestHead("POST", path, id, 10000, body.size()) + body); });
+    std::thread sender([&] {
+      channel.write(requestHead("POST", path, id, 10000, body.size()) + body);
+    });
     std::size_t running = replicas.size();
     for (int n = 0; n < 60 && running == replicas.size(); ++n)
       for (std::size_t k = 0; k < replicas.size(); ++k)
-        if (running == replicas.size() && replicas[k].waitFor("runs ", 25) == id)
+        if (running == replicas.size() &&
+            replicas[k].waitFor("runs ", 25) == id)
           running = k;
     sender.join();
     if (running == replicas.size())
@@ -133,9 +135,8 @@
                   (hasHead ? answer.First : std::string("a closed channel")) +
                   ", Server-Signature \"" + answer.header("Server-Signature") +
                   "\", " + std::to_string(answer.Body.size()) +
-                  " bytes, framing " +
-                  (isWhole ? "complete" : "incomplete") + ", answer " +
-                  (isComplete ? "whole" : "not whole"));
+                  " bytes, framing " + (isWhole ? "complete" : "incomplete") +
+                  ", answer " + (isComplete ? "whole" : "not whole"));
     const bool isSuccess = hasHead && answer.status() / 100 == 2;
     if (isSuccess && isWhole && !isComplete) {
       ++broken;
--- a/review/standins-2/case-5.cpp
+++ b/review/standins-2/case-5.cpp
@@ -1,5 +1,5 @@
-// Case 5: replicas run requests and fail them with 503, without saying that they
-// did not run.
+// Case 5: replicas run requests and fail them with 503, without saying that
+// they did not run.
 #include "deployment.h"
 
 using namespace review;
@@ -50,8 +50,8 @@
       const unsigned n = ++arrivals;
       const bool fails = isGrey && n * 45 % 100 < 45;
       const int status = fails ? 503 : 200;
-      record().line("replica " + id + " runs " + attempt + " (" +
-                    request.Body + ") and answers " + std::to_string(status));
+      record().line("replica " + id + " runs " + attempt + " (" + request.Body +
+                    ") and answers " + std::to_string(status));
       channel->write(response(status, fails ? "failed" : "booked",
                               headers + "Server-Signature: " + id + "." +
                                   attempt + "\r\n"));
@@ -69,8 +69,8 @@
   }
   deployment.TheStore.put(
       "config", "main",
-      configuration(Json::array({route("booking", "/booking/",
-                                       "non_idempotent", service, 1000, 1)}),
+      configuration(Json::array({route("booking", "/booking/", "non_idempotent",
+                                       service, 1000, 1)}),
                     service));
   deployment.startHosts();
 
@@ -89,9 +89,9 @@
       Stream channel;
       Message answer;
       if (!channel.connect(deployment.Hosts[(n + attempt) % 3]->Callers) ||
-          !channel.write(requestHead("POST", "/booking/1", id, 1000,
-                                     wish.size()) +
-                         wish) ||
+          !channel.write(
+              requestHead("POST", "/booking/1", id, 1000, wish.size()) +
+              wish) ||
           !channel.read(answer, 2000, true)) {
         record().line("client: " + id + " (" + wish + ") gets no answer");
         break;
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.h
@@ -68,7 +68,8 @@
   ~Deployment() {
     Hosts.clear();
     const std::string command = "rm -rf " + Folder;
-    if (std::getenv("KEEP_LOGS") == nullptr && std::system(command.c_str()) != 0)
+    if (std::getenv("KEEP_LOGS") == nullptr &&
+        std::system(command.c_str()) != 0)
       std::fprintf(stderr, "can't remove the temporary folder\n");
   }
 
@@ -116,8 +117,8 @@
 inline std::string newId() {
   static std::atomic<unsigned> last{0};
   char out[32];
-  std::snprintf(out, sizeof(out), "%08x%08x",
-                static_cast<unsigned>(::getpid()), ++last);
+  std::snprintf(out, sizeof(out), "%08x%08x", static_cast<unsigned>(::getpid()),
+                ++last);
   return out;
 }
 
--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -124,8 +124,8 @@
     const auto colon = address.rfind(':');
     sockaddr_in to{};
     to.sin_family = AF_INET;
-    to.sin_port = htons(
-        static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
+    to.sin_port =
+        htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
     Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     timeval limit{timeoutMs / 1000, (timeoutMs % 1000) * 1000};
@@ -418,9 +418,8 @@
             "Content-Type: application/json\r\n");
       }
       const std::uint64_t from = std::stoull(watch->second);
-      const auto until =
-          Clock::now() +
-          std::chrono::milliseconds(std::stoul(options.at("WaitMs")));
+      const auto until = Clock::now() + std::chrono::milliseconds(
+                                            std::stoul(options.at("WaitMs")));
       Json events = Json::array();
       for (;;) {
         for (const Event &it : History)
@@ -493,8 +492,7 @@
   Process(const std::vector<std::string> &command, const std::string &log) {
     Pid = ::fork();
     if (Pid == 0) {
-      const int fd =
-          ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+      const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
       ::dup2(fd, 1);
       ::dup2(fd, 2);
       std::vector<char *> words;
@@ -543,8 +541,8 @@
         << "\"\naddresses = \"" << it.Addresses << "\"\npeers = \""
         << freeAddress(it.Ip) << "\"\nrelays = \"" << freeAddress(it.Ip)
         << "\"\nmetrics = \"" << freeAddress(it.Ip)
-        << "\"\n[store]\naddress = \"" << store
-        << "\"\n[cloud]\naddress = \"" << cloud
+        << "\"\n[store]\naddress = \"" << store << "\"\n[cloud]\naddress = \""
+        << cloud
         << "\"\nduty_calls_per_second = 50.0\n[upstreams]\nheartbeat_ms = "
            "1200\n[bounds]\ndrain_ms = 2000\ngrace_s = 8\nplan_in_force_ms = "
            "2000\nkey_removal_ms = 5000\nkeys_fail_closed = "
