review: Order the cases by gravity

The case of the answer that passes for whole is now review/5, that of the promise review/7; what they show, the causes and the results are unchanged.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,6 +4,6 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-for source in review/standins-2/*.cpp; do
-  g++ -std=c++17 -O1 -pthread -o "target/review-2/$(basename "$source" .cpp)" "$source"
+for source in review/standins-2/*.cc; do
+  g++ -std=c++17 -O1 -pthread -o "target/review-2/$(basename "$source" .cc)" "$source"
 done
--- a/review/standins-2/case-4.cpp
+++ b/review/standins-2/case-5.cc
@@ -1,5 +1,5 @@
-// Case 4: an answer without a length whose replica crashes on the way.
-#include "deployment.h"
+// Case 5: an answer without a length whose replica crashes on the way.
+#include "deployment.hh"
 
 using namespace review;
 
--- a/review/standins-2/case-5.cpp
+++ b/review/standins-2/case-7.cc
@@ -1,6 +1,6 @@
-// Case 5: replicas run requests and fail them with 503, without saying that
+// Case 7: replicas run requests and fail them with 503, without saying that
 // they did not run.
-#include "deployment.h"
+#include "deployment.hh"
 
 using namespace review;
 
--- a/review/standins-2/deployment.h
+++ b/review/standins-2/deployment.hh
@@ -2,7 +2,7 @@
 // three entry hosts and the replicas of one service in four zones.
 #pragma once
 
-#include "standin.h"
+#include "standin.hh"
 
 namespace review {
 
--- a/review/standins-2/early-replica.cpp
+++ b/review/standins-2/early-replica.cc
@@ -3,7 +3,7 @@
 // channel (PROTOCOL.md, RULES.md). Its channels have small windows, as those of
 // DEPLOY.md. It prints "listening ADDRESS", and "runs ID"
 // when it has sent the first half of an answer.
-#include "standin.h"
+#include "standin.hh"
 
 using namespace review;
 
--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.hh
@@ -117,7 +117,9 @@
     close();
   }
 
-  bool connect(const std::string &address, int timeoutMs = 1000) {
+  /// With `window`, the channel has a receive buffer of that size.
+  bool connect(const std::string &address, int timeoutMs = 1000,
+               int window = 0) {
     close();
     Buffer.clear();
     Error = 0;
@@ -128,6 +130,8 @@
         htons(static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))));
     inet_pton(AF_INET, address.substr(0, colon).c_str(), &to.sin_addr);
     Fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    if (window > 0)
+      ::setsockopt(Fd, SOL_SOCKET, SO_RCVBUF, &window, sizeof(window));
     timeval limit{timeoutMs / 1000, (timeoutMs % 1000) * 1000};
     ::setsockopt(Fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
     if (::connect(Fd, reinterpret_cast<sockaddr *>(&to), sizeof(to)) != 0) {
