--- a/review/standins-2/case-5.cc
+++ b/review/standins-2/case-5.cc
@@ -27,6 +27,7 @@
               nullptr);
       std::_Exit(127);
     }
+    children().add(Pid);
     ::close(ends[1]);
     Out = ends[0];
     Address = waitFor("listening ", 5000);
@@ -60,6 +61,7 @@
   void kill() {
     ::kill(Pid, SIGKILL);
     ::waitpid(Pid, nullptr, 0);
+    children().remove(Pid);
     ::close(Out);
     Pid = -1;
   }
--- a/review/standins-2/standin.hh
+++ b/review/standins-2/standin.hh
@@ -21,6 +21,7 @@
 #include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
 #include <poll.h>
+#include <set>
 #include <sstream>
 #include <string>
 #include <sys/socket.h>
@@ -64,8 +65,36 @@
   return it;
 }
 
+/// The processes that the case started and that may still run.
+class Children {
+public:
+  void add(pid_t pid) {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Pids.insert(pid);
+  }
+  void remove(pid_t pid) {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    Pids.erase(pid);
+  }
+  void killAll() {
+    const std::lock_guard<std::mutex> lock(Mutex);
+    for (const pid_t pid : Pids)
+      ::kill(pid, SIGKILL);
+  }
+
+private:
+  std::mutex Mutex;
+  std::set<pid_t> Pids;
+};
+
+inline Children &children() {
+  static Children it;
+  return it;
+}
+
 /// Ends the case because it could not run.
 [[noreturn]] inline void cannotRun(const std::string &why) {
+  children().killAll();
   record().line("the case couldn't run: " + why);
   std::fprintf(stderr, "the case couldn't run: %s\n", why.c_str());
   std::_Exit(2);
@@ -506,19 +535,23 @@
       ::execv(words[0], words.data());
       std::_Exit(127);
     }
+    children().add(Pid);
   }
   ~Process() {
     if (Pid > 0 && isRunning())
       kill(SIGKILL);
     if (Pid > 0 && !IsReaped)
       ::waitpid(Pid, nullptr, 0);
+    children().remove(Pid);
   }
   Process(const Process &) = delete;
   Process &operator=(const Process &) = delete;
   void kill(int signal) const { ::kill(Pid, signal); }
   bool isRunning() {
-    if (!IsReaped && ::waitpid(Pid, &Status, WNOHANG) == Pid)
+    if (!IsReaped && ::waitpid(Pid, &Status, WNOHANG) == Pid) {
       IsReaped = true;
+      children().remove(Pid);
+    }
     return !IsReaped;
   }
   int pid() const { return Pid; }
--- a/review/standins-2/unreadable-part.cc
+++ b/review/standins-2/unreadable-part.cc
@@ -34,6 +34,7 @@
     for (;;)
       ::pause();
   }
+  children().add(pid);
   char buf[64];
   const ssize_t n = ::read(ends[0], buf, sizeof(buf));
   if (n <= 1)
@@ -79,8 +80,10 @@
   const auto ended = [&] {
     int out = 0;
     for (pid_t &it : replicas) {
-      if (it > 0 && ::waitpid(it, nullptr, WNOHANG) == it)
+      if (it > 0 && ::waitpid(it, nullptr, WNOHANG) == it) {
+        children().remove(it);
         it = -1;
+      }
       out += it < 0 ? 1 : 0;
     }
     return out;
