review: End the paused stream before its client would leave

The route's timeout of review/6 is 4.5 s instead of 8 s: the daemon closes the channel after a gap that is shorter than the 3.2 s for which clients wait.

--- a/review/standins-2/case-6.cc
+++ b/review/standins-2/case-6.cc
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr int Events = 1500;
-constexpr int DeadlineMs = 8000;
+constexpr int DeadlineMs = 4500;
 
 std::string event(int n) {
   return "id: " + std::to_string(n) + "\ndata: " + std::string(8000, 'a') +
