sorrelbayd: Decide by CallRetryState which statuses are passed on

Cause: CallRetryState decided what a caller may assume only of responses that the host generated. The response of a replica that states no `Not-Executed`, or of the host that a call was relayed to, went on with its status, be it 408, 421, 429 or 503. The same cause: a `Not-Executed` in a response that names no call was taken for a proof about this one; a relay's refusal covered an earlier send of the same call by the first host.

Ruled out: that the 503 was the host's own, and that `Not-Executed` came from another call's response: the sends were recorded as failed, not as rejected. The `call` line now states what the upstream's response was where the caller got another.

Change: CallRetryState::allowsStatus is asked for each response. One that promises too much is read and dropped; a call that may be repeated is sent again, others end with 502 and the cause `unproven_rejection`.

--- a/Libraries/LibHttp/HttpMessage.cpp
+++ b/Libraries/LibHttp/HttpMessage.cpp
@@ -17,6 +17,8 @@
     "Proxy-Authorization",
     "Expect"};
 
+static constexpr std::array<int, 4> NotRunStatuses = {408, 421, 429, 503};
+
 static bool equalsIgnoringCase(std::string_view a, std::string_view b) {
   return std::equal(a.begin(), a.end(), b.begin(), b.end(),
                     [](unsigned char x, unsigned char y) {
@@ -56,6 +58,11 @@
   return out;
 }
 
+bool isNotRunStatus(int status) {
+  return std::find(NotRunStatuses.begin(), NotRunStatuses.end(), status) !=
+         NotRunStatuses.end();
+}
+
 HttpHeaders endToEndHeaders(const HttpHeaders &headers) {
   HttpHeaders out;
   for (const HttpHeader &it : headers)
--- a/Libraries/LibHttp/HttpMessage.h
+++ b/Libraries/LibHttp/HttpMessage.h
@@ -26,6 +26,10 @@
 /// The header fields without those with that name.
 HttpHeaders withoutHeader(const HttpHeaders &headers, std::string_view name);
 
+/// Whether a response with the status tells the client that its request has not
+/// run and will not run, so that it may be sent again: 408, 421, 429 and 503.
+bool isNotRunStatus(int status);
+
 /// The header fields without those that concern only one connection. Host
 /// belongs to the request and stays.
 HttpHeaders endToEndHeaders(const HttpHeaders &headers);
--- a/Libraries/LibServing/CallRetryState.cpp
+++ b/Libraries/LibServing/CallRetryState.cpp
@@ -1,5 +1,6 @@
 #include "LibServing/CallRetryState.h"
 #include "LibBase/Invariant.h"
+#include "LibHttp/HttpMessage.h"
 
 namespace sorrelbay {
 
@@ -47,9 +48,13 @@
 }
 
 CallFailureKind CallRetryState::failureKind(Instant now) const {
-  if (!IsSent && !MayHaveRun)
+  if (isKnownNotRun())
     return CallFailureKind::NotRun;
   return now >= Deadline ? CallFailureKind::TimedOut : CallFailureKind::Unknown;
 }
 
+bool CallRetryState::allowsStatus(int status) const {
+  return isKnownNotRun() || !isNotRunStatus(status);
+}
+
 } // namespace sorrelbay
--- a/Libraries/LibServing/CallRetryState.h
+++ b/Libraries/LibServing/CallRetryState.h
@@ -18,9 +18,10 @@
 
 /// Retry state of one attempt of a caller: the single place that decides
 /// whether the call may be sent (again) and what its caller may assume about
-/// its outcome. A non-idempotent call that is sent twice runs twice (two crews
-/// are dispatched for one booking), and one that ran although its caller got
-/// the error for a call that did not run is sent again by the caller.
+/// its outcome, also by the status of a response that is passed on. A
+/// non-idempotent call that is sent twice runs twice (two crews are dispatched
+/// for one booking), and one that ran although its caller got the error for a
+/// call that did not run is sent again by the caller.
 class CallRetryState {
 public:
   CallRetryState(Repeatability kind, int maxAttempts, Instant deadline)
@@ -54,8 +55,13 @@
   int attemptsLeft() const { return AttemptsLeft; }
   Instant deadline() const { return Deadline; }
   CallFailureKind failureKind(Instant now) const;
+  /// Whether the caller may get a response with the status, whoever generated
+  /// it. One that promises that the call has not run must be true of all sends.
+  bool allowsStatus(int status) const;
 
 private:
+  bool isKnownNotRun() const { return !IsSent && !MayHaveRun; }
+
   Repeatability Kind;
   int AttemptsLeft;
   Instant Deadline;
--- a/Services/sorrelbayd/CallLog.cpp
+++ b/Services/sorrelbayd/CallLog.cpp
@@ -37,6 +37,18 @@
         .field("burst", team.Burst);
 }
 
+/// What the last send's response states, where it is not what the caller got.
+static void addResponse(LogLine &line, const CallRecord &record) {
+  const HttpReplyHead &head = record.LastSend->Head;
+  line.field("framing", toText(head.Framing));
+  if (head.Status == record.Status)
+    return;
+  line.field("upstream_status", static_cast<std::int64_t>(head.Status))
+      .field("first_on_connection",
+             static_cast<std::int64_t>(head.IsFirstOnConnection))
+      .field("named_call", record.LastSend->ReplyInfo.Id);
+}
+
 static void addSends(LogLine &line, const CallRecord &record) {
   if (record.Sends)
     line.field("sends", static_cast<std::int64_t>(*record.Sends))
@@ -48,7 +60,7 @@
   if (!send.Replica.empty())
     line.field("upstream", send.Replica.text());
   if (send.Head.Status != 0)
-    line.field("framing", toText(send.Head.Framing));
+    addResponse(line, record);
   if (record.EndedInsideEvent)
     line.field("response_end", InsideEvent);
   if (!send.Peer.empty())
--- a/Services/sorrelbayd/CallResponse.cpp
+++ b/Services/sorrelbayd/CallResponse.cpp
@@ -11,6 +11,19 @@
 /// The most bytes of a body that are read although it is not for the caller.
 static constexpr std::size_t MaxDiscardedBytes = 256UL * 1024;
 
+ResponseStart startOfResponse(const HttpReplyHead &head, bool isOnStreamRoute) {
+  ResponseStart start;
+  start.Status = head.Status;
+  start.Length = head.Length;
+  start.Framing = head.Framing;
+  // An upstream may give a plain response to a call on a stream's route.
+  const std::string type = headerValue(head.Headers, "Content-Type");
+  start.IsTypeNamed = !type.empty();
+  start.IsEventStream = isOnStreamRoute && head.Status / 100 == 2 &&
+                        (type.empty() || isEventStreamType(type));
+  return start;
+}
+
 CallResponse::CallResponse(std::shared_ptr<HttpExchange> exchange)
     : Exchange(std::move(exchange)) {}
 
--- a/Services/sorrelbayd/CallResponse.h
+++ b/Services/sorrelbayd/CallResponse.h
@@ -25,6 +25,10 @@
   bool IsResumable = false;
 };
 
+/// The start of the response with that head, as far as the head states it, to a
+/// call on a route whose responses are streams or are not.
+ResponseStart startOfResponse(const HttpReplyHead &head, bool isOnStreamRoute);
+
 /// What the end of an attempt's response proves, once its framing has ended.
 enum class ResponseEnd {
   Complete,
--- a/Services/sorrelbayd/CallSend.h
+++ b/Services/sorrelbayd/CallSend.h
@@ -15,6 +15,16 @@
 bool isResponseTo(const std::string &callId, const UpstreamReplyInfo &replyInfo,
                   bool isFirstOnConnection);
 
+/// Whether the response states that the call did not run. Where it names no
+/// call, the statement may be about another one.
+bool isRejectionOf(const std::string &callId,
+                   const UpstreamReplyInfo &replyInfo);
+
+/// The longest time that a pooled connection for a call may have been idle. A
+/// connection that the upstream has just closed would lose a call that may run
+/// only once.
+Duration longestIdleTime(Repeatability kind);
+
 /// One attempt to send a call to an upstream.
 struct CallSend {
   UpstreamId Replica;
--- a/Services/sorrelbayd/GatewayCall.cpp
+++ b/Services/sorrelbayd/GatewayCall.cpp
@@ -29,11 +29,6 @@
 constexpr int MaxFailedConnects = 3;
 /// A call to which that many connections failed is relayed if possible.
 constexpr int ConnectsBeforeRelay = 2;
-/// A call that may run only once uses a pooled connection only if it was in use
-/// this recently: a connection that the upstream has just closed would lose the
-/// call.
-constexpr Duration OnceOnlyFreshness = seconds(1);
-constexpr Duration DefaultFreshness = seconds(3);
 /// Shortest Retry-After of a call that did not run, before jitter.
 constexpr Duration MinRetryAfter = milliseconds(100);
 /// Callers that wait for an upstream whose time of return is known return
@@ -42,6 +37,8 @@
 /// Prompts whose prefill takes at least this long are reported to peers at
 /// once, so that they do not send other calls to the same engine.
 constexpr Duration LargePrompt = milliseconds(100);
+/// An upstream's status promised that the call did not run, without a proof.
+constexpr const char *UnprovenRejection = "unproven_rejection";
 
 } // namespace
 
@@ -268,7 +265,7 @@
       replica->Address,
       State.Hooks.UpstreamCall(
           UpstreamRequest ? *UpstreamRequest : Exchange->request(), attempt),
-      upstreamHooks(), freshness());
+      upstreamHooks(), longestIdleTime(Identity.Route->Kind));
   armTimer();
 }
 
@@ -333,22 +330,15 @@
   CurrentSend.Peer = peer->Host;
   CurrentSend.At = now;
   IsOpen = true;
-  Handle = State.Client.send(peer->Address,
-                             makeRelayCall(Exchange->request(),
-                                           relayEnvelope(peer->Host, now),
-                                           State.RelaySecret),
-                             upstreamHooks(), freshness());
+  Handle = State.Client.send(
+      peer->Address,
+      makeRelayCall(Exchange->request(), relayEnvelope(peer->Host, now),
+                    State.RelaySecret),
+      upstreamHooks(), longestIdleTime(Identity.Route->Kind));
   armTimer();
   return true;
 }
 
-/// The longest time that a pooled connection for the call may have been idle.
-Duration GatewayCall::freshness() const {
-  return Identity.Route->Kind == Repeatability::NonIdempotent
-             ? OnceOnlyFreshness
-             : DefaultFreshness;
-}
-
 RelayEnvelope GatewayCall::relayEnvelope(const HostId &peer,
                                          Instant now) const {
   RelayEnvelope out;
@@ -448,6 +438,7 @@
       Sends->noteStatements(CurrentSend, replyInfo, {false, false});
     return false;
   }
+  replyInfo.DidNotRun = isRejectionOf(Call.Id, replyInfo);
   CurrentSend.ReplyInfo = std::move(replyInfo);
   return true;
 }
@@ -464,13 +455,17 @@
     Handle->cancel();
     return onFailure(HttpFailure::Broken);
   }
-  // An error response must not continue a response of which another attempt has
-  // sent a part.
-  CurrentSend.IsDiscarded =
-      CurrentSend.ReplyInfo.DidNotRun || (Response.hasBegun() && !isSuccess());
+  CurrentSend.IsDiscarded = replyInfo.DidNotRun || !mayPassOn();
   startResponse();
 }
 
+/// Whether the caller may get the attempt's response. An error response must
+/// not continue a response of which another attempt has sent a part.
+bool GatewayCall::mayPassOn() const {
+  return isSuccess() || (!Response.hasBegun() &&
+                         RetryState->allowsStatus(CurrentSend.Head.Status));
+}
+
 /// An upstream that responded through another host asked that host for a pause,
 /// not this one, and stated its load to that host.
 void GatewayCall::onRelayHead() {
@@ -491,7 +486,7 @@
     break;
   }
   CurrentSend.Replica = CurrentSend.PeerResult.Upstream;
-  CurrentSend.IsDiscarded = Response.hasBegun() && !isSuccess();
+  CurrentSend.IsDiscarded = !mayPassOn();
   UpstreamReplyInfo statements = CurrentSend.ReplyInfo;
   statements.Pause.reset();
   statements.Load.reset();
@@ -533,17 +528,9 @@
 
 /// The body of the attempt's response follows.
 void GatewayCall::startResponse() {
-  ResponseStart start;
-  start.Status = CurrentSend.Head.Status;
+  ResponseStart start =
+      startOfResponse(CurrentSend.Head, Identity.Route->IsStream);
   start.Headers = responseHeaders();
-  start.Length = CurrentSend.Head.Length;
-  start.Framing = CurrentSend.Head.Framing;
-  // An upstream may give a plain response to a call on a stream's route.
-  const std::string type =
-      headerValue(CurrentSend.Head.Headers, "Content-Type");
-  start.IsTypeNamed = !type.empty();
-  start.IsEventStream = Identity.Route->IsStream && isSuccess() &&
-                        (type.empty() || isEventStreamType(type));
   start.ContinuesEarlierCall = !Call.LastEventId.empty();
   start.IsResumable = Identity.Route->IsResumable;
   Response.startAttempt(std::move(start));
@@ -581,18 +568,26 @@
     endSend(SendResult::Rejected);
     return trySend();
   }
-  const bool isSuccessful = isSuccess();
-  endSend(isSuccessful ? SendResult::Answered : SendResult::Failed);
+  endSend(isSuccess() ? SendResult::Answered : SendResult::Failed);
   if (Response.hasBegun() && CurrentSend.IsDiscarded)
     return abortResponse("resume_failed");
   if (relay.Outcome == RelayOutcome::Refused)
     return passOnRefusal();
+  if (CurrentSend.IsDiscarded) {
+    RetryState->recordLostRelay();
+    return finishLocally(UnprovenRejection);
+  }
   finishResponse();
 }
 
-/// Gives the caller the response that the other host generated.
+/// Gives the caller the response that the other host generated, which covers
+/// what that host has done.
 void GatewayCall::passOnRefusal() {
   const int status = CurrentSend.Head.Status;
+  if (isNotRunStatus(status))
+    RetryState->recordNotRun();
+  if (!RetryState->allowsStatus(status))
+    return finishLocally(CurrentSend.PeerResult.Cause.c_str());
   IsDone = true;
   Timer.cancel();
   Charge.giveBackAfter(State, status);
@@ -624,26 +619,29 @@
     endSend(SendResult::Rejected);
     return retryOrFinish("upstream_turned_away");
   }
-  if (!isSuccess()) {
-    endSend(SendResult::Failed);
-    const bool canRetry = CurrentSend.Head.Status >= 500 &&
-                          !Response.hasBegun() &&
-                          Identity.Route->Kind == Repeatability::Idempotent;
-    if (canRetry) {
-      RetryState->recordFailure();
-      if (RetryState->canSend(bootNow()) && takeRetryFromBudget())
-        return trySend();
-    }
-    if (Response.hasBegun() && CurrentSend.IsDiscarded)
-      return abortResponse("resume_failed");
-    Sends->noteCallStarted(CurrentSend);
-    return finishResponse();
-  }
+  if (!isSuccess())
+    return onErrorResponse();
   Sends->noteCallStarted(CurrentSend);
   endSend(SendResult::Answered);
   finishResponse();
 }
 
+/// The upstream has responded with an error and may have run the call.
+void GatewayCall::onErrorResponse() {
+  endSend(SendResult::Failed);
+  const bool isUnproven = !RetryState->allowsStatus(CurrentSend.Head.Status);
+  const bool mayRepeat = isUnproven || CurrentSend.Head.Status >= 500;
+  if (mayRepeat && !Response.hasBegun()) {
+    RetryState->recordFailure();
+    if (RetryState->canSend(bootNow()) && takeRetryFromBudget())
+      return trySend();
+  }
+  if (Response.hasBegun() && CurrentSend.IsDiscarded)
+    return abortResponse("resume_failed");
+  Sends->noteCallStarted(CurrentSend);
+  isUnproven ? finishLocally(UnprovenRejection) : finishResponse();
+}
+
 void GatewayCall::finishResponse() {
   IsDone = true;
   Timer.cancel();
--- a/Services/sorrelbayd/GatewayCall.h
+++ b/Services/sorrelbayd/GatewayCall.h
@@ -44,7 +44,6 @@
   void leaveQueue();
   bool prefersRelay() const;
   bool tryRelay(Instant now);
-  Duration freshness() const;
   RelayEnvelope relayEnvelope(const HostId &peer, Instant now) const;
   void onRelayHead();
   void onRelayEnd();
@@ -60,8 +59,10 @@
   HttpCallHooks upstreamHooks();
   bool isForThisCall(const HttpReplyHead &head);
   void onHead(const HttpReplyHead &head);
+  bool mayPassOn() const;
   void onBody(std::string_view bytes);
   void onEnd();
+  void onErrorResponse();
   void onFailure(HttpFailure why);
   void onCallerDisconnected();
   void onTimer();
