LibDesk: Take no status for a promise without a proof

The own interface recorded a desk's 408, 421, 429 or 503 as the answer of a call even if the desk did not state that it had rejected it, and passed the status on. A repeatable call whose responses were all lost was answered 503.

Change: without X-Not-Run such a status leaves the outcome unknown; with it all four are rejections. A repeatable call that a desk may have run ends with 504 `desk-lost`, as other calls do, and with 503 only if each desk rejected it.

Failed before the fix: desk_client/a_promise_without_proof_leaves_the_outcome_unknown (6 checks) and AtMostOnce/lost_lookups_are_not_answered_as_not_run (503, not 504).

--- a/Libraries/LibDesk/DeskClient.cpp
+++ b/Libraries/LibDesk/DeskClient.cpp
@@ -4,8 +4,6 @@
 namespace sorrelbay {
 
 static constexpr Duration ConnectTimeout = milliseconds(500);
-static constexpr int StatusTooMany = 429;
-static constexpr int StatusUnavailable = 503;
 /// A desk sets this header if it rejected a call without running it.
 static const char *const RejectedHeader = "X-Not-Run";
 
@@ -31,11 +29,12 @@
   }
   if (headerValue(reply.Headers, "X-Request-Id") != request.RequestId)
     throw DeskOutcomeUnknown("the response is for another request");
-  const bool isRefusal =
-      reply.Status == StatusTooMany || reply.Status == StatusUnavailable;
-  if (isRefusal && hasHeader(reply.Headers, RejectedHeader))
-    throw DeskRejected("the desk rejected the call with status " +
-                       std::to_string(reply.Status));
+  if (isNotRunStatus(reply.Status)) {
+    const std::string status = std::to_string(reply.Status);
+    if (hasHeader(reply.Headers, RejectedHeader))
+      throw DeskRejected("the desk rejected the call with status " + status);
+    throw DeskOutcomeUnknown("the desk failed the call with status " + status);
+  }
   return {reply.Status, reply.Body};
 }
 
--- a/Libraries/LibDesk/DeskClient.h
+++ b/Libraries/LibDesk/DeskClient.h
@@ -43,7 +43,9 @@
 };
 
 /// Sends the call over a connection of its own. Throws DeskRejected or
-/// DeskOutcomeUnknown; a response to another request counts as the latter.
+/// DeskOutcomeUnknown; a response to another request counts as the latter, and
+/// so does a status that promises that the call did not run, unless the desk
+/// reported that it rejected the call.
 DeskAnswer callDesk(const UpstreamId &upstream, const DeskRequest &request);
 
 } // namespace sorrelbay
--- a/Services/sorrelbayd/DeskCalls.cpp
+++ b/Services/sorrelbayd/DeskCalls.cpp
@@ -18,6 +18,7 @@
 static constexpr Duration ShortRetryAfter = milliseconds(500);
 static constexpr int FirstServerFault = 500;
 static constexpr int StatusMisdirected = 421;
+static constexpr int StatusGatewayTimeout = 504;
 // The wait limit of a call beyond the limit of open calls, whose refusal is
 // recorded in the ledger to make it final.
 static constexpr Duration ShedWaitLimit = milliseconds(500);
@@ -122,6 +123,7 @@
 }
 
 HttpResponse DeskCalls::answerRepeatable(Work &work) {
+  bool mayHaveRun = false;
   for (int n = 0; n < MaxAttempts; ++n) {
     try {
       const DeskAnswer answer = sendNext(work);
@@ -132,9 +134,14 @@
     } catch (const DeskRejected &) {
     } catch (const DeskOutcomeUnknown &) {
       // The call may have run, which is harmless for a repeatable operation.
+      mayHaveRun = true;
     }
   }
   Counts.countCall(work.Operation.Id.text(), "failed");
+  if (mayHaveRun)
+    throw Problem(StatusGatewayTimeout, "desk-lost",
+                  "no desk that was sent the call answered it",
+                  Outcome::Unknown);
   throw Problem(503, "no-upstream", "no desk took the call", Outcome::Unknown,
                 ShortRetryAfter);
 }
--- a/Tests/Integration/TestAtMostOnce.cpp
+++ b/Tests/Integration/TestAtMostOnce.cpp
@@ -258,6 +258,16 @@
   BOOST_TEST(site.runs("dispatch-1") == row.Runs);
 }
 
+// Desks run a lookup and their responses are lost. A caller that is told that
+// it did not run, by the status, need not be right.
+BOOST_AUTO_TEST_CASE(lost_lookups_are_not_answered_as_not_run) {
+  const BookingSite site(2);
+  site.setDeskFaults("{\"lose_replies\":9}");
+  const HttpReply lost = callDeskAt(site.entry(0), "lookup", "", 1);
+  BOOST_TEST(lost.Status == 504);
+  BOOST_TEST(parseDeskCall(lost).Outcome == CallOutcome::Unknown);
+}
+
 // A middlebox drops the state of open connections to a desk. A dispatch written
 // to one of them would be lost, and the daemon could not distinguish it from
 // one that ran.
--- a/Tests/LibDesk/TestDeskClient.cpp
+++ b/Tests/LibDesk/TestDeskClient.cpp
@@ -61,4 +61,23 @@
   }
 }
 
+// A desk runs a booking and fails it with a status that promises that it did
+// not run. Taken for the desk's answer, the status leads callers to book again.
+BOOST_AUTO_TEST_CASE(a_promise_without_proof_leaves_the_outcome_unknown) {
+  ScriptedServer desk;
+  for (const int status : {408, 421, 429, 503})
+    for (const bool isProven : {false, true}) {
+      desk.setScript([=](const std::string &) {
+        return ScriptedResponse{{"HTTP/1.1 " + std::to_string(status) +
+                                 " No\r\nX-Request-Id: r1\r\n" +
+                                 (isProven ? "X-Not-Run: 1\r\n" : "") +
+                                 "Content-Length: 6\r\n\r\nfailed"}};
+      });
+      if (isProven)
+        BOOST_CHECK_THROW(answerOf(desk.address()), DeskRejected);
+      else
+        BOOST_TEST(answerOf(desk.address()).empty());
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
