LibHttp: Read all responses through one reader that refuses malformed heads

Cause: Beast's parser takes them by intention, and nothing stated what a response is. Ruled out: that the clients go on after an error of the parser; each error ended the call. A blank or a control byte in a name was refused before, in heads and trailers.

Change: ResponseReader reads the responses of AsyncHttpClient and HttpClient and decides alone what is one; what is none fails as a connection that broke off. The store, relays, status checks and resumed streams are read by these clients. The metric sorrelbay_upstream_ignored_input_total{kind="malformed_head"} counts them.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -1,9 +1,9 @@
 #include "LibHttp/AsyncHttpClient.h"
 #include "LibHttp/BeastCommon.h"
+#include "LibHttp/ResponseReader.h"
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <limits>
 #include <map>
 #include <set>
 
@@ -42,7 +42,6 @@
 using ClientConnectionPointer = std::shared_ptr<ClientConnection>;
 using SteadyInstant = std::chrono::steady_clock::time_point;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
-constexpr int FirstFinalStatus = 200;
 const std::string KeepAliveTimeoutName = "timeout=";
 } // namespace
 
@@ -62,7 +61,6 @@
 namespace {
 
 using SharedState = AsyncHttpClient::SharedState;
-using ReplyParser = http::response_parser<http::buffer_body>;
 
 /// A connection and the call in flight on it. Pending operations hold
 /// references that keep it alive.
@@ -96,6 +94,8 @@
   void send();
   void readResponseHeader();
   void readNextResponse();
+  void readHeaderBytes();
+  void onHeaderBytes(std::size_t bytes);
   void onHeaderRead();
   void readBody();
   void onBodyRead(ErrorCode ec);
@@ -110,8 +110,7 @@
   std::string Address;
   Tcp::socket Socket;
   asio::steady_timer Timer;
-  boost::beast::flat_buffer Buffer{MaxBufferBytes};
-  std::optional<ReplyParser> Parser;
+  ResponseReader Reader;
   std::array<char, ReadBufferBytes> ReadBuffer{};
   HttpCallHooks Hooks;
   std::string Request;
@@ -172,16 +171,6 @@
   return seconds(number);
 }
 
-/// What marks the end of the body of a response whose header was read.
-BodyFraming framingOf(const ReplyParser &parser) {
-  if (parser.is_done())
-    return BodyFraming::None;
-  if (parser.chunked())
-    return BodyFraming::Chunks;
-  return parser.content_length() ? BodyFraming::Length
-                                 : BodyFraming::ConnectionEnd;
-}
-
 void ClientConnection::close() {
   if (IsClosed)
     return;
@@ -309,20 +298,29 @@
 }
 
 void ClientConnection::readResponseHeader() {
-  Parser.emplace();
-  Parser->header_limit(
-      static_cast<std::uint32_t>(ClientState->Settings.MaxHeadBytes));
-  Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  if (IsHead)
-    Parser->skip(true);
-  http::async_read_header(
-      Socket, Buffer, *Parser,
-      [self = shared_from_this()](ErrorCode ec, std::size_t) {
+  Reader.start(IsHead, ClientState->Settings.MaxHeadBytes);
+  onHeaderBytes(0);
+}
+
+void ClientConnection::onHeaderBytes(std::size_t bytes) {
+  ErrorCode ec;
+  const bool isComplete = Reader.takeHead(bytes, ec);
+  if (ec) {
+    ++ClientState->Counts.MalformedHeads;
+    return fail(HttpFailure::Broken);
+  }
+  isComplete ? onHeaderRead() : readHeaderBytes();
+}
+
+void ClientConnection::readHeaderBytes() {
+  Socket.async_read_some(
+      Reader.prepareHead(),
+      [self = shared_from_this()](ErrorCode ec, std::size_t n) {
         if (self->IsClosed)
           return;
         if (ec)
           return self->fail(failureOf(ec, HttpFailure::Broken));
-        self->onHeaderRead();
+        self->onHeaderBytes(n);
       });
 }
 
@@ -334,15 +332,9 @@
 }
 
 void ClientConnection::onHeaderRead() {
-  const auto &message = Parser->get();
-  HttpReplyHead head;
-  head.Status = static_cast<int>(message.result_int());
-  if (head.Status < FirstFinalStatus)
+  if (Reader.isInformational())
     return readNextResponse();
-  head.Headers = headersOf(message);
-  if (const auto length = Parser->content_length())
-    head.Length = *length;
-  head.Framing = framingOf(*Parser);
+  HttpReplyHead head = Reader.head();
   head.IsFirstOnConnection = !HasResponded;
   HasResponded = true;
   const std::string keepAliveHeader = headerValue(head.Headers, "Keep-Alive");
@@ -361,16 +353,17 @@
 }
 
 void ClientConnection::readBody() {
-  if (Parser->is_done())
+  if (Reader.hasEnded())
     return onResponseEnd();
   if (IsPaused) {
     WaitsForResume = true;
     return;
   }
-  Parser->get().body().data = ReadBuffer.data();
-  Parser->get().body().size = ReadBuffer.size();
-  Parser->get().body().more = true;
-  http::async_read_some(Socket, Buffer, *Parser,
+  auto &body = Reader.parser().get().body();
+  body.data = ReadBuffer.data();
+  body.size = ReadBuffer.size();
+  body.more = true;
+  http::async_read_some(Socket, Reader.buffer(), Reader.parser(),
                         [self = shared_from_this()](ErrorCode ec, std::size_t) {
                           if (!self->IsClosed)
                             self->onBodyRead(ec);
@@ -386,7 +379,7 @@
 }
 
 void ClientConnection::onBodyRead(ErrorCode ec) {
-  const std::size_t n = ReadBuffer.size() - Parser->get().body().size;
+  const std::size_t n = ReadBuffer.size() - Reader.parser().get().body().size;
   if (n != 0 && IsForThisCall)
     Hooks.OnBody({ReadBuffer.data(), n});
   if (IsClosed)
@@ -400,8 +393,7 @@
 }
 
 void ClientConnection::onResponseEnd() {
-  const bool keeps = Parser->keep_alive() && !IsWriting;
-  Parser.reset();
+  const bool keeps = Reader.keepsAlive() && !IsWriting;
   if (!IsForThisCall) {
     // This was a late response to an earlier call; the one to this call follows
     // it.
@@ -415,7 +407,7 @@
   Hooks = {};
   if (!keeps) {
     close();
-  } else if (Buffer.size() != 0) {
+  } else if (Reader.hasFurtherInput()) {
     ++ClientState->Counts.UnexpectedInput;
     close();
   } else {
--- a/Libraries/LibHttp/AsyncHttpClient.h
+++ b/Libraries/LibHttp/AsyncHttpClient.h
@@ -110,6 +110,8 @@
   std::uint64_t UnexpectedInput = 0;
   /// Keep-alive timeouts of servers that could not be read.
   std::uint64_t MalformedKeepAlives = 0;
+  /// Responses refused because their header is not one of HTTP/1.1.
+  std::uint64_t MalformedHeads = 0;
 };
 
 struct AsyncHttpClientSettings {
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -1,10 +1,9 @@
 #include "LibHttp/HttpClient.h"
 #include "LibBase/BootClock.h"
 #include "LibHttp/BlockingConnection.h"
+#include "LibHttp/ResponseReader.h"
 #include <array>
 #include <atomic>
-#include <limits>
-#include <optional>
 
 namespace sorrelbay {
 
@@ -14,16 +13,13 @@
 
 constexpr std::size_t MaxIdlePerAddress = 32;
 constexpr std::size_t ReadBufferBytes = 16UL * 1024;
-constexpr std::uint32_t MaxHeaderBytes = 32UL * 1024;
+constexpr std::size_t MaxHeaderBytes = 32UL * 1024;
 /// The largest body of a response that is kept as a whole.
 constexpr std::size_t MaxReplyBytes = 64UL * 1024 * 1024;
 /// The longest time for a response that goes on arriving.
 constexpr Duration MaxTransferTime = seconds(10);
 /// The most informational responses before the final one.
 constexpr int MaxInformational = 32;
-constexpr int FirstFinalStatus = 200;
-
-using ReplyParser = http::response_parser<http::buffer_body>;
 
 /// A call on a connection. The hooks return false to stop the call.
 class BlockingCall {
@@ -32,7 +28,8 @@
   using OnData = std::function<bool(std::string_view)>;
 
   BlockingCall(BlockingConnection &connection, const HttpCall &call)
-      : CallConnection(connection), What(call.Method + " " + call.Path) {}
+      : CallConnection(connection), What(call.Method + " " + call.Path),
+        IsHead(call.Method == "HEAD") {}
 
   /// Returns false if a hook stopped the call. Throws HttpOutcomeUnknown unless
   /// the response is complete.
@@ -46,8 +43,8 @@
   }
   /// Whether the connection can take another call.
   bool isReusable() const {
-    return Parser && Parser->is_done() && Parser->keep_alive() &&
-           Buffer.size() == 0;
+    return Reader.hasEnded() && Reader.keepsAlive() &&
+           !Reader.hasFurtherInput();
   }
 
 private:
@@ -56,33 +53,42 @@
   }
 
   HttpReply readHeader() {
-    HttpReply reply;
-    for (int n = 0; reply.Status < FirstFinalStatus; ++n) {
-      if (n > MaxInformational)
+    readNextHeader();
+    for (int n = 0; Reader.isInformational(); ++n) {
+      if (n == MaxInformational)
         throw HttpOutcomeUnknown(What + ": no final response");
-      Parser.emplace();
-      Parser->header_limit(MaxHeaderBytes);
-      Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
-      ErrorCode ec;
-      http::read_header(CallConnection, Buffer, *Parser, ec);
-      if (ec)
-        fail(ec);
-      reply.Status = static_cast<int>(Parser->get().result_int());
+      readNextHeader();
     }
-    reply.Headers = headersOf(Parser->get());
+    const HttpReplyHead head = Reader.head();
+    HttpReply reply;
+    reply.Status = head.Status;
+    reply.Headers = head.Headers;
     return reply;
   }
 
+  void readNextHeader() {
+    Reader.start(IsHead, MaxHeaderBytes);
+    ErrorCode ec;
+    bool isComplete = Reader.takeHead(0, ec);
+    while (!isComplete && !ec) {
+      const std::size_t n = CallConnection.read_some(Reader.prepareHead(), ec);
+      if (!ec)
+        isComplete = Reader.takeHead(n, ec);
+    }
+    if (ec)
+      fail(ec);
+  }
+
   bool readBody(const OnData &onData) {
     std::array<char, ReadBufferBytes> part{};
-    while (!Parser->is_done()) {
-      auto &body = Parser->get().body();
+    auto &body = Reader.parser().get().body();
+    while (!Reader.hasEnded()) {
       body.data = part.data();
       body.size = part.size();
       body.more = true;
       ErrorCode ec;
-      http::read_some(CallConnection, Buffer, *Parser, ec);
-      const std::size_t n = part.size() - Parser->get().body().size;
+      http::read_some(CallConnection, Reader.buffer(), Reader.parser(), ec);
+      const std::size_t n = part.size() - body.size;
       if (n != 0 && !onData({part.data(), n}))
         return false;
       if (ec && ec != http::error::need_buffer)
@@ -93,8 +99,8 @@
 
   BlockingConnection &CallConnection;
   std::string What;
-  boost::beast::flat_buffer Buffer{MaxBufferBytes};
-  std::optional<ReplyParser> Parser;
+  bool IsHead;
+  ResponseReader Reader;
 };
 
 /// The request in wire format.
--- a/Services/sorrelbayd/Metrics.cpp
+++ b/Services/sorrelbayd/Metrics.cpp
@@ -354,6 +354,8 @@
           counts.UnexpectedInput);
   raiseTo(All->IgnoredInput.Add({{"kind", "malformed_keep_alive"}}),
           counts.MalformedKeepAlives);
+  raiseTo(All->IgnoredInput.Add({{"kind", "malformed_head"}}),
+          counts.MalformedHeads);
 }
 
 void Metrics::setPeerCounts(const MeshCounts &counts) {
