LibHttp: Take no reset during an upload for the end of a body

Cause: the system reports a connection's error once. The pending write got it, its result was dropped, and the read saw an orderly end. Ruled out: that the reset arrives as an orderly end; without a pending write it was noticed. The kernel's limit for unacknowledged bytes (TCP_USER_TIMEOUT) is lost in the same way, and a cancelled HttpStream took its own shutdown for the end of the body.

Change: ResponseReader gets the write's result. A body that ends with its connection while its request is written is whole only once the write has succeeded; after a failed write it has broken off, and one for want of acknowledgements is reported as Unacknowledged. HttpStream::run reports a cancelled stream as stopped.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -87,11 +87,12 @@
   void cancel();
   void pause() { IsPaused = true; }
   void resume();
-  bool isUsable() const { return !IsClosed && !IsWriting; }
+  bool isUsable() const { return !IsClosed && Reader.isRequestWritten(); }
   SteadyInstant lastUsedAt() const { return LastUsedAt; }
 
 private:
   void send();
+  void onRequestWritten(ErrorCode ec);
   void readResponseHeader();
   void readNextResponse();
   void readHeaderBytes();
@@ -103,6 +104,7 @@
   void onOpenedIdle();
   void returnToPool();
   void watchIdle();
+  HttpFailure failureOf(ErrorCode ec, HttpFailure otherwise) const;
   void fail(HttpFailure why);
   void failToConnect(ConnectResult result);
 
@@ -123,9 +125,10 @@
   bool HasResponded = false;
   int OtherResponses = 0;
   std::size_t OtherBytes = 0;
-  bool IsWriting = false;
   bool IsPaused = false;
   bool WaitsForResume = false;
+  /// The response has ended, and its request is still being written.
+  bool WaitsForRequest = false;
   bool IsClosed = false;
   bool IsConnected = false;
   /// The connection is opened for later calls.
@@ -200,8 +203,11 @@
 }
 
 /// The failure that an error on reading stands for.
-static HttpFailure failureOf(ErrorCode ec, HttpFailure otherwise) {
-  return ec == asio::error::timed_out ? HttpFailure::Unacknowledged : otherwise;
+HttpFailure ClientConnection::failureOf(ErrorCode ec,
+                                        HttpFailure otherwise) const {
+  return Reader.causeOf(ec) == asio::error::timed_out
+             ? HttpFailure::Unacknowledged
+             : otherwise;
 }
 
 void ClientConnection::failToConnect(ConnectResult result) {
@@ -262,6 +268,7 @@
   IsActive = true;
   IsPaused = false;
   WaitsForResume = false;
+  WaitsForRequest = false;
   OtherResponses = 0;
   OtherBytes = 0;
   IsHead = call.Method == "HEAD";
@@ -284,21 +291,26 @@
     return fail(HttpFailure::Withdrawn);
   if (!IsActive)
     return;
-  IsWriting = true;
+  Reader.noteRequestBegun(IsHead);
   asio::async_write(Socket, asio::buffer(Request),
                     [self = shared_from_this()](ErrorCode ec, std::size_t) {
-                      self->IsWriting = false;
-                      // The pending read detects the closed connection too, and
-                      // may still receive a response that was sent before it
-                      // closed.
-                      if (ec && self->IsClosed)
-                        return;
+                      self->onRequestWritten(ec);
                     });
   readResponseHeader();
 }
 
+/// The pending read detects a failed connection too, and may still receive a
+/// response that was sent before it failed.
+void ClientConnection::onRequestWritten(ErrorCode ec) {
+  Reader.noteRequestWritten(ec);
+  if (!WaitsForRequest || IsClosed)
+    return;
+  WaitsForRequest = false;
+  onResponseEnd();
+}
+
 void ClientConnection::readResponseHeader() {
-  Reader.start(IsHead, ClientState->Settings.MaxHeadBytes);
+  Reader.start(ClientState->Settings.MaxHeadBytes);
   onHeaderBytes(0);
 }
 
@@ -319,7 +331,7 @@
         if (self->IsClosed)
           return;
         if (ec)
-          return self->fail(failureOf(ec, HttpFailure::Broken));
+          return self->fail(self->failureOf(ec, HttpFailure::Broken));
         self->onHeaderBytes(n);
       });
 }
@@ -393,7 +405,7 @@
 }
 
 void ClientConnection::onResponseEnd() {
-  const bool keeps = Reader.keepsAlive() && !IsWriting;
+  const bool keeps = Reader.keepsAlive();
   if (!IsForThisCall) {
     // This was a late response to an earlier call; the one to this call follows
     // it.
@@ -401,6 +413,12 @@
       return fail(HttpFailure::Broken);
     return readNextResponse();
   }
+  if (Reader.dependsOnRequest()) {
+    WaitsForRequest = true;
+    return;
+  }
+  if (Reader.hasBrokenOff())
+    return fail(failureOf({}, HttpFailure::Truncated));
   const auto self = shared_from_this();
   IsActive = false;
   const HttpCallHooks hooks = std::move(Hooks);
--- a/Libraries/LibHttp/HttpClient.cpp
+++ b/Libraries/LibHttp/HttpClient.cpp
@@ -36,7 +36,9 @@
   bool run(const std::string &request, const OnReply &onReply,
            const OnData &onData) {
     ErrorCode ec;
+    Reader.noteRequestBegun(IsHead);
     CallConnection.write(request, ec);
+    Reader.noteRequestWritten(ec);
     if (ec)
       fail(ec);
     return onReply(readHeader()) && readBody(onData);
@@ -67,7 +69,7 @@
   }
 
   void readNextHeader() {
-    Reader.start(IsHead, MaxHeaderBytes);
+    Reader.start(MaxHeaderBytes);
     ErrorCode ec;
     bool isComplete = Reader.takeHead(0, ec);
     while (!isComplete && !ec) {
@@ -218,10 +220,12 @@
     link.connect(StreamConnection->Address, Call.ConnectTimeout);
     link.setTimeout(Call.ReadTimeout);
     BlockingCall blockingCall(link, Call);
-    return blockingCall.run(
+    const bool isWhole = blockingCall.run(
         wireText(Call, StreamConnection->Address, false),
         [&](const HttpReply &reply) { return !isCancelled && onReply(reply); },
         [&](std::string_view data) { return !isCancelled && onData(data); });
+    // Cancelling shuts the connection down, which reads as an orderly end.
+    return isWhole && !isCancelled;
   } catch (const HttpNotSent &) {
     if (!isCancelled)
       throw;
--- a/Libraries/LibHttp/ResponseReader.cpp
+++ b/Libraries/LibHttp/ResponseReader.cpp
@@ -38,13 +38,24 @@
                                  : BodyFraming::ConnectionEnd;
 }
 
-void ResponseReader::start(bool isToHead, std::size_t maxHeadBytes) {
+void ResponseReader::noteRequestBegun(bool isHead) {
+  IsToHead = isHead;
+  IsWriting = true;
+  WriteError = {};
+}
+
+void ResponseReader::noteRequestWritten(const ErrorCode &ec) {
+  IsWriting = false;
+  WriteError = ec;
+}
+
+void ResponseReader::start(std::size_t maxHeadBytes) {
   MaxHeadBytes = std::min(maxHeadBytes, Buffer.max_size());
   SearchedBytes = 0;
   ResponseParser.emplace();
   ResponseParser->header_limit(static_cast<std::uint32_t>(MaxHeadBytes));
   ResponseParser->body_limit(std::numeric_limits<std::uint64_t>::max());
-  if (isToHead)
+  if (IsToHead)
     ResponseParser->skip(true);
 }
 
@@ -113,4 +124,20 @@
   return out;
 }
 
+bool ResponseReader::dependsOnRequest() const {
+  return ResponseParser->need_eof() && IsWriting;
+}
+
+bool ResponseReader::hasBrokenOff() const {
+  return ResponseParser->need_eof() && WriteError.failed();
+}
+
+ErrorCode ResponseReader::causeOf(const ErrorCode &ec) const {
+  return WriteError.failed() ? WriteError : ec;
+}
+
+bool ResponseReader::keepsAlive() const {
+  return ResponseParser->keep_alive() && !IsWriting && !WriteError.failed();
+}
+
 } // namespace sorrelbay
