LibHttp: Let the client own the connections that are paused

It needs no trouble: the first part of such an answer pauses its connection.

Cause: a ClientConnection was kept alive by its pending operations only. A paused one has none and was destroyed with its call's hooks, without an end or a failure. Ruled out: that the call isn't told of the drained queue (it was), and that the replica closes the connection (the host did).

Change: the client's state holds the connections that wait to be resumed, until they are resumed or closed; a client that ends cancels them, as they hold its state.

--- a/Libraries/LibHttp/AsyncHttpClient.cpp
+++ b/Libraries/LibHttp/AsyncHttpClient.cpp
@@ -53,6 +53,9 @@
   AsyncHttpClientSettings Settings;
   /// Idle connections by address, the most recently used one last.
   std::map<std::string, std::vector<ClientConnectionPointer>> Idle;
+  /// Connections that wait to be resumed. They have no pending operation, which
+  /// would hold them.
+  std::set<ClientConnectionPointer> Paused;
   std::map<std::string, std::size_t> ConnectionCounts;
   HttpClientCounts Counts;
   bool IsEnding = false;
@@ -63,7 +66,7 @@
 using SharedState = AsyncHttpClient::SharedState;
 
 /// A connection and the call in flight on it. Pending operations hold
-/// references that keep it alive.
+/// references that keep it alive, and the client holds those without any.
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
 public:
   ClientConnection(std::shared_ptr<SharedState> clientState,
@@ -99,6 +102,7 @@
   void onHeaderBytes(std::size_t bytes);
   void onHeaderRead();
   void readBody();
+  void waitForResume();
   void onBodyRead(ErrorCode ec);
   void onResponseEnd();
   void onOpenedIdle();
@@ -181,6 +185,8 @@
   ErrorCode ignored;
   Timer.cancel(ignored);
   Socket.close(ignored);
+  const auto self = shared_from_this();
+  ClientState->Paused.erase(self);
 }
 
 void ClientConnection::cancel() {
@@ -367,10 +373,8 @@
 void ClientConnection::readBody() {
   if (Reader.hasEnded())
     return onResponseEnd();
-  if (IsPaused) {
-    WaitsForResume = true;
-    return;
-  }
+  if (IsPaused)
+    return waitForResume();
   auto &body = Reader.parser().get().body();
   body.data = ReadBuffer.data();
   body.size = ReadBuffer.size();
@@ -382,11 +386,20 @@
                         });
 }
 
+void ClientConnection::waitForResume() {
+  if (ClientState->IsEnding)
+    return cancel();
+  WaitsForResume = true;
+  ClientState->Paused.insert(shared_from_this());
+}
+
 void ClientConnection::resume() {
   IsPaused = false;
   if (!WaitsForResume || IsClosed)
     return;
   WaitsForResume = false;
+  const auto self = shared_from_this();
+  ClientState->Paused.erase(self);
   readBody();
 }
 
@@ -504,6 +517,11 @@
     for (const ClientConnectionPointer &it : idle)
       it->close();
   ClientState->Idle.clear();
+  // They hold the state that holds them.
+  const std::set<ClientConnectionPointer> paused =
+      std::move(ClientState->Paused);
+  for (const ClientConnectionPointer &it : paused)
+    it->cancel();
 }
 
 std::shared_ptr<HttpCallHandle>
--- a/Tests/Fakes/EarlyServer.cpp
+++ b/Tests/Fakes/EarlyServer.cpp
@@ -52,17 +52,22 @@
   }
 }
 
+/// Reads by single bytes, so that the whole body is left to the script.
+static std::string readHead(EarlyServer::Socket &socket) {
+  std::string head;
+  while (head.find(HeadEnd) == std::string::npos) {
+    char it = 0;
+    asio::read(socket, asio::buffer(&it, 1));
+    head += it;
+  }
+  return head;
+}
+
 void EarlyServer::serve(Socket &socket) {
   ErrorCode ignored;
   try {
-    std::string head;
-    // By single bytes, so that the whole body is left to the script.
-    while (head.find(HeadEnd) == std::string::npos) {
-      char it = 0;
-      asio::read(socket, asio::buffer(&it, 1));
-      head += it;
-    }
-    RequestScript(socket, head);
+    while (socket.is_open())
+      RequestScript(socket, readHead(socket));
   } catch (const boost::system::system_error &) {
     // The client has closed the connection.
   }
--- a/Tests/Fakes/EarlyServer.h
+++ b/Tests/Fakes/EarlyServer.h
@@ -16,8 +16,9 @@
 class EarlyServer {
 public:
   using Socket = boost::asio::ip::tcp::socket;
-  /// Serves the connection with blocking operations. Its second argument is the
-  /// head of the request. The connection is closed when it returns or throws.
+  /// Serves a request with blocking operations. Its second argument is the head
+  /// of the request. What it leaves of the body is taken for the next request.
+  /// The connection is closed when it throws.
   using Script = std::function<void(Socket &, const std::string &)>;
 
   explicit EarlyServer(Script script);
--- a/Tests/sorrelbayd/RawCaller.cpp
+++ b/Tests/sorrelbayd/RawCaller.cpp
@@ -6,6 +6,7 @@
 using namespace beastcommon;
 
 static const std::string HeaderEnd = "\r\n\r\n";
+static constexpr int ReceiveBufferBytes = 16 * 1024;
 
 /// Decodes a body in chunks. Returns whether its last chunk has arrived.
 static bool decodeChunks(const std::string &wire, std::string &body) {
@@ -26,14 +27,8 @@
   }
 }
 
-RawReply callRaw(const std::string &address, const std::string &request) {
-  asio::io_context loop;
-  Tcp::socket socket(loop);
-  socket.connect(endpointOf(address));
-  asio::write(socket, asio::buffer(request));
-  std::string wire;
-  ErrorCode ec;
-  asio::read(socket, asio::dynamic_buffer(wire), ec);
+/// Reads the reply from what arrived until the connection ended with the error.
+static RawReply parseReply(const std::string &wire, const ErrorCode &ec) {
   RawReply reply;
   const std::size_t headEnd = wire.find(HeaderEnd);
   if (headEnd == std::string::npos)
@@ -57,4 +52,30 @@
   return reply;
 }
 
+RawReply callRaw(const std::string &address, const std::string &request) {
+  asio::io_context loop;
+  Tcp::socket socket(loop);
+  socket.connect(endpointOf(address));
+  asio::write(socket, asio::buffer(request));
+  std::string wire;
+  ErrorCode ec;
+  asio::read(socket, asio::dynamic_buffer(wire), ec);
+  return parseReply(wire, ec);
+}
+
+RawReply callRaw(const std::string &address, const std::string &request,
+                 const std::function<void()> &afterFirstByte) {
+  asio::io_context loop;
+  Tcp::socket socket(loop, Tcp::v4());
+  socket.set_option(asio::socket_base::receive_buffer_size(ReceiveBufferBytes));
+  socket.connect(endpointOf(address));
+  asio::write(socket, asio::buffer(request));
+  std::string wire(1, '\0');
+  ErrorCode ec;
+  asio::read(socket, asio::buffer(wire), ec);
+  afterFirstByte();
+  asio::read(socket, asio::dynamic_buffer(wire), ec);
+  return parseReply(wire, ec);
+}
+
 } // namespace sorrelbay
--- a/Tests/sorrelbayd/RawCaller.h
+++ b/Tests/sorrelbayd/RawCaller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -19,4 +20,9 @@
 /// until the connection ends. The address is "ip:port".
 RawReply callRaw(const std::string &address, const std::string &request);
 
+/// The same, for a caller that does something else after the first byte, and
+/// whose socket holds little.
+RawReply callRaw(const std::string &address, const std::string &request,
+                 const std::function<void()> &afterFirstByte);
+
 } // namespace sorrelbay
