sorrelbayd: Keep the periodic work going whatever one part of it meets

Cause: the ids are chosen by callers and were taken for text. Rendering the stored quarantines threw, the exception left Gateway::tick, and its timer was armed again only after the work: no reports, no lease, no views. Ruled out: that the event loop ends; it logged the fault and served on.

Change: the object in the store names bytes of a part that may not be text as "%" and two hexadecimal digits, and reads them back exactly. Each part of the periodic work is isolated, and the timer is armed whatever happens; `periodic work fault` names the part. A write of quarantines that throws is tried again.

Failed before the fix: prompt_crashes/a_part_that_is_no_text_stops_no_host (not stored) and a_fault_in_periodic_work_ends_no_other_work (2 checks). quarantine_object/any_part_is_read_as_it_was_written was not run on the code before.

--- a/Libraries/LibOperator/QuarantineObject.h
+++ b/Libraries/LibOperator/QuarantineObject.h
@@ -17,6 +17,11 @@
 /// crashes that may lead to others.
 constexpr const char *QuarantineObjectName = "prompts";
 
+/// The id of a prompt's part as operators and the store see it. Callers choose
+/// the ids, which need not be text: other bytes than letters, digits and "-_.:"
+/// are written as "%" and two hexadecimal digits.
+std::string readablePart(const std::string &part);
+
 /// Renders quarantines and crashes as the JSON text of the object's body.
 std::string renderQuarantineObject(const CrashKnowledge &knowledge);
 /// The inverse. Throws QuarantineObjectMalformed.
@@ -27,7 +32,8 @@
                                     std::vector<std::string> &refused);
 
 /// Releases all quarantines in force that name the part, also those of several
-/// parts, at `now`. Returns how many there were.
+/// parts, at `now`. The part's id is readable or as callers name it. Returns
+/// how many there were.
 int releaseQuarantines(QuarantineMarks &marks, const std::string &part,
                        Instant now);
 
--- a/Services/sorrelbayd/Gateway.cpp
+++ b/Services/sorrelbayd/Gateway.cpp
@@ -388,6 +388,17 @@
   }
 }
 
+/// Does the work, and logs an exception that ends it.
+static void runIsolated(const char *name, const std::function<void()> &work) {
+  try {
+    work();
+  } catch (const std::exception &error) {
+    LogLine(Severity::Error, "periodic work fault")
+        .field("part", name)
+        .field("why", error.what());
+  }
+}
+
 void Gateway::repeat(boost::asio::steady_timer &timer, Duration interval,
                      std::function<void()> work) {
   timer.expires_after(interval);
@@ -395,13 +406,12 @@
                     work = std::move(work)](boost::system::error_code ec) {
     if (ec)
       return;
-    work();
+    runIsolated("periodic work", work);
     repeat(timer, interval, work);
   });
 }
 
-void Gateway::tick() {
-  const Instant now = bootNow();
+void Gateway::noteTick(Instant now) {
   if (State.TickedAt != Instant{} &&
       now - State.TickedAt > TickInterval + MaxLoopDelay)
     LogLine(Severity::Warning, "event loop delayed")
@@ -409,19 +419,17 @@
   if (State.wasStalled(now))
     State.StallEndedAt = now;
   State.TickedAt = now;
+}
+
+void Gateway::tickViews(Instant now) {
   for (ResourceWatcher *it :
        {Plans.get(), Replicas.get(), RolloutOrders.get(), Quarantines.get()})
     it->tick(now);
   if (Evacuations)
     Evacuations->tick(now);
-  State.Replicas.setHosts(State.Settings.Host, State.Fleet.allHosts());
-  Duties.tick(now);
-  Usage.tick(now);
-  Orders.tick(now);
-  ServiceRollouts.tick(now);
-  updateRetryBudgets();
-  Upstreams.tick(now);
-  Reserved.tick(now);
+}
+
+void Gateway::tickQuarantines(Instant now) {
   if (State.Plan)
     for (const ServingService &it : State.Plan->plan().Services)
       State.Quarantine.setUpstreams(
@@ -429,12 +437,37 @@
   State.Crashes.tick();
   State.Quarantine.tick(State.Time.at(now));
   State.Crashes.withdraw(State.Quarantine);
-  StoredQuarantines.tick(Fleet.isFleetLeader(now), now);
-  Requests.tick(now);
-  Fleet.tick(now);
-  State.logStoreCalls(now);
-  State.LoadLog.log(now);
-  UpstreamChanges.logLeftOut(now);
+}
+
+/// A fault in one part, such as input that nobody expected, must not end the
+/// others: a host that sends no reports and renews no lease serves nobody.
+void Gateway::tick() {
+  const Instant now = bootNow();
+  noteTick(now);
+  const std::pair<const char *, std::function<void()>> parts[] = {
+      {"views", [&] { tickViews(now); }},
+      {"hosts",
+       [&] {
+         State.Replicas.setHosts(State.Settings.Host, State.Fleet.allHosts());
+       }},
+      {"duties", [&] { Duties.tick(now); }},
+      {"usage", [&] { Usage.tick(now); }},
+      {"replica orders", [&] { Orders.tick(now); }},
+      {"rollouts", [&] { ServiceRollouts.tick(now); }},
+      {"retry budgets", [&] { updateRetryBudgets(); }},
+      {"upstreams", [&] { Upstreams.tick(now); }},
+      {"reserved engines", [&] { Reserved.tick(now); }},
+      {"quarantines", [&] { tickQuarantines(now); }},
+      {"stored quarantines",
+       [&] { StoredQuarantines.tick(Fleet.isFleetLeader(now), now); }},
+      {"operator requests", [&] { Requests.tick(now); }},
+      {"fleet", [&] { Fleet.tick(now); }},
+      {"store calls", [&] { State.logStoreCalls(now); }},
+      {"load", [&] { State.LoadLog.log(now); }},
+      {"upstream changes", [&] { UpstreamChanges.logLeftOut(now); }},
+  };
+  for (const auto &[name, work] : parts)
+    runIsolated(name, work);
 }
 
 void Gateway::updateRetryBudgets() {
--- a/Services/sorrelbayd/Gateway.h
+++ b/Services/sorrelbayd/Gateway.h
@@ -69,6 +69,9 @@
   void repeat(boost::asio::steady_timer &timer, Duration interval,
               std::function<void()> work);
   void tick();
+  void noteTick(Instant now);
+  void tickViews(Instant now);
+  void tickQuarantines(Instant now);
   FleetMember localMember() const;
   void applyRelayedChanges(const RelayedChanges &relayed);
   std::unique_ptr<ResourceWatcher>
--- a/Services/sorrelbayd/QuarantineStore.cpp
+++ b/Services/sorrelbayd/QuarantineStore.cpp
@@ -95,12 +95,12 @@
 }
 
 void QuarantineStore::write(Instant now) {
-  IsWriting = true;
   TriedAt = now;
   Resource object;
   object.Name = QuarantineObjectName;
   object.Body = renderQuarantineObject(State.Quarantine.durableKnowledge());
   object.Revision = StoredRevision;
+  IsWriting = true;
   const auto done = [this](const StoreResult<Resource> &result) {
     onWritten(result);
   };
--- a/Tests/LibOperator/TestQuarantineObject.cpp
+++ b/Tests/LibOperator/TestQuarantineObject.cpp
@@ -39,6 +39,31 @@
   BOOST_CHECK(read.Crashes[0].Suspects == written.Crashes[0].Suspects);
 }
 
+// A caller names a part with bytes that are no text. The object can't be
+// written, or what is read from it is another part, which is written again.
+BOOST_AUTO_TEST_CASE(any_part_is_read_as_it_was_written) {
+  std::string all;
+  for (int byte = 0; byte < 256; ++byte)
+    all += static_cast<char>(byte);
+  CrashKnowledge written;
+  UpstreamCrash crash;
+  for (const std::string &part : {std::string("caf\xe9"), all, std::string("%"),
+                                  std::string("%41"), std::string("A")}) {
+    written.Quarantines[{ServiceId("engines"), {part}}] = {Now, {}, 3};
+    crash.Suspects[part] = {Now, 1};
+  }
+  written.Crashes.push_back(crash);
+  CrashKnowledge read = parseQuarantineObject(renderQuarantineObject(written));
+  BOOST_CHECK(read.Quarantines == written.Quarantines);
+  BOOST_REQUIRE(read.Crashes.size() == 1);
+  BOOST_CHECK(read.Crashes[0].Suspects == crash.Suspects);
+  const std::string table = renderQuarantineTable(written.Quarantines, Now);
+  BOOST_TEST(table.find("caf%E9") != std::string::npos);
+  // The form of a call's fingerprint.
+  BOOST_TEST(readablePart("call:01-2_3.4") == "call:01-2_3.4");
+  BOOST_TEST(releaseQuarantines(read.Quarantines, "caf%E9", Now) == 1);
+}
+
 // Another program has written to the object.
 BOOST_AUTO_TEST_CASE(a_malformed_object_is_refused) {
   const std::string withoutParts =
--- a/Tests/sorrelbayd/GatewayFixture.cpp
+++ b/Tests/sorrelbayd/GatewayFixture.cpp
@@ -205,6 +205,8 @@
 
 void FakeStore::write(ResourceKind kind, const Resource &object, bool isNew,
                       const StoreCallback<Resource> &done) {
+  if (FailsOnQuarantines && kind == ResourceKind::Quarantines)
+    throw std::runtime_error("the object can't be written");
   StoreResult<Resource> result;
   const std::lock_guard<std::mutex> lock(Mutex);
   Objects &objects = Kinds[kind];
--- a/Tests/sorrelbayd/GatewayFixture.h
+++ b/Tests/sorrelbayd/GatewayFixture.h
@@ -27,6 +27,8 @@
   void put(ResourceKind kind, const std::string &name, const std::string &body);
   void remove(ResourceKind kind, const std::string &name);
   void setUnreachable(bool isUnreachable) { IsUnreachable = isUnreachable; }
+  /// Makes each write of quarantines throw where it is called.
+  void failOnQuarantines() { FailsOnQuarantines = true; }
   /// Discards the change history, so that watchers have to list again.
   void discardHistory();
   /// Number of watches of the kind that have begun.
@@ -49,6 +51,7 @@
   std::uint64_t Revision = 1;
   std::uint64_t HistoryFrom = 0;
   std::atomic<bool> IsUnreachable{false};
+  std::atomic<bool> FailsOnQuarantines{false};
   std::array<std::atomic<int>, ResourceKindCount> Watches{};
 };
 
--- a/Tests/sorrelbayd/TestNotRunPromises.cpp
+++ b/Tests/sorrelbayd/TestNotRunPromises.cpp
@@ -28,7 +28,8 @@
   return {"X-Call", headerValue(it.request().Headers, "X-Call")};
 }
 
-GatewayFixture::UpstreamHandler respondWith(int status, std::string body = "") {
+GatewayFixture::UpstreamHandler respondWith(int status,
+                                            const std::string &body = "") {
   return [=](const std::shared_ptr<HttpExchange> &it) {
     it->respond(status, {idOf(*it)}, body);
   };
--- a/Tests/sorrelbayd/TestPromptCrashes.cpp
+++ b/Tests/sorrelbayd/TestPromptCrashes.cpp
@@ -210,4 +210,48 @@
   BOOST_TEST(engines.reached("fatal") > reached);
 }
 
+// Engines crash under a part whose id is no text. The store is JSON, and a host
+// whose periodic work ends when it can't be written reports nothing any more,
+// and soon serves nobody.
+BOOST_AUTO_TEST_CASE(a_part_that_is_no_text_stops_no_host) {
+  const std::string part = "caf\xe9";
+  GatewayFixture fixture;
+  Hosts hosts(fixture);
+  CrashingEngines engines(fixture, EngineCount, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart(part);
+  const auto isStored = [&] {
+    const std::string body = storedQuarantines(fixture);
+    return !body.empty() && !parseQuarantineObject(body).Quarantines.empty();
+  };
+  for (int n = 0; n < MaxCalls && !isStored(); ++n) {
+    hosts.call("/n/1", "shared " + part);
+    std::this_thread::sleep_for(CallInterval);
+  }
+  BOOST_TEST(isStored());
+  std::this_thread::sleep_for(NoticeTime);
+  for (int n = 0; n < CallsAfterBound; ++n) {
+    BOOST_TEST(hosts.call("/n/1", "shared other").Status == 200);
+    BOOST_TEST(hosts.call("/n/1", "shared " + part).Status == 400);
+  }
+}
+
+// One part of the periodic work ends with an exception each time. If it ends
+// the others, the host reports nothing, and its peers name it to callers no
+// more.
+BOOST_AUTO_TEST_CASE(a_fault_in_periodic_work_ends_no_other_work) {
+  GatewayFixture fixture;
+  Hosts hosts(fixture);
+  CrashingEngines engines(fixture, EngineCount, CrashMoment::BeforeFirstByte);
+  engines.addFatalPart("fatal");
+  fixture.Store.failOnQuarantines();
+  for (int n = 0; n < CallsAfterBound; ++n) {
+    hosts.call("/n/1", "shared fatal");
+    std::this_thread::sleep_for(CallInterval);
+  }
+  std::this_thread::sleep_for(NoticeTime);
+  const std::string named = GatewayFixture::lookUp(*fixture.Served);
+  for (const auto *it : {hosts.Second.get(), hosts.Third.get()})
+    BOOST_TEST(named.find(it->CallerAddress) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
